--- /dev/null
+++ b/internal/grants/holding.go
@@ -0,0 +1,136 @@
+package grants
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
+)
+
+// coalesce is how long a release waits for others, so that one call carries many.
+const coalesce = 2 * time.Millisecond
+
+// holding is the set of grants of one group that this entry holds, with the
+// releases that the scheduler has not acknowledged.
+type holding struct {
+	client *Client
+	group  string
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	held     map[string]*Lease
+	released []pendingRelease
+}
+
+type pendingRelease struct {
+	outcome *schedulerv1.Outcome
+	since   time.Time
+}
+
+// holding returns the set of the group and starts its renewal on first use.
+func (c *Client) holding(group string) *holding {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h, ok := c.groups[group]
+	if !ok {
+		h = &holding{client: c, group: group, wake: make(chan struct{}, 1), held: make(map[string]*Lease)}
+		c.groups[group] = h
+		go h.run()
+	}
+	return h
+}
+
+func (h *holding) hold(l *Lease) {
+	h.mu.Lock()
+	h.held[l.Grant.Id] = l
+	h.mu.Unlock()
+}
+
+func (h *holding) release(o *schedulerv1.Outcome) {
+	h.mu.Lock()
+	delete(h.held, o.GrantId)
+	h.released = append(h.released, pendingRelease{o, time.Now()})
+	h.mu.Unlock()
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run sends releases soon after they are made and renews the grants in use.
+// It lives as long as the process, since groups are few and never forgotten.
+func (h *holding) run() {
+	renew := time.NewTicker(renewInterval)
+	defer renew.Stop()
+	var epoch uint64
+	for {
+		full := false
+		select {
+		case <-renew.C:
+			full = true
+		case <-h.wake:
+			time.Sleep(coalesce)
+		}
+		// A new scheduler learns at once what this entry holds, so that it
+		// does not give the same slots away a second time.
+		if _, now, ok := h.client.directory.Holder(h.group); ok && now != epoch {
+			epoch, full = now, true
+		}
+		h.flush(full)
+	}
+}
+
+// flush sends one Renew call with the pending releases and, where full is set,
+// all grants in use.
+func (h *holding) flush(full bool) {
+	req := &schedulerv1.RenewRequest{Group: h.group, Entry: h.client.entry}
+	h.mu.Lock()
+	pending := h.released
+	h.released = nil
+	if full {
+		for _, l := range h.held {
+			req.Held = append(req.Held, &schedulerv1.HeldGrant{
+				GrantId: l.Grant.Id, RequestId: l.request.Id, Endpoint: l.Grant.Endpoint,
+				Customer: l.request.Customer, Class: l.request.Class, Epoch: l.Grant.Epoch,
+			})
+		}
+	}
+	h.mu.Unlock()
+	for _, p := range pending {
+		req.Released = append(req.Released, p.outcome)
+	}
+	if len(req.Held) == 0 && len(req.Released) == 0 {
+		return
+	}
+	if err := h.send(req); err != nil {
+		h.client.failed.Inc(1)
+		h.keep(pending)
+	}
+}
+
+func (h *holding) send(req *schedulerv1.RenewRequest) error {
+	address, epoch, ok := h.client.directory.Holder(h.group)
+	if !ok {
+		return context.DeadlineExceeded
+	}
+	req.Epoch = epoch
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := h.client.dial(address).Renew(ctx, connect.NewRequest(req))
+	return err
+}
+
+// keep queues releases again that were not acknowledged. A release is
+// idempotent: the scheduler ignores grants it does not know.
+func (h *holding) keep(pending []pendingRelease) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range pending {
+		if time.Since(p.since) < releaseKeep {
+			h.released = append(h.released, p)
+		}
+	}
+}
