Add the stand-in endpoint

A small process in place of a model engine or a plain service, with deterministic answers, so that tests can check answers without other systems.

--- /dev/null
+++ b/internal/fakeengine/cache.go
@@ -0,0 +1,184 @@
+package fakeengine
+
+import (
+	"container/list"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// blockTokens is the number of prompt tokens in one block of the prefix cache.
+const blockTokens = 16
+
+// CacheEvent says that a block was stored in the prefix cache or removed from it.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Kind     string `json:"kind"`
+	Block    string `json:"block"`
+}
+
+// CacheEvents is the answer to a poll of cache events.
+type CacheEvents struct {
+	Events []CacheEvent `json:"events"`
+	Next   uint64       `json:"next"`
+}
+
+// KV is an export of cached blocks.
+type KV struct {
+	Blocks []string `json:"blocks"`
+}
+
+type storedEvent struct {
+	CacheEvent
+	at time.Time
+}
+
+// maxCacheEvents bounds the events kept for polls; older ones become a gap.
+const maxCacheEvents = 4096
+
+// prefixCache is an LRU set of prompt blocks. The hash of a block covers all
+// blocks before it.
+type prefixCache struct {
+	cfg Config
+
+	mu     sync.Mutex
+	order  *list.List
+	blocks map[string]*list.Element
+	events []storedEvent
+	last   uint64
+}
+
+func newPrefixCache(cfg Config) *prefixCache {
+	return &prefixCache{cfg: cfg, order: list.New(), blocks: make(map[string]*list.Element)}
+}
+
+// BlocksOf returns the hashes of the full blocks of a prompt.
+func BlocksOf(prompt string) []string {
+	words := strings.Fields(prompt)
+	var out []string
+	var chain uint64
+	for len(words) >= blockTokens {
+		chain = mix(chain ^ uint64(ScriptOf(strings.Join(words[:blockTokens], " "))))
+		out = append(out, strconv.FormatUint(chain, 16))
+		words = words[blockTokens:]
+	}
+	return out
+}
+
+// touch stores the blocks of prompt and returns the number of its tokens that
+// were in the cache from the start on.
+func (c *prefixCache) touch(prompt string) int {
+	blocks := BlocksOf(prompt)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hit := 0
+	for i, b := range blocks {
+		if _, ok := c.blocks[b]; ok && hit == i {
+			hit++
+		}
+		c.store(b)
+	}
+	return hit * blockTokens
+}
+
+func (c *prefixCache) store(block string) {
+	if e, ok := c.blocks[block]; ok {
+		c.order.MoveToFront(e)
+		return
+	}
+	c.blocks[block] = c.order.PushFront(block)
+	c.publish("stored", block)
+	for c.order.Len() > c.cfg.CacheBlocks {
+		oldest := c.order.Back()
+		name := c.order.Remove(oldest).(string)
+		delete(c.blocks, name)
+		c.publish("removed", name)
+	}
+}
+
+func (c *prefixCache) publish(kind, block string) {
+	c.last++
+	if gap := c.cfg.CacheEventGap; gap > 0 && c.last%uint64(gap) == 0 {
+		return
+	}
+	c.events = append(c.events, storedEvent{CacheEvent{c.last, kind, block}, time.Now()})
+	if len(c.events) > maxCacheEvents {
+		c.events = append([]storedEvent(nil), c.events[len(c.events)-maxCacheEvents/2:]...)
+	}
+}
+
+// after returns the published events with a sequence above n.
+func (c *prefixCache) after(n uint64) CacheEvents {
+	due := time.Now().Add(-c.cfg.CacheEventLag)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := CacheEvents{Events: []CacheEvent{}, Next: n}
+	for _, e := range c.events {
+		if e.Sequence > n && !e.at.After(due) {
+			out.Events = append(out.Events, e.CacheEvent)
+			out.Next = e.Sequence
+		}
+	}
+	return out
+}
+
+// used returns the part of the cache that is in use.
+func (c *prefixCache) used() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.order.Len()) / float64(c.cfg.CacheBlocks)
+}
+
+func (c *prefixCache) export(blocks []string) KV {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := KV{Blocks: []string{}}
+	for _, b := range blocks {
+		if _, ok := c.blocks[b]; ok {
+			out.Blocks = append(out.Blocks, b)
+		}
+	}
+	return out
+}
+
+func (c *prefixCache) load(kv KV) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range kv.Blocks {
+		c.store(b)
+	}
+}
+
+func (s *Server) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil && r.URL.Query().Has("after") {
+		writeError(w, http.StatusBadRequest, "invalid_after", err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, s.cache.after(after))
+}
+
+func (s *Server) serveExport(w http.ResponseWriter, r *http.Request) {
+	if kv, ok := readKV(w, r); ok {
+		writeJSON(w, http.StatusOK, s.cache.export(kv.Blocks))
+	}
+}
+
+func (s *Server) serveImport(w http.ResponseWriter, r *http.Request) {
+	if kv, ok := readKV(w, r); ok {
+		s.cache.load(kv)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func readKV(w http.ResponseWriter, r *http.Request) (KV, bool) {
+	var kv KV
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChatBody)).Decode(&kv); err != nil {
+		writeError(w, http.StatusBadRequest, "invalid_body", err.Error())
+		return kv, false
+	}
+	return kv, true
+}
--- /dev/null
+++ b/internal/fakeengine/config.go
@@ -0,0 +1,109 @@
+package fakeengine
+
+import (
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("fakeengine")
+
+// Kinds of endpoint.
+const (
+	KindEngine = "engine"
+	KindPlain  = "plain"
+)
+
+// How the engine treats an order with an old fencing number.
+const (
+	FencingRefuse = "refuse"
+	FencingIgnore = "ignore"
+)
+
+// Config sets up one stand-in. The tags are read by kong.
+type Config struct {
+	Listen        string        `help:"Address to listen on." default:"127.0.0.1:0" env:"AUBURNSTEP_FAKE_LISTEN"`
+	Advertise     string        `help:"Address to announce; the listen address by default." env:"AUBURNSTEP_FAKE_ADVERTISE"`
+	ID            string        `help:"Endpoint id; the advertised address by default." env:"AUBURNSTEP_FAKE_ID"`
+	Kind          string        `help:"Kind of endpoint: engine or plain." enum:"engine,plain" default:"engine" env:"AUBURNSTEP_FAKE_KIND"`
+	Service       string        `help:"Service that the endpoint belongs to." default:"auburn-pool" env:"AUBURNSTEP_FAKE_SERVICE"`
+	FailureDomain string        `help:"Failure domain of the instance." default:"local" env:"AUBURNSTEP_FAKE_FAILURE_DOMAIN"`
+	Announce      []string      `help:"Entry addresses to announce to." env:"AUBURNSTEP_FAKE_ANNOUNCE"`
+	Lease         time.Duration `help:"Lease of an announcement." default:"3s" env:"AUBURNSTEP_FAKE_LEASE"`
+	LeaveGrace    time.Duration `help:"Shortest time from the announcement of leaving to the exit." default:"2s" env:"AUBURNSTEP_FAKE_LEAVE_GRACE"`
+
+	Models   []string `help:"Models that are loaded; any model is served if empty." env:"AUBURNSTEP_FAKE_MODELS"`
+	Adapters []string `help:"Adapters that are loaded." env:"AUBURNSTEP_FAKE_ADAPTERS"`
+
+	Slots           int           `help:"Requests run at once." default:"16" env:"AUBURNSTEP_FAKE_SLOTS"`
+	QueueMax        int           `help:"Requests waiting for a slot; more are refused as not-run." default:"256" env:"AUBURNSTEP_FAKE_QUEUE_MAX"`
+	TokensPerSecond float64       `help:"Tokens per second of one request alone; 0 is unpaced." default:"50" env:"AUBURNSTEP_FAKE_TOKENS_PER_SECOND"`
+	BatchSlowdown   float64       `help:"Part by which a step is longer with all slots in use." default:"0.25" env:"AUBURNSTEP_FAKE_BATCH_SLOWDOWN"`
+	PrefillRate     float64       `help:"Prompt tokens per second that are not in the cache; 0 is unpaced." default:"8000" env:"AUBURNSTEP_FAKE_PREFILL_RATE"`
+	LoadLag         time.Duration `help:"Age of load reports." default:"500ms" env:"AUBURNSTEP_FAKE_LOAD_LAG"`
+
+	CacheBlocks   int           `help:"Size of the prefix cache in blocks of 16 tokens." default:"4096" env:"AUBURNSTEP_FAKE_CACHE_BLOCKS"`
+	CacheEventLag time.Duration `help:"Age of cache events when they are published." default:"300ms" env:"AUBURNSTEP_FAKE_CACHE_EVENT_LAG"`
+	CacheEventGap int           `help:"Every n-th cache event is lost; 0 loses none." default:"0" env:"AUBURNSTEP_FAKE_CACHE_EVENT_GAP"`
+
+	Fencing    string `help:"Orders with an old fencing number: refuse or ignore the number." enum:"refuse,ignore" default:"refuse" env:"AUBURNSTEP_FAKE_FENCING"`
+	OrderToken string `help:"Bearer token that orders must carry; none if empty." env:"AUBURNSTEP_FAKE_ORDER_TOKEN"`
+
+	PlainDelay time.Duration `help:"Time that one plain call takes." default:"5ms" env:"AUBURNSTEP_FAKE_PLAIN_DELAY"`
+
+	Faults []Fault `help:"Faults at the start, as kind[,key=value...], e.g. slow,factor=4 or crash,after=10s. Separated by ';'." sep:";" name:"fault" env:"AUBURNSTEP_FAKE_FAULT"`
+	Seed   uint64  `help:"Seed of the choice of requests that a fault hits." default:"1" env:"AUBURNSTEP_FAKE_SEED"`
+
+	// Exit is called by the crash fault. Without it the listener is closed and
+	// all connections are reset.
+	Exit func() `kong:"-"`
+}
+
+// withDefaults fills what a test leaves at zero. Pace, lags and delays stay at
+// zero, so that tests are as fast as the machine.
+func (c Config) withDefaults() Config {
+	if c.Listen == "" {
+		c.Listen = "127.0.0.1:0"
+	}
+	if c.Kind == "" {
+		c.Kind = KindEngine
+	}
+	if c.Service == "" {
+		c.Service = "auburn-pool"
+	}
+	if c.FailureDomain == "" {
+		c.FailureDomain = "local"
+	}
+	if c.Fencing == "" {
+		c.Fencing = FencingRefuse
+	}
+	if c.Slots == 0 {
+		c.Slots = 16
+	}
+	if c.QueueMax == 0 {
+		c.QueueMax = 256
+	}
+	if c.Lease == 0 {
+		c.Lease = 3 * time.Second
+	}
+	if c.CacheBlocks == 0 {
+		c.CacheBlocks = 4096
+	}
+	return c
+}
+
+// Validate checks the configuration.
+func (c Config) Validate() error {
+	switch {
+	case c.Kind != KindEngine && c.Kind != KindPlain:
+		return Error.New("kind %q is not engine or plain", c.Kind)
+	case c.Fencing != FencingRefuse && c.Fencing != FencingIgnore:
+		return Error.New("fencing %q is not refuse or ignore", c.Fencing)
+	case c.Slots < 1:
+		return Error.New("slots %d is below 1", c.Slots)
+	case c.TokensPerSecond < 0 || c.PrefillRate < 0 || c.BatchSlowdown < 0:
+		return Error.New("rates must not be negative")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fakeengine/orders.go
@@ -0,0 +1,155 @@
+package fakeengine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+)
+
+// Kinds of order.
+const (
+	OrderLoadModel     = "load_model"
+	OrderUnloadModel   = "unload_model"
+	OrderLoadAdapter   = "load_adapter"
+	OrderUnloadAdapter = "unload_adapter"
+	OrderSetRole       = "set_role"
+)
+
+// Order asks an engine to change what it has loaded, or its role.
+type Order struct {
+	Kind    string `json:"kind"`
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// OrderReply says what an engine has loaded after an order.
+type OrderReply struct {
+	Models   []string `json:"models"`
+	Adapters []string `json:"adapters"`
+	Role     string   `json:"role,omitempty"`
+	Fencing  uint64   `json:"fencing"`
+}
+
+// AppliedOrder is an order that was carried out, with its fencing number.
+type AppliedOrder struct {
+	Order
+	Fencing uint64 `json:"fencing"`
+}
+
+// orderBook holds what is loaded and the highest fencing number seen.
+type orderBook struct {
+	cfg Config
+
+	mu      sync.Mutex
+	state   OrderReply
+	applied []AppliedOrder
+	any     bool
+}
+
+func newOrderBook(cfg Config) *orderBook {
+	return &orderBook{
+		cfg:   cfg,
+		any:   len(cfg.Models) == 0,
+		state: OrderReply{Models: slices.Clone(cfg.Models), Adapters: slices.Clone(cfg.Adapters)},
+	}
+}
+
+// serves reports whether requests for model can run.
+func (o *orderBook) serves(model string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.any || slices.Contains(o.state.Models, model) || slices.Contains(o.state.Adapters, model)
+}
+
+func (o *orderBook) models() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.state.Models)
+}
+
+func (o *orderBook) adapters() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.state.Adapters)
+}
+
+// apply carries out an order. It is false for an old fencing number.
+func (o *orderBook) apply(order Order, fencing uint64) (OrderReply, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.cfg.Fencing == FencingRefuse {
+		if fencing < o.state.Fencing {
+			return OrderReply{}, false
+		}
+		o.state.Fencing = fencing
+	}
+	o.applied = append(o.applied, AppliedOrder{order, fencing})
+	switch order.Kind {
+	case OrderLoadModel:
+		o.state.Models = with(o.state.Models, order.Model)
+	case OrderUnloadModel:
+		o.state.Models = without(o.state.Models, order.Model)
+		o.any = false
+	case OrderLoadAdapter:
+		o.state.Adapters = with(o.state.Adapters, order.Adapter)
+	case OrderUnloadAdapter:
+		o.state.Adapters = without(o.state.Adapters, order.Adapter)
+	case OrderSetRole:
+		o.state.Role = order.Role
+	}
+	reply := o.state
+	reply.Models, reply.Adapters = slices.Clone(reply.Models), slices.Clone(reply.Adapters)
+	return reply, true
+}
+
+func with(list []string, name string) []string {
+	if slices.Contains(list, name) {
+		return list
+	}
+	return append(list, name)
+}
+
+func without(list []string, name string) []string {
+	return slices.DeleteFunc(list, func(s string) bool { return s == name })
+}
+
+// Orders returns the orders that were carried out.
+func (s *Server) Orders() []AppliedOrder {
+	s.orders.mu.Lock()
+	defer s.orders.mu.Unlock()
+	return slices.Clone(s.orders.applied)
+}
+
+func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
+	if t := s.cfg.OrderToken; t != "" && r.Header.Get("Authorization") != "Bearer "+t {
+		writeError(w, http.StatusForbidden, "order_token", "the order carries no valid token")
+		return
+	}
+	fencing, err := strconv.ParseUint(r.Header.Get(HeaderFencing), 10, 64)
+	if err != nil && s.cfg.Fencing == FencingRefuse {
+		writeError(w, http.StatusBadRequest, "fencing_number", "the fencing number is missing or not a number")
+		return
+	}
+	var order Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPlainBody)).Decode(&order); err != nil {
+		writeError(w, http.StatusBadRequest, "invalid_body", err.Error())
+		return
+	}
+	switch order.Kind {
+	case OrderLoadModel, OrderUnloadModel, OrderLoadAdapter, OrderUnloadAdapter, OrderSetRole:
+	default:
+		writeError(w, http.StatusBadRequest, "invalid_order", "the kind of the order is unknown")
+		return
+	}
+	reply, ok := s.orders.apply(order, fencing)
+	if !ok {
+		writeError(w, http.StatusPreconditionFailed, "old_fencing_number", "a higher fencing number was seen")
+		return
+	}
+	writeJSON(w, http.StatusOK, reply)
+	s.announce.soon()
+}
--- /dev/null
+++ b/internal/fakeengine/plain.go
@@ -0,0 +1,132 @@
+package fakeengine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// maxPlainBody bounds the body of a plain call.
+const maxPlainBody = 4 << 20
+
+// Booking is one run of a call that changes something.
+type Booking struct {
+	Sequence int    `json:"sequence"`
+	Path     string `json:"path"`
+	Key      string `json:"key"`
+	Request  string `json:"request"`
+	Body     string `json:"body"`
+}
+
+// Echo is the answer to a lookup and to a booking. Digest is of the body of the
+// request, or of its path and query where it has none.
+type Echo struct {
+	Path     string `json:"path"`
+	Query    string `json:"query,omitempty"`
+	Digest   string `json:"digest"`
+	Sequence int    `json:"sequence,omitempty"`
+}
+
+// DigestOf returns the digest that an Echo carries for data.
+func DigestOf(data string) string {
+	sum := sha256.Sum256([]byte(data))
+	return hex.EncodeToString(sum[:8])
+}
+
+// ledger is the memory of a plain service.
+type ledger struct {
+	mu   sync.Mutex
+	runs []Booking
+}
+
+func newLedger() *ledger { return &ledger{} }
+
+func (l *ledger) add(b Booking) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b.Sequence = len(l.runs) + 1
+	l.runs = append(l.runs, b)
+	return b.Sequence
+}
+
+func (l *ledger) list() []Booking {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Booking{}, l.runs...)
+}
+
+func (s *Server) routePlain(mux *http.ServeMux) {
+	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.ledger.list()) })
+	mux.HandleFunc("GET /", s.servePlain)
+	mux.HandleFunc("POST /", s.servePlain)
+}
+
+// servePlain answers a lookup with an echo and enters a booking in the ledger.
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request) {
+	s.arrive()
+	if _, hit := s.faults.draw(FaultOverload); hit || s.inFlight.Load() >= int64(s.cfg.Slots+s.cfg.QueueMax) {
+		s.refuse(w, http.StatusServiceUnavailable, "overloaded", "the service is overloaded")
+		return
+	}
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPlainBody))
+	if err != nil {
+		s.refuse(w, http.StatusBadRequest, "invalid_body", err.Error())
+		return
+	}
+	echo := Echo{Path: r.URL.Path, Query: r.URL.RawQuery, Digest: DigestOf(r.URL.RequestURI())}
+	if r.Method == http.MethodPost {
+		echo.Digest = DigestOf(string(body))
+		echo.Sequence = s.ledger.add(Booking{
+			Path: r.URL.Path, Key: r.Header.Get("Idempotency-Key"), Request: r.Header.Get(HeaderRequestID), Body: string(body),
+		})
+	}
+	if !s.pausePlain(r) || !s.delayLate(r.Context()) {
+		s.cancelled.Add(1)
+		return
+	}
+	s.answerPlain(w, r, echo)
+}
+
+func (s *Server) pausePlain(r *http.Request) bool {
+	d := time.Duration(float64(s.cfg.PlainDelay) * s.faults.slowdown())
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	case <-s.stop:
+		return false
+	}
+}
+
+func (s *Server) answerPlain(w http.ResponseWriter, r *http.Request, echo Echo) {
+	id := r.Header.Get(HeaderRequestID)
+	if _, hit := s.faults.draw(FaultCrossed); hit {
+		id, echo.Digest = "other-"+id, DigestOf("other")
+	}
+	if id != "" {
+		w.Header().Set(HeaderRequestID, id)
+	}
+	_, truncated := s.faults.draw(FaultTruncated)
+	if _, reset := s.faults.draw(FaultReset); truncated || reset {
+		s.cancelled.Add(1)
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"path":`)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	s.completed.Add(1)
+	status := http.StatusOK
+	if r.Method == http.MethodPost {
+		status = http.StatusCreated
+	}
+	writeJSON(w, status, echo)
+}
