--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -27,6 +27,9 @@
 	// renewInterval is how often the grants in use are renewed. The scheduler
 	// drops a grant that was not renewed for 3 s.
 	renewInterval = 500 * time.Millisecond
+	// watchInterval is how often the client looks for new groups and for new
+	// schedulers of known ones.
+	watchInterval = 50 * time.Millisecond
 	// useMargin is left between the last moment a grant may be used and its
 	// expiry, so that the first bytes leave before the scheduler takes it back.
 	useMargin = 20 * time.Millisecond
@@ -39,6 +42,8 @@
 type Directory interface {
 	// Groups returns the names of the groups of a service.
 	Groups(service string) []string
+	// AllGroups returns the names of the groups of all services.
+	AllGroups() []string
 	// Holder returns the peer address and epoch of the group's scheduler.
 	Holder(group string) (address string, epoch uint64, ok bool)
 }
@@ -69,6 +74,23 @@
 	}
 }
 
+// Watch keeps one renewal running for each group until ctx ends, so that a new
+// scheduler hears from every entry, also from those that hold nothing.
+func (c *Client) Watch(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		for _, group := range c.directory.AllGroups() {
+			c.holding(group)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // Lease is one grant held by this entry.
 type Lease struct {
 	Group    string
--- a/internal/grants/holding.go
+++ b/internal/grants/holding.go
@@ -63,34 +63,39 @@
 // run sends releases soon after they are made and renews the grants in use.
 // It lives as long as the process, since groups are few and never forgotten.
 func (h *holding) run() {
-	renew := time.NewTicker(renewInterval)
-	defer renew.Stop()
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
 	var epoch uint64
+	var renewed time.Time
 	for {
-		full := false
 		select {
-		case <-renew.C:
-			full = true
+		case <-ticker.C:
 		case <-h.wake:
 			time.Sleep(coalesce)
 		}
 		// A new scheduler learns at once what this entry holds, so that it
 		// does not give the same slots away a second time.
-		if _, now, ok := h.client.directory.Holder(h.group); ok && now != epoch {
-			epoch, full = now, true
+		_, now, known := h.client.directory.Holder(h.group)
+		adopt := known && now != epoch
+		renew := adopt || time.Since(renewed) >= renewInterval
+		if renew {
+			renewed = time.Now()
+		}
+		if h.flush(renew, adopt) && adopt {
+			epoch = now
 		}
-		h.flush(full)
 	}
 }
 
-// flush sends one Renew call with the pending releases and, where full is set,
-// all grants in use.
-func (h *holding) flush(full bool) {
+// flush sends one Renew call with the pending releases and, where renew is
+// set, all grants in use. An empty call is sent only for adoption. It reports
+// whether nothing is left to send.
+func (h *holding) flush(renew, adopt bool) bool {
 	req := &schedulerv1.RenewRequest{Group: h.group, Entry: h.client.entry}
 	h.mu.Lock()
 	pending := h.released
 	h.released = nil
-	if full {
+	if renew {
 		for _, l := range h.held {
 			req.Held = append(req.Held, &schedulerv1.HeldGrant{
 				GrantId: l.Grant.Id, RequestId: l.request.Id, Endpoint: l.Grant.Endpoint,
@@ -102,13 +107,15 @@
 	for _, p := range pending {
 		req.Released = append(req.Released, p.outcome)
 	}
-	if len(req.Held) == 0 && len(req.Released) == 0 {
-		return
+	if len(req.Held) == 0 && len(req.Released) == 0 && !adopt {
+		return true
 	}
 	if err := h.send(req); err != nil {
 		h.client.failed.Inc(1)
 		h.keep(pending)
+		return false
 	}
+	return true
 }
 
 func (h *holding) send(req *schedulerv1.RenewRequest) error {
--- /dev/null
+++ b/internal/schedulerhost/convert.go
@@ -0,0 +1,95 @@
+package schedulerhost
+
+import (
+	"time"
+
+	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
+	"auburnstep.example/auburnstep/internal/scheduler"
+	"auburnstep.example/auburnstep/internal/verdict"
+)
+
+// decisionMessage makes the answer of Acquire. The validity of a grant is
+// extended by the time the call was held, since the entry counts it from
+// sending the call. Sending precedes receiving, so the entry's end of validity
+// is never later than the scheduler's.
+func decisionMessage(d scheduler.Decision, received time.Time) *schedulerv1.AcquireResponse {
+	switch d := d.(type) {
+	case scheduler.Granted:
+		held := time.Since(received)
+		return &schedulerv1.AcquireResponse{Grant: &schedulerv1.Grant{
+			Id: d.GrantID, Epoch: d.Epoch, Endpoint: d.Endpoint, Address: d.Address,
+			ExpiresInMs: uint32((held + d.ExpiresIn).Milliseconds()), Priority: uint32(d.Priority),
+		}}
+	case scheduler.Refused:
+		return &schedulerv1.AcquireResponse{Refusal: refusalMessage(d.Err)}
+	default:
+		return &schedulerv1.AcquireResponse{}
+	}
+}
+
+func refusalMessage(e *verdict.Error) *schedulerv1.Refusal {
+	return &schedulerv1.Refusal{
+		Code: e.Code, Message: e.Message, Status: uint32(e.Status), RetryAfterMs: uint32(e.RetryAfter.Milliseconds()),
+	}
+}
+
+func outcome(o *schedulerv1.Outcome) scheduler.Outcome {
+	return scheduler.Outcome{
+		Tokens: int(o.Tokens), FirstToken: time.Duration(o.FirstTokenMs) * time.Millisecond,
+		Duration: time.Duration(o.DurationMs) * time.Millisecond, Failed: o.Failed, EndpointFault: o.EndpointFault,
+		ConnectRefused: o.ConnectRefused, Unused: o.Unused,
+	}
+}
+
+func heldGrants(held []*schedulerv1.HeldGrant) []scheduler.HeldGrant {
+	out := make([]scheduler.HeldGrant, len(held))
+	for i, h := range held {
+		out[i] = scheduler.HeldGrant{
+			GrantID: h.GrantId, RequestID: h.RequestId, Endpoint: h.Endpoint,
+			Customer: h.Customer, Class: h.Class, Epoch: h.Epoch,
+		}
+	}
+	return out
+}
+
+func endpoint(e *schedulerv1.Endpoint) scheduler.Endpoint {
+	out := scheduler.Endpoint{
+		ID: e.Id, Incarnation: e.Incarnation, Address: e.Address, Models: e.Models, Adapters: e.Adapters,
+		Slots: int(e.Slots), TokensPerSecond: float64(e.TokensPerSecond), FailureDomain: e.FailureDomain,
+		Lease: time.Duration(e.LeaseMs) * time.Millisecond, Leaving: e.Leaving,
+	}
+	if l := e.Load; l != nil {
+		out.Load = &scheduler.Load{
+			Running: int(l.Running), Waiting: int(l.Waiting), KVUsed: float64(l.KvUsed),
+			MeasuredAt: time.UnixMilli(l.MeasuredAtMs),
+		}
+	}
+	for _, c := range e.CacheEvents {
+		out.CacheEvents = append(out.CacheEvents, scheduler.CacheEvent{
+			Sequence: c.Sequence, Stored: c.Stored, Prefix: c.Prefix, Cleared: c.Cleared,
+		})
+	}
+	return out
+}
+
+func statusMessage(s scheduler.Status) *schedulerv1.StatusResponse {
+	res := &schedulerv1.StatusResponse{Group: s.Group, Epoch: s.Epoch}
+	for _, e := range s.Endpoints {
+		res.Endpoints = append(res.Endpoints, &schedulerv1.EndpointStatus{
+			Endpoint: &schedulerv1.Endpoint{
+				Id: e.Endpoint.ID, Incarnation: e.Endpoint.Incarnation, Address: e.Endpoint.Address, Models: e.Endpoint.Models,
+				Adapters: e.Endpoint.Adapters, Slots: uint32(e.Endpoint.Slots), FailureDomain: e.Endpoint.FailureDomain,
+				TokensPerSecond: float32(e.Endpoint.TokensPerSecond), Leaving: e.Endpoint.Leaving,
+			},
+			InFlight: uint32(e.InFlight), Ejected: e.Ejected, LeaseLeftMs: uint32(e.LeaseLeft.Milliseconds()),
+			ObservedTokensPerSecond: float32(e.Pace),
+		})
+	}
+	for _, c := range s.Classes {
+		res.Classes = append(res.Classes, &schedulerv1.ClassStatus{
+			Class: c.Class, Tier: uint32(c.Tier), Waiting: uint32(c.Waiting), InFlight: uint32(c.InFlight),
+			Granted: c.Granted, Refused: c.Refused,
+		})
+	}
+	return res
+}
--- /dev/null
+++ b/internal/schedulerhost/handler.go
@@ -0,0 +1,163 @@
+package schedulerhost
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"auburnstep.example/auburnstep/internal/ring"
+	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
+	"auburnstep.example/auburnstep/internal/scheduler"
+	"auburnstep.example/auburnstep/internal/verdict"
+)
+
+// maxHold bounds how long one Acquire call is held.
+const maxHold = time.Second
+
+// Acquire implements scheduler.v1.Scheduler. It queues the request, or finds it
+// in the queue, and holds the call until there is a decision or the hold time
+// is over.
+func (h *Host) Acquire(ctx context.Context, req *connect.Request[schedulerv1.AcquireRequest]) (*connect.Response[schedulerv1.AcquireResponse], error) {
+	received := time.Now()
+	m := req.Msg
+	g, err := h.lookup(m.Group)
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	request, refusal := g.request(m)
+	if refusal != nil {
+		return connect.NewResponse(&schedulerv1.AcquireResponse{Refusal: refusalMessage(refusal)}), nil
+	}
+	w := &waiter{entry: m.Entry, reply: make(chan scheduler.Decision, 1)}
+	if err := g.do(ctx, func(now time.Time) { g.enqueue(now, request, w) }); err != nil {
+		return nil, rpcError(err)
+	}
+	hold := min(time.Duration(m.HoldMs)*time.Millisecond, maxHold)
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	select {
+	case d := <-w.reply:
+		return connect.NewResponse(decisionMessage(d, received)), nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.endHold(ctx, m.Request.Id, w, received)
+}
+
+// endHold ends a call that has no decision yet. A decision that crossed with
+// the end of the hold time is still delivered.
+func (g *group) endHold(ctx context.Context, id string, w *waiter, received time.Time) (*connect.Response[schedulerv1.AcquireResponse], error) {
+	res := &schedulerv1.AcquireResponse{}
+	err := g.do(context.WithoutCancel(ctx), func(time.Time) {
+		if g.waiters[id] == w {
+			delete(g.waiters, id)
+		}
+		res.Position = uint32(g.core.Position(id))
+	})
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	select {
+	case d := <-w.reply:
+		res = decisionMessage(d, received)
+	default:
+	}
+	return connect.NewResponse(res), nil
+}
+
+func (g *group) enqueue(now time.Time, r scheduler.Request, w *waiter) {
+	g.waiters[r.ID] = w
+	g.deliver(g.core.Enqueue(now, r))
+}
+
+// request completes the entry's request with the class settings in force here,
+// so that all requests of a queue are ordered by the same settings.
+func (g *group) request(m *schedulerv1.AcquireRequest) (scheduler.Request, *verdict.Error) {
+	r := m.Request
+	p, ok := g.host.source.Index().ClassPolicy(g.service, r.Class, r.Customer)
+	if !ok {
+		return scheduler.Request{}, verdict.Refused(404, "unknown_class", "class "+r.Class+" does not exist in service "+g.service)
+	}
+	deadline := p.Deadline
+	if d := time.Duration(r.DeadlineMs) * time.Millisecond; d > 0 && d < deadline {
+		deadline = d
+	}
+	return scheduler.Request{
+		ID: r.Id, Entry: m.Entry, Customer: r.Customer, Class: r.Class, Tier: p.Tier, Target: p.FirstToken,
+		Deadline: deadline, Waited: time.Duration(r.WaitedMs) * time.Millisecond, PromptTokens: int(r.PromptTokens),
+		MaxTokens: int(r.MaxTokens), Prefixes: r.Prefixes, Model: r.Model, MayRepeat: r.MayRepeat, Avoid: r.Avoid,
+	}, nil
+}
+
+// Cancel implements scheduler.v1.Scheduler.
+func (h *Host) Cancel(ctx context.Context, req *connect.Request[schedulerv1.CancelRequest]) (*connect.Response[schedulerv1.CancelResponse], error) {
+	err := h.call(ctx, req.Msg.Group, func(g *group, now time.Time) { g.deliver(g.core.Cancel(now, req.Msg.RequestId)) })
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return connect.NewResponse(&schedulerv1.CancelResponse{}), nil
+}
+
+// Renew implements scheduler.v1.Scheduler.
+func (h *Host) Renew(ctx context.Context, req *connect.Request[schedulerv1.RenewRequest]) (*connect.Response[schedulerv1.RenewResponse], error) {
+	m := req.Msg
+	res := &schedulerv1.RenewResponse{}
+	err := h.call(ctx, m.Group, func(g *group, now time.Time) {
+		res.Epoch = g.epoch
+		for _, o := range m.Released {
+			g.deliver(g.core.Release(now, o.GrantId, outcome(o)))
+		}
+		g.deliver(g.core.Renew(now, m.Entry, heldGrants(m.Held)))
+	})
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Announce implements scheduler.v1.Scheduler.
+func (h *Host) Announce(ctx context.Context, req *connect.Request[schedulerv1.AnnounceRequest]) (*connect.Response[schedulerv1.AnnounceResponse], error) {
+	res := &schedulerv1.AnnounceResponse{}
+	err := h.call(ctx, req.Msg.Group, func(g *group, now time.Time) {
+		res.Epoch = g.epoch
+		for _, e := range req.Msg.Endpoints {
+			g.deliver(g.core.Announce(now, endpoint(e)))
+		}
+	})
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Status implements scheduler.v1.Scheduler.
+func (h *Host) Status(ctx context.Context, req *connect.Request[schedulerv1.StatusRequest]) (*connect.Response[schedulerv1.StatusResponse], error) {
+	var s scheduler.Status
+	err := h.call(ctx, req.Msg.Group, func(g *group, now time.Time) { s = g.core.Status(now) })
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return connect.NewResponse(statusMessage(s)), nil
+}
+
+// call runs f in the goroutine of the named group.
+func (h *Host) call(ctx context.Context, name string, f func(g *group, now time.Time)) error {
+	g, err := h.lookup(name)
+	if err != nil {
+		return err
+	}
+	return g.do(ctx, func(now time.Time) { f(g, now) })
+}
+
+func rpcError(err error) error {
+	switch {
+	case ErrNotHolder.Has(err):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	case errors.Is(err, ring.ErrFull):
+		return connect.NewError(connect.CodeResourceExhausted, err)
+	default:
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+}
