Add the client to endpoints

Streams of engines and calls of plain services over HTTP/1.1, with every failure classified as a verdict and nothing retried.

--- a/internal/fakeengine/chat.go
+++ b/internal/fakeengine/chat.go
@@ -184,7 +184,7 @@
 			if job.isCancelled() {
 				return context.Canceled
 			}
-			buf = appendChunk(buf[:0], id, job.model, created, sent, script)
+			buf = appendChunk(buf[:0], id, job.model, created, sent, script, sent == job.from)
 			if _, err := w.Write(buf); err != nil {
 				return err
 			}
@@ -219,9 +219,13 @@
 	return b
 }
 
-func appendChunk(b []byte, id, model string, created int64, offset int, script Script) []byte {
+func appendChunk(b []byte, id, model string, created int64, offset int, script Script, opening bool) []byte {
 	b = appendHead(b, id, model, created, offset)
-	b = append(b, `,"choices":[{"index":0,"delta":{"content":"`...)
+	b = append(b, `,"choices":[{"index":0,"delta":{`...)
+	if opening {
+		b = append(b, `"role":"assistant",`...)
+	}
+	b = append(b, `"content":"`...)
 	b = script.AppendToken(b, offset)
 	return append(b, "\"},\"finish_reason\":null}]}\n\n"...)
 }
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,90 @@
+package upstream
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http/httptrace"
+	"sync"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package that are not failures of requests.
+var Error = errs.Class("upstream")
+
+var errSealed = Error.New("the connection was closed by the client")
+
+// countingConn counts the writes that were begun and can be sealed against
+// further ones. Sealing makes the count final, while closing alone leaves open
+// whether a write of the transport's own goroutine is just about to begin.
+type countingConn struct {
+	net.Conn
+
+	mu     sync.Mutex
+	writes int64
+	sealed bool
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.writes++
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *countingConn) count() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+func (c *countingConn) seal() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.writes
+}
+
+// writeProof tells whether a byte of one request was written to a connection.
+type writeProof struct {
+	mu     sync.Mutex
+	got    bool
+	conn   *countingConn
+	before int64
+}
+
+// gotConn notes the connection of the request before anything is written to it.
+func (p *writeProof) gotConn(info httptrace.GotConnInfo) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.got {
+		// A second connection means that the transport repeated the request, and
+		// what went to the first one is not known.
+		p.conn = nil
+		return
+	}
+	p.got = true
+	raw := info.Conn
+	if t, ok := raw.(*tls.Conn); ok {
+		raw = t.NetConn()
+	}
+	if c, ok := raw.(*countingConn); ok {
+		p.conn, p.before = c, c.count()
+	}
+}
+
+// nothingWritten is true only with proof. It seals the connection, so it may
+// only be asked after the round trip has failed.
+func (p *writeProof) nothingWritten() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.got {
+		return true
+	}
+	return p.conn != nil && p.conn.seal() == p.before
+}
