scheduler: add a first working core

Pools group requests that can run on the same endpoints, so that a decision looks at the heads of a few heaps instead of scanning the queue.

--- /dev/null
+++ b/internal/scheduler/endpoint.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"auburnstep.example/auburnstep/internal/estimate"
+)
+
+const (
+	// DefaultLease is how long an announcement counts.
+	DefaultLease = 3 * time.Second
+	// slowFrom is the slowness from which an endpoint gets fewer slots. Below
+	// it the choice among endpoints is enough.
+	slowFrom = 2.0
+)
+
+// endpoint is what the core knows of one endpoint.
+type endpoint struct {
+	spec       Endpoint
+	known      bool // false: only known from adopted grants
+	leaseUntil time.Time
+	inFlight   int
+	pace       estimate.Pace
+	health     health
+	cache      cache
+	match      int    // longest prefix match of the request being placed
+	matchStamp uint64 // request that match belongs to
+}
+
+// Announce renews the lease of an endpoint and takes over its load report and
+// cache events.
+func (c *Core) Announce(now time.Time, e Endpoint) []Decision {
+	ep := c.endpoints[e.ID]
+	if ep == nil {
+		ep = &endpoint{}
+		c.endpoints[e.ID] = ep
+		c.endpointOrder = append(c.endpointOrder, ep)
+	}
+	if ep.known && e.Incarnation < ep.spec.Incarnation {
+		return nil // overtaken by the announcement of a later start
+	}
+	if !ep.known || e.Incarnation > ep.spec.Incarnation {
+		c.dropCache(ep)
+		ep.health.restarted()
+		ep.pace = estimate.Pace{}
+	}
+	if e.Load == nil || ep.spec.Load != nil && e.Load.MeasuredAt.Before(ep.spec.Load.MeasuredAt) {
+		e.Load = ep.spec.Load
+	}
+	events := e.CacheEvents
+	e.CacheEvents = nil
+	lease := e.Lease
+	if lease <= 0 {
+		lease = DefaultLease
+	}
+	ep.spec, ep.known, ep.leaseUntil = e, true, now.Add(lease)
+	out := c.cacheEvents(now, ep, events, nil)
+	return c.dispatch(now, out)
+}
+
+// live reports whether the endpoint has a lease and is not leaving.
+func (ep *endpoint) live(now time.Time) bool {
+	return ep.known && !ep.spec.Leaving && now.Before(ep.leaseUntil)
+}
+
+// expireEndpoints forgets endpoints without lease and grants.
+func (c *Core) expireEndpoints(now time.Time) {
+	c.endpointOrder = slices.DeleteFunc(c.endpointOrder, func(ep *endpoint) bool {
+		if ep.inFlight > 0 || ep.known && now.Before(ep.leaseUntil) {
+			return false
+		}
+		c.dropCache(ep)
+		delete(c.endpoints, ep.spec.ID)
+		return true
+	})
+}
+
+// capacity returns how many grants the endpoint may hold now. A slow engine
+// runs fewer streams at once, so that each keeps more of its pace.
+func (c *Core) capacity(now time.Time, ep *endpoint) int {
+	if !ep.live(now) {
+		return 0
+	}
+	slots := ep.spec.Slots
+	if slow := ep.pace.Slowness(now); slow > slowFrom {
+		slots = max(1, int(math.Ceil(float64(slots)*slowFrom/slow)))
+	}
+	return slots
+}
+
+// free returns how many more grants the endpoint may get now.
+func (c *Core) free(now time.Time, ep *endpoint) int {
+	used := ep.inFlight
+	if age := now.Sub(c.started); c.config.Successor && age < grantLapse && !c.allAdopted() {
+		// Grants of the predecessor may be in flight that nobody told of yet.
+		reported := ep.spec.Load != nil && !ep.spec.Load.MeasuredAt.Before(c.started)
+		if !reported && age < WarmUp {
+			return 0
+		}
+		if reported {
+			used = max(used, ep.spec.Load.Running+ep.spec.Load.Waiting)
+		}
+	}
+	return c.capacity(now, ep) - used
+}
+
+// serves reports whether requests with the key may run on the endpoint, apart
+// from capacity, lease and health.
+func (ep *endpoint) serves(p *pool) bool {
+	if p.key.model != "" && len(ep.spec.Models) > 0 && !slices.Contains(ep.spec.Models, p.key.model) {
+		return false
+	}
+	if p.key.adapter != "" && !slices.Contains(ep.spec.Adapters, p.key.adapter) {
+		return false
+	}
+	return !slices.Contains(p.avoid, ep.spec.ID)
+}
+
+// admits reports whether a request of the pool may be granted the endpoint now.
+func (c *Core) admits(now time.Time, ep *endpoint, p *pool) bool {
+	return ep.health.admits(now, p.key.mayRepeat) && ep.serves(p) && c.free(now, ep) > 0
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -35,6 +35,9 @@
 	// be free.
 	Successor bool
 	Entries   []string
+	// SharedLimits says that limits of customers are spread over several groups:
+	// what this group may use comes from SetShares.
+	SharedLimits bool
 }
 
 // Policy is the part of the settings tree that applies to a group. It is
