--- a/internal/estimate/sketch.go
+++ b/internal/estimate/sketch.go
@@ -15,8 +15,8 @@
 	// inside a bucket halves the error.
 	bucketsPerOctave = 3
 	// memory is the number of samples after which an old one counts 1/e.
-	// Quantiles follow a shift within about 0.7 times this number.
-	memory = 48
+	// The median follows a shift within twice this number.
+	memory = 32
 	// halfLife is the age at which a sample counts half.
 	halfLife = 10 * time.Minute
 	// ageStep avoids decaying 48 buckets on every sample.
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -1,7 +1,9 @@
 package limit
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -36,10 +38,19 @@
 	holders map[string]*holding
 }
 
+// holding keeps all shares of one holder that have not ended: the answer that
+// carried a smaller one may be lost, so the larger one counts until its end.
 type holding struct {
-	share  Share
+	shares []Share
 	demand Demand
-	asked  time.Time
+}
+
+// inForce returns the largest share that the holder may believe to have.
+func (h *holding) inForce() (slots int, rate float64) {
+	for _, s := range h.shares {
+		slots, rate = max(slots, s.Concurrency), max(rate, s.TokensPerSecond)
+	}
+	return slots, rate
 }
 
 // NewBudget returns an owner of shares that last for lease. If successor is set,
@@ -52,9 +63,8 @@
 	return b
 }
 
-// Lease renews the share of a holder according to its demand and returns it. A
-// holder that asks again gives its earlier share back by asking, so it must
-// stop using the earlier share when it gets a smaller one.
+// Lease renews the share of a holder according to its demand and returns it.
+// The new share replaces the holder's earlier ones.
 func (b *Budget) Lease(now time.Time, holder string, d Demand, p Policy) Share {
 	a := b.customers[d.Customer]
 	if a == nil {
@@ -67,23 +77,23 @@
 		h = &holding{}
 		a.holders[holder] = h
 	}
-	h.demand, h.asked = d, now
-	h.share = Share{Customer: d.Customer, Ends: now.Add(b.lease)}
-	if now.Before(b.readyAt) {
-		return h.share
-	}
-	freeSlots, freeRate := float64(p.Concurrency), p.TokensPerSecond
-	for name, other := range a.holders {
-		if name != holder {
-			freeSlots -= float64(other.share.Concurrency)
-			freeRate -= other.share.TokensPerSecond
+	h.demand = d
+	share := Share{Customer: d.Customer, Ends: now.Add(b.lease)}
+	if !now.Before(b.readyAt) {
+		freeSlots, freeRate := p.Concurrency, p.TokensPerSecond
+		for name, other := range a.holders {
+			if name != holder {
+				slots, rate := other.inForce()
+				freeSlots -= slots
+				freeRate -= rate
+			}
 		}
+		slots, rate := a.fair(holder, p)
+		share.Concurrency = max(0, min(slots, freeSlots))
+		share.TokensPerSecond = max(0, min(rate, freeRate))
 	}
-	slots := func(d Demand) float64 { return float64(d.Concurrency) }
-	rate := func(d Demand) float64 { return d.TokensPerSecond }
-	h.share.Concurrency = max(0, int(min(a.fair(holder, float64(p.Concurrency), slots), freeSlots)))
-	h.share.TokensPerSecond = max(0, min(a.fair(holder, p.TokensPerSecond, rate), freeRate))
-	return h.share
+	h.shares = append(h.shares, share)
+	return share
 }
 
 // Return gives a share back before its end.
@@ -108,37 +118,43 @@
 
 func (a *account) expire(now time.Time) {
 	for name, h := range a.holders {
-		if !now.Before(h.share.Ends) {
+		h.shares = slices.DeleteFunc(h.shares, func(s Share) bool { return !now.Before(s.Ends) })
+		if len(h.shares) == 0 {
 			delete(a.holders, name)
 		}
 	}
 }
 
-// fair returns the max-min fair part of total for the holder by the latest
-// demands. What nobody asks for is spread evenly, so that a holder with a new
-// burst does not start at zero. Whole slots left over by rounding go to the
-// first holders by name.
-func (a *account) fair(holder string, total float64, of func(Demand) float64) float64 {
+// fair returns the max-min fair parts of the limits for the holder by the latest
+// demands.
+func (a *account) fair(holder string, p Policy) (slots int, rate float64) {
+	before, upTo := a.part(holder, float64(p.Concurrency), func(d Demand) float64 { return float64(d.Concurrency) })
+	// Rounding the running sum gives every slot to exactly one holder.
+	slots = int(math.Round(upTo)) - int(math.Round(before))
+	before, upTo = a.part(holder, p.TokensPerSecond, func(d Demand) float64 { return d.TokensPerSecond })
+	return slots, upTo - before
+}
+
+// part returns the interval of total that belongs to the holder when the parts
+// are laid out in order of demand. What nobody asks for is spread evenly, so
+// that a holder with a new burst does not start at zero.
+func (a *account) part(holder string, total float64, of func(Demand) float64) (before, upTo float64) {
 	names := slices.Collect(maps.Keys(a.holders))
 	slices.SortFunc(names, func(x, y string) int {
-		dx, dy := of(a.holders[x].demand), of(a.holders[y].demand)
-		switch {
-		case dx < dy:
-			return -1
-		case dx > dy:
-			return 1
-		case x < y:
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(of(a.holders[x].demand), of(a.holders[y].demand)), cmp.Compare(x, y))
 	})
-	left, mine := total, 0.0
+	parts := make([]float64, len(names))
+	left := total
+	for i, name := range names {
+		parts[i] = min(of(a.holders[name].demand), left/float64(len(names)-i))
+		left -= parts[i]
+	}
 	for i, name := range names {
-		part := min(of(a.holders[name].demand), left/float64(len(names)-i))
-		left -= part
+		upTo = before + parts[i] + left/float64(len(names))
 		if name == holder {
-			mine = part
+			return before, upTo
 		}
+		before = upTo
 	}
-	return mine + left/float64(len(names))
+	return before, before
 }
