--- /dev/null
+++ b/internal/entry/announce.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/openai"
+	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
+	"auburnstep.example/auburnstep/internal/settings"
+	"auburnstep.example/auburnstep/internal/verdict"
+)
+
+const (
+	maxAnnouncement = 1 << 20
+	// renewAfter is how often an endpoint announces itself. The lease of 3 s
+	// outlives two lost announcements.
+	renewAfter   = time.Second
+	defaultLease = 3 * time.Second
+	maxLease     = 30 * time.Second
+	maxSlots     = 4096
+	// announceTimeout bounds the call to the scheduler of the group.
+	announceTimeout = time.Second
+)
+
+// Announcement is the body of POST /endpoints/v1/announce.
+type Announcement struct {
+	ID                string   `json:"id"`
+	Incarnation       uint64   `json:"incarnation"`
+	Service           string   `json:"service"`
+	Kind              string   `json:"kind"`
+	Address           string   `json:"address"`
+	Models            []string `json:"models"`
+	Adapters          []string `json:"adapters"`
+	Slots             uint32   `json:"slots"`
+	TokensPerSecond   float32  `json:"tokens_per_second"`
+	FailureDomain     string   `json:"failure_domain"`
+	ChecksOrders      bool     `json:"checks_orders"`
+	RefusesOldFencing bool     `json:"refuses_old_fencing"`
+	LeaseMS           uint32   `json:"lease_ms"`
+	Leaving           bool     `json:"leaving"`
+	Load              *struct {
+		Running      uint32  `json:"running"`
+		Waiting      uint32  `json:"waiting"`
+		KVUsed       float32 `json:"kv_used"`
+		MeasuredAtMS int64   `json:"measured_at_ms"`
+	} `json:"load"`
+}
+
+// AnnounceReply tells an endpoint when to announce itself again, and where.
+type AnnounceReply struct {
+	RenewAfterMS int64     `json:"renew_after_ms"`
+	Entries      []Address `json:"entries"`
+}
+
+// announce serves POST /endpoints/v1/announce. It passes the announcement on
+// to the scheduler of the endpoint's group and confirms it only when the
+// scheduler has it.
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	if !s.endpointAllowed(r) {
+		writeError(w, verdict.Refused(http.StatusUnauthorized, "invalid_endpoint_token", "the endpoint token is missing or not valid"))
+		return
+	}
+	body, refusal := readBody(w, r, maxAnnouncement)
+	if refusal != nil {
+		writeError(w, refusal)
+		return
+	}
+	var a Announcement
+	if err := json.Unmarshal(body, &a); err != nil {
+		writeError(w, verdict.Refused(http.StatusBadRequest, "invalid_announcement", "the body is not an announcement: "+err.Error()))
+		return
+	}
+	if refusal := s.forward(r.Context(), &a); refusal != nil {
+		s.o.Events.Emit(eventRejected, event.F("endpoint", quote(a.ID)), event.F("service", quote(a.Service)), event.F("error", refusal.Message))
+		writeError(w, refusal)
+		return
+	}
+	s.o.Events.Emit(eventAnnounced, event.F("endpoint", a.ID), event.F("service", a.Service), event.F("leaving", a.Leaving))
+	writeJSON(w, AnnounceReply{RenewAfterMS: renewAfter.Milliseconds(), Entries: s.addresses().Entries})
+}
+
+// endpointAllowed checks the endpoint's token. Without configured tokens only
+// loopback addresses may announce.
+func (s *Server) endpointAllowed(r *http.Request) bool {
+	if len(s.o.EndpointTokens) == 0 {
+		host, _, err := net.SplitHostPort(r.RemoteAddr)
+		return err == nil && net.ParseIP(host).IsLoopback()
+	}
+	given := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
+	valid := 0
+	for _, token := range s.o.EndpointTokens {
+		want := sha256.Sum256([]byte(token))
+		valid |= subtle.ConstantTimeCompare(given[:], want[:])
+	}
+	return valid == 1
+}
+
+func (s *Server) forward(ctx context.Context, a *Announcement) *verdict.Error {
+	service, ok := s.o.View.Index().Service(a.Service)
+	if !ok {
+		return verdict.Refused(http.StatusNotFound, "unknown_service", "service "+quote(a.Service)+" does not exist in the settings")
+	}
+	if refusal := a.check(service); refusal != nil {
+		return refusal
+	}
+	group := GroupOf(service, a.ID)
+	holder, _, ok := s.o.Directory.Holder(group)
+	if !ok {
+		return verdict.Overloaded("no_scheduler", "no scheduler is assigned to group "+group, time.Second)
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	_, err := s.o.Dial(holder).Announce(ctx, connect.NewRequest(&schedulerv1.AnnounceRequest{
+		Group: group, Endpoints: []*schedulerv1.Endpoint{a.endpoint()},
+	}))
+	if err != nil {
+		return verdict.Overloaded("no_scheduler", "the scheduler of group "+group+" did not take the announcement", time.Second).WithCause(err)
+	}
+	return nil
+}
+
+// GroupOf returns the group that an endpoint belongs to.
+func GroupOf(service *settings.ServicePolicy, endpoint string) string {
+	n := xxhash.Sum64String(endpoint) % uint64(max(service.Groups, 1))
+	return service.Name + "/" + strconv.FormatUint(n, 10)
+}
+
+// check refuses an announcement that could not be used.
+func (a *Announcement) check(service *settings.ServicePolicy) *verdict.Error {
+	bad := func(message string) *verdict.Error {
+		return verdict.Refused(http.StatusBadRequest, "invalid_announcement", message)
+	}
+	if !openai.CleanID(a.ID) {
+		return bad("\"id\" must be 1 to 128 printable characters without spaces")
+	}
+	if _, port, err := net.SplitHostPort(a.Address); err != nil || port == "" {
+		return bad("\"address\" is " + quote(a.Address) + "; allowed is host:port")
+	}
+	if kind := kindOf(service); a.Kind != kind {
+		return bad("\"kind\" is " + quote(a.Kind) + "; service " + service.Name + " has kind " + kind)
+	}
+	if a.Slots < 1 || a.Slots > maxSlots {
+		return bad("\"slots\" is " + strconv.Itoa(int(a.Slots)) + "; allowed are 1 to " + strconv.Itoa(maxSlots))
+	}
+	if time.Duration(a.LeaseMS)*time.Millisecond > maxLease {
+		return bad("\"lease_ms\" is above the limit of " + strconv.Itoa(int(maxLease.Milliseconds())))
+	}
+	return nil
+}
+
+func kindOf(service *settings.ServicePolicy) string {
+	if service.Engine {
+		return "engine"
+	}
+	return "plain"
+}
+
+func (a *Announcement) endpoint() *schedulerv1.Endpoint {
+	e := &schedulerv1.Endpoint{
+		Id: a.ID, Incarnation: a.Incarnation, Service: a.Service, Kind: a.Kind, Address: a.Address, Models: a.Models,
+		Adapters: a.Adapters, Slots: a.Slots, TokensPerSecond: a.TokensPerSecond, FailureDomain: a.FailureDomain,
+		ChecksOrders: a.ChecksOrders, RefusesOldFencing: a.RefusesOldFencing, LeaseMs: a.LeaseMS, Leaving: a.Leaving,
+	}
+	if e.LeaseMs == 0 {
+		e.LeaseMs = uint32(defaultLease.Milliseconds())
+	}
+	if a.Load != nil {
+		e.Load = &schedulerv1.Load{
+			Running: a.Load.Running, Waiting: a.Load.Waiting, KvUsed: a.Load.KVUsed, MeasuredAtMs: a.Load.MeasuredAtMS,
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/entry/chat.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/grants"
+	"auburnstep.example/auburnstep/internal/openai"
+	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/settings"
+	"auburnstep.example/auburnstep/internal/upstream"
+	"auburnstep.example/auburnstep/internal/verdict"
+)
+
+// chat serves POST /v1/chat/completions.
+func (s *Server) chat(w http.ResponseWriter, r *http.Request, q *request) *verdict.Error {
+	body, refusal := readBody(w, r, largestBody(q.index, q.index.Services(), q.customer))
+	if refusal != nil {
+		return refusal
+	}
+	parsed, err := openai.ParseChat(body)
+	if err != nil {
+		return verdict.Refused(http.StatusBadRequest, "invalid_request", err.Error())
+	}
+	if refusal := s.route(q, parsed.Model); refusal != nil {
+		return refusal
+	}
+	if refusal := q.classify(r.Header); refusal != nil {
+		return refusal
+	}
+	if int64(len(body)) > q.class.BodyMax {
+		return tooLarge(q.class.BodyMax)
+	}
+	streamed, err := upstream.StreamBody(body)
+	if err != nil {
+		return verdict.Refused(http.StatusBadRequest, "invalid_request", "the body is not a JSON object")
+	}
+	s.o.Events.Emit(eventAccepted, q.fields(event.F("model", parsed.Model), event.F("bytes", len(body)))...)
+	c := &chatCall{s: s, q: q, request: parsed, body: streamed}
+	ctx, cancel := q.context(r)
+	defer cancel()
+	if q.key != "" {
+		return s.atMostOnce(ctx, w, q, bodyHash(r, body), c.recorded)
+	}
+	if parsed.Stream {
+		c.sink = newStreamSink(w)
+	} else {
+		c.sink = newWholeSink(w, q.id, parsed)
+	}
+	return c.serve(ctx)
+}
+
+// route finds the service that serves a model.
+func (s *Server) route(q *request, model string) *verdict.Error {
+	announced := s.announcedModels()
+	for _, service := range q.index.Services() {
+		if service.Engine && slices.Contains(modelsOf(service, announced), model) {
+			q.service = service
+			return nil
+		}
+	}
+	return verdict.Refused(http.StatusNotFound, "model_not_found", "no service offers the model "+quote(model))
+}
+
+// modelsOf returns the models of a service: those of its settings, or else
+// those that its endpoints announce.
+func modelsOf(service *settings.ServicePolicy, announced map[string][]string) []string {
+	if len(service.Models) > 0 {
+		return service.Models
+	}
+	return announced[service.Name]
+}
+
+// chatCall is one chat request on its way to engines and back.
+type chatCall struct {
+	s       *Server
+	q       *request
+	request *openai.ChatRequest
+	body    []byte
+	sink    sink
+
+	delivered  int
+	firstToken time.Duration
+}
+
+// errCallerGone is the failure of writing to the caller.
+var errCallerGone = errors.New("the caller does not take the answer")
+
+// serve runs the call and delivers its answer to the sink.
+func (c *chatCall) serve(ctx context.Context) *verdict.Error {
+	err := c.run(ctx)
+	if err == nil {
+		if c.sink.end() != nil {
+			c.s.o.Events.Emit(eventGone, c.q.fields(event.F("tokens", c.delivered))...)
+			c.s.metrics.failed(c.q, verdict.Ran, c.delivered)
+			return nil
+		}
+		c.s.metrics.finished(c.q, c.firstToken, c.delivered)
+		c.s.o.Events.Emit(eventAnswered, c.q.fields(event.F("tokens", c.delivered))...)
+		return nil
+	}
+	c.s.metrics.failed(c.q, err.Verdict, c.delivered)
+	if errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errCallerGone) {
+		c.s.o.Events.Emit(eventGone, c.q.fields(event.F("tokens", c.delivered))...)
+	} else {
+		c.s.o.Events.Emit(eventFailed, c.q.fields(event.F("verdict", err.Verdict), event.F("code", err.Code))...)
+	}
+	if c.sink.begun() {
+		c.sink.fail(err)
+		return nil
+	}
+	return err
+}
+
+func (c *chatCall) run(ctx context.Context) *verdict.Error {
+	a := newAttempts(c.s, c.q)
+	a.demand.Model = c.request.Model
+	a.demand.PromptTokens = uint32(c.request.PromptTokens())
+	a.demand.MaxTokens = uint32(c.request.TokenLimit())
+	a.demand.Prefixes = c.request.Prefixes()
+	return a.run(ctx, c.attempt)
+}
+
+// attempt streams from one engine, starting behind what the caller has.
+func (c *chatCall) attempt(ctx context.Context, id string, l *grants.Lease) result {
+	start, before := time.Now(), c.delivered
+	var first time.Duration
+	stream, err := c.s.o.Upstream.Chat(ctx, upstream.Call{
+		Endpoint: l.Grant.Address, RequestID: id, PublicID: "chatcmpl-" + c.q.id, Priority: int(l.Grant.Priority),
+		Offset: c.delivered, Body: c.body, FirstToken: c.q.service.FirstTokenTimeout,
+		BetweenTokens: c.q.service.IdleTimeout, MayRepeat: c.q.class.Idempotent,
+	})
+	if err != nil {
+		return result{err: err}
+	}
+	defer stream.Close()
+	for {
+		chunk, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return result{tokens: c.delivered - before, firstToken: first}
+		}
+		if err != nil {
+			return result{tokens: c.delivered - before, firstToken: first, err: err}
+		}
+		if chunk.Tokens > 0 && first == 0 {
+			first = time.Since(start)
+			if c.firstToken == 0 {
+				c.firstToken = time.Since(c.q.start)
+			}
+		}
+		c.delivered += chunk.Tokens
+		if c.sink.chunk(chunk) != nil {
+			return result{tokens: c.delivered - before, firstToken: first, err: errCallerGone}
+		}
+	}
+}
+
+// models serves GET /v1/models.
+func (s *Server) models(w http.ResponseWriter, _ *http.Request, q *request) *verdict.Error {
+	announced := s.announcedModels()
+	list := openai.ModelList{Object: "list", Data: []openai.Model{}}
+	for _, service := range q.index.Services() {
+		if !service.Engine {
+			continue
+		}
+		for _, m := range modelsOf(service, announced) {
+			list.Data = append(list.Data, openai.Model{ID: m, Object: "model", OwnedBy: service.Name})
+		}
+	}
+	writeJSON(w, list)
+	return nil
+}
+
+// recorded runs a chat request that must not repeat and returns its whole
+// answer as an outcome. Such an answer is never streamed, because a duplicate
+// must be able to get all of it.
+func (c *chatCall) recorded(ctx context.Context) (*controlv1.BookingOutcome, *verdict.Error) {
+	whole := newWholeSink(nil, c.q.id, c.request)
+	c.sink = whole
+	if err := c.run(ctx); err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(whole.completion())
+	if err != nil {
+		return nil, verdict.From(err)
+	}
+	return &controlv1.BookingOutcome{Status: http.StatusOK, ContentType: "application/json", Body: body}, nil
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/openai"
+	"auburnstep.example/auburnstep/internal/settings"
+	"auburnstep.example/auburnstep/internal/verdict"
+)
+
+// Headers of the caller API.
+const (
+	HeaderClass          = "X-Auburnstep-Class"
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderReplayed marks a stored outcome that is given to a duplicate.
+	HeaderReplayed = "X-Auburnstep-Replayed"
+)
+
+// request is one caller's request with the settings it is served under.
+type request struct {
+	id       string
+	start    time.Time
+	index    *settings.Index
+	customer string
+	service  *settings.ServicePolicy
+	class    *settings.ClassPolicy
+	// key is the idempotency key, set only for a class that is not idempotent.
+	key string
+}
+
+// handler serves one authenticated request. A returned error is written to the
+// caller, unless the answer has begun.
+type handler func(w http.ResponseWriter, r *http.Request, q *request) *verdict.Error
+
+// caller wraps a handler with the checks that hold for every caller.
+func (s *Server) caller(h handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		q := &request{id: uuid.NewString(), start: time.Now()}
+		w.Header().Set(HeaderRequestID, q.id)
+		if err := s.admit(r, q); err != nil {
+			writeError(w, err)
+			return
+		}
+		if err := h(w, r, q); err != nil {
+			writeError(w, err)
+		}
+	})
+}
+
+// admit checks that the settings are current and names the customer.
+func (s *Server) admit(r *http.Request, q *request) *verdict.Error {
+	if !s.o.View.Fresh() {
+		return verdict.Overloaded("settings_stale", "this entry can not reach the control members; use another entry", time.Second)
+	}
+	q.index = s.o.View.Index()
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return verdict.Refused(http.StatusUnauthorized, "missing_key", "the Authorization header holds no bearer key")
+	}
+	// Only the hash of the key is looked up, so the time of the look-up says
+	// nothing about how close a guess is.
+	customer, ok := q.index.CustomerByKeyHash(settings.HashKey(key))
+	if !ok {
+		return verdict.Refused(http.StatusUnauthorized, "invalid_key", "the bearer key belongs to no customer")
+	}
+	q.customer = customer
+	return nil
+}
+
+// classify finds the class of the request and checks its idempotency key.
+func (q *request) classify(h http.Header) *verdict.Error {
+	name := h.Get(HeaderClass)
+	if name == "" {
+		name = q.service.DefaultClass
+	}
+	if name == "" {
+		return verdict.Refused(http.StatusBadRequest, "missing_class",
+			"service "+q.service.Name+" has no default class; name one in "+HeaderClass)
+	}
+	class, ok := q.index.ClassPolicy(q.service.Name, name, q.customer)
+	if !ok {
+		return verdict.Refused(http.StatusBadRequest, "unknown_class",
+			"service "+q.service.Name+" has no class "+quote(name)+"; it has "+strings.Join(q.service.Classes, ", "))
+	}
+	q.class = class
+	if class.Idempotent {
+		return nil
+	}
+	q.key = h.Get(HeaderIdempotencyKey)
+	if !openai.CleanID(q.key) {
+		return verdict.Refused(http.StatusBadRequest, "missing_idempotency_key", "requests of class "+name+
+			" run at most once and need an "+HeaderIdempotencyKey+" of 1 to 128 printable characters without spaces")
+	}
+	return nil
+}
+
+// context bounds the request by the deadline of its class.
+func (q *request) context(r *http.Request) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(r.Context(), q.start.Add(q.class.Deadline))
+}
+
+// fields identifies the request in events.
+func (q *request) fields(more ...event.Field) []event.Field {
+	return append([]event.Field{
+		event.Request(q.id), event.Customer(q.customer), event.F("service", q.service.Name), event.F("class", q.class.Class),
+	}, more...)
+}
+
+// quote shortens a caller's text for an error message.
+func quote(s string) string {
+	const most = 64
+	if len(s) > most {
+		s = s[:most] + "..."
+	}
+	return "\"" + s + "\""
+}
+
+// largestBody returns the largest body that any class of the customer accepts.
+func largestBody(x *settings.Index, services []*settings.ServicePolicy, customer string) int64 {
+	var most int64
+	for _, service := range services {
+		for _, class := range service.Classes {
+			if c, ok := x.ClassPolicy(service.Name, class, customer); ok {
+				most = max(most, c.BodyMax)
+			}
+		}
+	}
+	return most
+}
--- /dev/null
+++ b/internal/entry/respond.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"auburnstep.example/auburnstep/internal/openai"
+	"auburnstep.example/auburnstep/internal/verdict"
+)
+
+// writeError answers with the OpenAI error shape and the verdict.
+func writeError(w http.ResponseWriter, e *verdict.Error) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(verdict.Header, e.Verdict.String())
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(e.Status)
+	// The caller may be gone; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(errorBody(e))
+}
+
+func errorBody(e *verdict.Error) openai.ErrorBody {
+	return openai.ErrorBody{Error: openai.ErrorDetail{Message: e.Message, Type: e.Type, Code: e.Code}}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// readBody reads at most limit bytes within bodyTimeout.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *verdict.Error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	// The server watches for a closed connection while the request runs, which
+	// an expired read deadline would report falsely.
+	_ = control.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, tooLarge(limit)
+	case err != nil:
+		return nil, verdict.Refused(http.StatusBadRequest, "body_unreadable", "the request body could not be read to its end").WithCause(err)
+	}
+	return body, nil
+}
+
+func tooLarge(limit int64) *verdict.Error {
+	return verdict.Refused(http.StatusRequestEntityTooLarge, "request_too_large",
+		"the request body exceeds the limit of "+strconv.FormatInt(limit, 10)+" bytes")
+}
+
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	writeError(w, verdict.Refused(http.StatusNotFound, "unknown_path", "there is no "+r.Method+" "+r.URL.Path))
+}
