--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,307 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	openai "github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"auburnstep.example/auburnstep/internal/fakeengine"
+	"auburnstep.example/auburnstep/internal/settings"
+	"auburnstep.example/auburnstep/internal/testkit"
+)
+
+const key = "test-key-torino"
+
+var declarations = `
+nodes:
+  - path: /services
+    kind: group
+  - path: /services/auburn-pool
+    kind: service
+    set: {kind: engine, models: [wax-1], class.default: crew-chat, endpoint.first_token_timeout: 2s, endpoint.idle_timeout: 300ms, retry.budget: 1}
+  - path: /services/auburn-pool/crew-chat
+    kind: class
+    set: {tier: 2, idempotent: true, deadline: 20s, body.max: 4KiB}
+  - path: /services/rota-app
+    kind: service
+    set: {kind: plain, retry.budget: 1}
+  - path: /services/rota-app/lookup
+    kind: class
+    set: {tier: 0, idempotent: true, deadline: 5s}
+  - path: /services/rota-app/booking
+    kind: class
+    set: {tier: 0, deadline: 5s}
+  - path: /customers
+    kind: group
+  - path: /customers/torino
+    kind: customer
+    set: {key.sha256: [` + hexHash(key) + `]}
+`
+
+func hexHash(k string) string {
+	h := settings.HashKey(k)
+	const digits = "0123456789abcdef"
+	out := make([]byte, 0, 64)
+	for _, b := range h {
+		out = append(out, digits[b>>4], digits[b&15])
+	}
+	return string(out)
+}
+
+func engine() fakeengine.Config {
+	return fakeengine.Config{Service: "auburn-pool", Models: []string{"wax-1"}, Slots: 4, TokensPerSecond: 400}
+}
+
+func plainService() fakeengine.Config {
+	return fakeengine.Config{Kind: fakeengine.KindPlain, Service: "rota-app", Slots: 8}
+}
+
+type call struct {
+	method, path, body string
+	header             map[string]string
+}
+
+func (c call) send(t *testing.T, b *testkit.Bench) (*http.Response, string) {
+	t.Helper()
+	if c.method == "" {
+		c.method = http.MethodPost
+	}
+	r, err := http.NewRequest(c.method, b.URL+c.path, strings.NewReader(c.body))
+	qt.Assert(t, err, qt.IsNil)
+	r.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range c.header {
+		r.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(r)
+	qt.Assert(t, err, qt.IsNil)
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return res, string(text)
+}
+
+func chatBody(prompt string, more string) string {
+	text, _ := json.Marshal(prompt)
+	return `{"model":"wax-1","messages":[{"role":"user","content":` + string(text) + `}]` + more + `}`
+}
+
+// TestRefusals guards against a bad request that is run, answered without a
+// verdict, or answered in a shape that OpenAI clients do not understand.
+func TestRefusals(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	chat := "/v1/chat/completions"
+	for _, test := range []struct {
+		name   string
+		call   call
+		status int
+		code   string
+	}{
+		{"no key", call{path: chat, body: chatBody("a", ""), header: map[string]string{"Authorization": ""}}, 401, "missing_key"},
+		{"unknown customer", call{path: chat, body: chatBody("a", ""), header: map[string]string{"Authorization": "Bearer nobody"}}, 401, "invalid_key"},
+		{"bad JSON", call{path: chat, body: `{"model":`}, 400, "invalid_request"},
+		{"two JSON values", call{path: chat, body: chatBody("a", "") + "{}"}, 400, "invalid_request"},
+		{"no messages", call{path: chat, body: `{"model":"wax-1","messages":[]}`}, 400, "invalid_request"},
+		{"negative length", call{path: chat, body: chatBody("a", `,"max_tokens":-1`)}, 400, "invalid_request"},
+		{"unknown model", call{path: chat, body: strings.Replace(chatBody("a", ""), "wax-1", "wax-9", 1)}, 404, "model_not_found"},
+		{"unknown class", call{path: chat, body: chatBody("a", ""), header: map[string]string{"X-Auburnstep-Class": "gold"}}, 400, "unknown_class"},
+		{"body over the class limit", call{path: chat, body: chatBody(strings.Repeat("a", 5000), "")}, 413, "request_too_large"},
+		{"unknown service", call{path: "/services/nothing/x"}, 404, "unknown_service"},
+		{"engine as plain service", call{path: "/services/auburn-pool/x"}, 404, "unknown_service"},
+		{"plain service without class", call{path: "/services/rota-app/x"}, 400, "missing_class"},
+		{"booking without key", call{path: "/services/rota-app/x", header: map[string]string{"X-Auburnstep-Class": "booking"}}, 400, "missing_idempotency_key"},
+		{"unknown path", call{path: "/v2/chat"}, 404, "unknown_path"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			res, text := test.call.send(t, b)
+			qt.Check(t, res.StatusCode, qt.Equals, test.status)
+			qt.Check(t, res.Header.Get("X-Auburnstep-Verdict"), qt.Equals, "not-run")
+			var body struct {
+				Error struct{ Message, Type, Code string }
+			}
+			qt.Assert(t, json.Unmarshal([]byte(text), &body), qt.IsNil)
+			qt.Check(t, body.Error.Code, qt.Equals, test.code)
+			qt.Check(t, body.Error.Message, qt.Not(qt.Equals), "")
+		})
+	}
+}
+
+// TestStaleSettings guards against serving on settings that may no longer be in force.
+func TestStaleSettings(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	b.View.Stale.Store(true)
+	res, _ := call{path: "/v1/chat/completions", body: chatBody("a", "")}.send(t, b)
+	qt.Check(t, res.StatusCode, qt.Equals, 503)
+	qt.Check(t, res.Header.Get("X-Auburnstep-Verdict"), qt.Equals, "not-run")
+	qt.Check(t, res.Header.Get("Retry-After"), qt.Equals, "1")
+}
+
+// TestOpenAIClient guards against answers that a real client library can not
+// read, and against parts that are missing or belong to another request.
+func TestOpenAIClient(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	b.Engine(t, engine())
+	client := openai.NewClient(option.WithBaseURL(b.URL+"/v1"), option.WithAPIKey(key), option.WithMaxRetries(0))
+	params := openai.ChatCompletionNewParams{
+		Model: "wax-1", MaxTokens: openai.Int(12),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("wax the lion")},
+	}
+	whole, err := client.Chat.Completions.New(context.Background(), params)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, whole.Choices[0].Message.Content, qt.Equals, fakeengine.Answer("wax the lion", 12))
+	qt.Check(t, whole.Usage.CompletionTokens, qt.Equals, int64(12))
+
+	stream := client.Chat.Completions.NewStreaming(context.Background(), params)
+	var text strings.Builder
+	for stream.Next() {
+		if c := stream.Current().Choices; len(c) > 0 {
+			text.WriteString(c[0].Delta.Content)
+		}
+	}
+	qt.Assert(t, stream.Err(), qt.IsNil)
+	qt.Check(t, text.String(), qt.Equals, fakeengine.Answer("wax the lion", 12))
+
+	models, err := client.Models.List(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, models.Data[0].ID, qt.Equals, "wax-1")
+}
+
+// TestStreamSurvivesEngineFault guards against an answer that repeats, skips or
+// loses tokens when the engine fails in the middle of a stream.
+func TestStreamSurvivesEngineFault(t *testing.T) {
+	for _, fault := range []fakeengine.FaultKind{
+		fakeengine.FaultReset, fakeengine.FaultTruncated, fakeengine.FaultCrossed, fakeengine.FaultSilent, fakeengine.FaultOverload,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			b := testkit.Start(t, declarations)
+			first := b.Engine(t, engine())
+			f := fakeengine.Fault{Kind: fault, Count: 1}
+			if fault == fakeengine.FaultSilent {
+				f.After = 80 * time.Millisecond
+			}
+			first.Inject(f)
+			done := make(chan string)
+			go func() {
+				res, text := call{path: "/v1/chat/completions", body: chatBody("polish", `,"max_tokens":60`)}.send(t, b)
+				done <- res.Status + text
+			}()
+			b.Engine(t, engine())
+			got := <-done
+			var answer struct {
+				Choices []struct{ Message struct{ Content string } }
+			}
+			qt.Assert(t, strings.HasPrefix(got, "200 OK"), qt.IsTrue, qt.Commentf("%s", got))
+			qt.Assert(t, json.Unmarshal([]byte(strings.TrimPrefix(got, "200 OK")), &answer), qt.IsNil)
+			qt.Check(t, answer.Choices[0].Message.Content, qt.Equals, fakeengine.Answer("polish", 60))
+		})
+	}
+}
+
+// TestCallerGone guards against an engine that goes on generating for a caller
+// that has closed its connection. The stated bound is 200 ms.
+func TestCallerGone(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	e := b.Engine(t, fakeengine.Config{Service: "auburn-pool", Models: []string{"wax-1"}, Slots: 2, TokensPerSecond: 50})
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, b.URL+"/v1/chat/completions",
+		strings.NewReader(chatBody("long", `,"max_tokens":2000,"stream":true`)))
+	qt.Assert(t, err, qt.IsNil)
+	r.Header.Set("Authorization", "Bearer "+key)
+	res, err := http.DefaultClient.Do(r)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = bufio.NewReader(res.Body).ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, e.Stats().Received, qt.Equals, int64(1))
+	cancel()
+	res.Body.Close()
+	for deadline := time.Now().Add(10 * time.Second); e.Stats().Cancelled == 0; time.Sleep(5 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("the engine still runs the request"))
+	}
+}
+
+func booking(id, body string) call {
+	return call{path: "/services/rota-app/bookings", body: body, header: map[string]string{
+		"X-Auburnstep-Class": "booking", "Idempotency-Key": id,
+	}}
+}
+
+// TestBookingRunsOnce guards against a booking that runs twice because the
+// caller repeats it, and against a duplicate that gets another answer.
+func TestBookingRunsOnce(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	p := b.Engine(t, plainService())
+	res, first := booking("k1", "statue 7").send(t, b)
+	qt.Assert(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%s", first))
+	res, second := booking("k1", "statue 7").send(t, b)
+	qt.Check(t, second, qt.Equals, first)
+	qt.Check(t, res.Header.Get("X-Auburnstep-Replayed"), qt.Equals, "true")
+	res, _ = booking("k1", "statue 8").send(t, b)
+	qt.Check(t, res.StatusCode, qt.Equals, 422)
+	qt.Check(t, len(p.Ledger()), qt.Equals, 1)
+}
+
+// TestBookingUnknownOutcome guards against running a booking again, or calling
+// it not run, after its endpoint broke off.
+func TestBookingUnknownOutcome(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	p := b.Engine(t, plainService())
+	p.Inject(fakeengine.Fault{Kind: fakeengine.FaultReset, Count: 1})
+	for range 2 {
+		res, text := booking("k2", "statue 9").send(t, b)
+		qt.Check(t, res.StatusCode >= 400, qt.IsTrue, qt.Commentf("%s", text))
+		qt.Check(t, res.Header.Get("X-Auburnstep-Verdict"), qt.Equals, "may-have-run")
+	}
+	qt.Check(t, len(p.Ledger()) <= 1, qt.IsTrue)
+}
+
+// TestBookingRefusedByEndpoint guards against a record that blocks a booking
+// which provably did not run.
+func TestBookingRefusedByEndpoint(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	p := b.Engine(t, plainService())
+	p.Inject(fakeengine.Fault{Kind: fakeengine.FaultOverload, Count: 1})
+	res, text := booking("k3", "statue 1").send(t, b)
+	if res.StatusCode >= 400 {
+		qt.Assert(t, res.Header.Get("X-Auburnstep-Verdict"), qt.Equals, "not-run", qt.Commentf("%s", text))
+		res, text = booking("k3", "statue 1").send(t, b)
+	}
+	qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%s", text))
+	qt.Check(t, len(p.Ledger()), qt.Equals, 1)
+}
+
+// TestRecordUnavailable guards against a booking that runs without its record.
+func TestRecordUnavailable(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	p := b.Engine(t, plainService())
+	b.Records.Fail.Store(true)
+	res, _ := booking("k4", "statue 2").send(t, b)
+	qt.Check(t, res.StatusCode, qt.Equals, 503)
+	qt.Check(t, res.Header.Get("X-Auburnstep-Verdict"), qt.Equals, "not-run")
+	qt.Check(t, p.Ledger(), qt.HasLen, 0)
+}
+
+// TestGracefulStop guards against a shutdown that cuts a request in flight.
+func TestGracefulStop(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	e := b.Engine(t, fakeengine.Config{Service: "auburn-pool", Models: []string{"wax-1"}, Slots: 2, TokensPerSecond: 100})
+	done := make(chan string)
+	go func() {
+		_, text := call{path: "/v1/chat/completions", body: chatBody("slow", `,"max_tokens":80,"stream":true`)}.send(t, b)
+		done <- text
+	}()
+	for e.Stats().TokensGenerated == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Assert(t, b.Entry.Stop(context.Background()), qt.IsNil)
+	qt.Check(t, strings.HasSuffix(<-done, "data: [DONE]\n\n"), qt.IsTrue)
+	_, err := http.Get(b.URL + "/v1/entries")
+	qt.Check(t, err, qt.IsNotNil)
+}
