--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/uber-go/tally/v4"
 
+	"auburnstep.example/auburnstep/internal/kernel"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
 	"auburnstep.example/auburnstep/internal/rpc/schedulerv1/schedulerv1connect"
 	"auburnstep.example/auburnstep/internal/verdict"
@@ -51,8 +52,10 @@
 // Dialer returns the scheduler client for a peer address.
 type Dialer func(address string) schedulerv1connect.SchedulerClient
 
-// Client acquires and holds grants for one entry. It is safe for concurrent use.
+// Client acquires and holds grants for one entry. It is a kernel.Service and
+// safe for concurrent use.
 type Client struct {
+	kernel.Base
 	entry     string
 	directory Directory
 	dial      Dialer
@@ -74,6 +77,12 @@
 	}
 }
 
+// Start implements kernel.Service.
+func (c *Client) Start(ctx context.Context) error {
+	c.Watch(ctx)
+	return nil
+}
+
 // Watch keeps one renewal running for each group until ctx ends, so that a new
 // scheduler hears from every entry, also from those that hold nothing.
 func (c *Client) Watch(ctx context.Context) {
--- /dev/null
+++ b/internal/hlc/hlc_test.go
@@ -0,0 +1,58 @@
+package hlc
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestOrder guards against timestamps that go back when the wall clock does,
+// or that sort before a message that was received.
+func TestOrder(t *testing.T) {
+	wall := time.UnixMilli(1000)
+	c := New(func() time.Time { return wall })
+	first := c.Now()
+	wall = time.UnixMilli(400)
+	second := c.Now()
+	qt.Check(t, first.Before(second), qt.IsTrue)
+	remote := Timestamp{Wall: 30_000, Counter: 7}
+	qt.Check(t, c.Observe(remote), qt.IsTrue)
+	qt.Check(t, remote.Before(c.Now()), qt.IsTrue)
+}
+
+// TestFarAhead guards against one wrong clock that moves all others.
+func TestFarAhead(t *testing.T) {
+	c := New(func() time.Time { return time.UnixMilli(1000) })
+	qt.Check(t, c.Observe(Timestamp{Wall: 1000 + 2*maxAhead.Milliseconds()}), qt.IsFalse)
+	qt.Check(t, c.Now().Wall, qt.Equals, int64(1000))
+}
+
+func TestParse(t *testing.T) {
+	for _, test := range []struct {
+		name, text string
+		ok         bool
+	}{
+		{"round trip", Timestamp{12, 3}.String(), true}, {"empty", "", false}, {"one part", "12", false},
+		{"trailing text", "12.3 x", false}, {"negative", "-1.0", false}, {"counter too large", "1.99999999999", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Parse(test.text)
+			qt.Check(t, err == nil, qt.Equals, test.ok)
+		})
+	}
+}
+
+// FuzzParse guards against a header that parses to a timestamp which prints
+// differently.
+func FuzzParse(f *testing.F) {
+	f.Add("12.3")
+	f.Fuzz(func(t *testing.T, s string) {
+		if ts, err := Parse(s); err == nil {
+			again, err := Parse(ts.String())
+			if err != nil || again != ts {
+				t.Fatalf("%q: %v, %v", s, again, err)
+			}
+		}
+	})
+}
--- a/internal/schedulerhost/host.go
+++ b/internal/schedulerhost/host.go
@@ -66,8 +66,9 @@
 	events *event.Recorder
 	scope  tally.Scope
 
-	mu     sync.Mutex
-	groups map[string]*group
+	mu      sync.Mutex
+	groups  map[string]*group
+	stopped bool
 }
 
 // New returns a host without groups.
@@ -90,6 +91,16 @@
 	}
 }
 
+// Stop implements kernel.Service. It ends all groups, so that the leases can be
+// given up for others to take.
+func (h *Host) Stop(context.Context) error {
+	h.mu.Lock()
+	h.stopped = true
+	h.mu.Unlock()
+	h.stopAll()
+	return nil
+}
+
 // reconcile starts groups of new leases and stops those whose lease ended or
 // has a new epoch. A new epoch always gets a new core.
 func (h *Host) reconcile(ctx context.Context) {
@@ -97,6 +108,9 @@
 	held := make(map[string]uint64, len(leases))
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.stopped {
+		return
+	}
 	for _, l := range leases {
 		held[l.Group] = l.Epoch
 	}
