scheduler: test the invariants and fix what the tests found

A successor counted its own grants against a load report that did not include them and so granted too much in the warm-up; reports now give the number of foreign requests at the time of the report. Pace is compared only with data of the same load level: the prior made a whole fleet of slower engines look slow. Ruled out for the warm-up: granting nothing at all for 1 s, since fresh reports and complete adoption prove earlier what is free.

--- a/internal/estimate/estimator.go
+++ b/internal/estimate/estimator.go
@@ -109,6 +109,24 @@
 	return e.prior
 }
 
+// ClassMean returns the mean of a class and whether enough is known of it.
+func (e *Estimator) ClassMean(class string) (float64, bool) {
+	c := e.classes[class]
+	if c == nil || c.sketch.mass < enough {
+		return 0, false
+	}
+	return c.meanCached, true
+}
+
+// ClassQuantile returns a quantile of a class and whether enough is known of it.
+func (e *Estimator) ClassQuantile(class string, q float64) (float64, bool) {
+	c := e.classes[class]
+	if c == nil || c.sketch.mass < enough {
+		return 0, false
+	}
+	return c.sketch.quantile(q, e.unit), true
+}
+
 // Customers returns the number of customer sketches held.
 func (e *Estimator) Customers() int { return len(e.customers) }
 
--- /dev/null
+++ b/internal/scheduler/cases_test.go
@@ -0,0 +1,251 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/limit"
+)
+
+// endpointsOf returns the endpoints that n requests got, released in between.
+func (b *bench) endpointsOf(c *qt.C, n int, r Request, o Outcome) (out []string) {
+	c.Helper()
+	for i := range n {
+		r.ID = fmt.Sprint(b.now.UnixNano(), "-", i)
+		gs := grantsOf(b.ask(r))
+		if len(gs) == 0 {
+			out = append(out, "")
+			continue
+		}
+		out = append(out, gs[0].Endpoint)
+		b.Release(b.now, gs[0].GrantID, o)
+	}
+	return out
+}
+
+// Guards against work for endpoints that can not or must not take it.
+func TestEndpointsThatGetNothing(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*bench, *Endpoint, *Request)
+		code   string
+	}{
+		{"leaving", func(_ *bench, e *Endpoint, _ *Request) { e.Leaving = true }, "no_endpoint"},
+		{"other model", func(_ *bench, _ *Endpoint, r *Request) { r.Model = "x" }, "no_endpoint"},
+		{"missing adapter", func(_ *bench, _ *Endpoint, r *Request) { r.Adapter = "x" }, "no_endpoint"},
+		{"failed this request before", func(_ *bench, _ *Endpoint, r *Request) { r.Avoid = []string{"a"} }, "no_endpoint"},
+		{"lease over", func(b *bench, e *Endpoint, _ *Request) { e.Lease = time.Second }, "no_endpoint"},
+		{"no slots", func(_ *bench, e *Endpoint, _ *Request) { e.Slots = 0 }, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(Config{}, Policy{})
+			e, r := engine("a", 4), request("r1", 0)
+			test.change(b, &e, &r)
+			b.Announce(b.now, e)
+			b.pass(settle + time.Second)
+			out := b.ask(r)
+			c.Assert(grantsOf(out), qt.HasLen, 0)
+			if test.code != "" {
+				c.Assert(refusalsOf(out), qt.DeepEquals, []string{"r1 " + test.code})
+			}
+		})
+	}
+}
+
+// Guards against early refusals before endpoints had time to announce
+// themselves.
+func TestWaitsForAnnouncementsAfterStart(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(Config{}, Policy{})
+	c.Assert(b.ask(request("r1", 0)), qt.HasLen, 0)
+	c.Assert(requestsOf(b.Announce(at(900), engine("a", 1))), qt.DeepEquals, []string{"r1"})
+}
+
+// Guards against a wrong choice among free endpoints.
+func TestChoice(t *testing.T) {
+	prefixes := []uint64{1, 2, 3, 4}
+	for _, test := range []struct {
+		name    string
+		prepare func(*qt.C, *bench)
+		want    string
+	}{
+		{"equal: the emptier one", func(c *qt.C, b *bench) { one(c, b.ask(request("x", 0))) }, "b"},
+		{"own placement of the prefix", func(c *qt.C, b *bench) {
+			r := request("x", 0)
+			r.Prefixes = prefixes
+			g := one(c, b.ask(r))
+			c.Assert(g.Endpoint, qt.Equals, "a")
+			b.Release(b.now, g.GrantID, Outcome{Unused: true})
+			one(c, b.ask(request("y", 0))) // makes a the fuller one
+		}, "a"},
+		{"a queue of others outweighs a short prefix", func(c *qt.C, b *bench) {
+			b.Announce(b.now, withEvents(engine("a", 8), CacheEvent{Sequence: 1, Stored: true, Prefix: 1}))
+			r := request("x", 0)
+			r.Avoid = []string{"b"}
+			for i := range 3 {
+				r.ID = fmt.Sprint("x", i)
+				one(c, b.ask(r))
+			}
+		}, "b"},
+		{"a cache event as a hint", func(c *qt.C, b *bench) {
+			b.Announce(b.now, withEvents(engine("b", 8), CacheEvent{Sequence: 1, Stored: true, Prefix: 4}))
+		}, "b"},
+		{"an evicted hint", func(c *qt.C, b *bench) {
+			b.Announce(b.now, withEvents(engine("b", 8), CacheEvent{Sequence: 1, Stored: true, Prefix: 4}, CacheEvent{Sequence: 2, Prefix: 4}))
+		}, "a"},
+		{"a late event against an own placement", func(c *qt.C, b *bench) {
+			r := request("x", 0)
+			r.Prefixes, r.Avoid = prefixes, []string{"a"}
+			b.Release(b.now, one(c, b.ask(r)).GrantID, Outcome{Unused: true})
+			b.Announce(b.now, withEvents(engine("b", 8), CacheEvent{Sequence: 1, Prefix: 4}))
+		}, "b"},
+		{"a slow engine", func(c *qt.C, b *bench) {
+			for i := range 8 {
+				r := request(fmt.Sprint("x", i), 0)
+				o := Outcome{Tokens: 100, FirstToken: 100 * time.Millisecond, Duration: 2 * time.Second}
+				if r.Avoid = []string{"a"}; i%2 == 0 {
+					r.Avoid, o.Duration = []string{"b"}, 10*time.Second
+				}
+				b.retry = limit.Retry{}
+				b.customers["k"] = nil
+				delete(b.customers, "k")
+				b.Release(b.now, one(c, b.ask(r)).GrantID, o)
+			}
+			one(c, b.ask(request("y", 0))) // goes to b and makes it the fuller one
+		}, "b"},
+		{"exact counts over a lagging report", func(c *qt.C, b *bench) {
+			e := engine("a", 8)
+			e.Load = &Load{Running: 8, MeasuredAt: b.now}
+			b.Announce(b.now, e)
+		}, "a"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(Config{}, Policy{}, engine("a", 8), engine("b", 8))
+			test.prepare(c, b)
+			r := request("r", 0)
+			r.Prefixes, r.PromptTokens = prefixes, 4000
+			if test.name == "a slow engine" {
+				r.Prefixes = nil
+			}
+			c.Assert(one(c, b.ask(r)).Endpoint, qt.Equals, test.want)
+		})
+	}
+}
+
+func withEvents(e Endpoint, events ...CacheEvent) Endpoint {
+	e.CacheEvents = events
+	return e
+}
+
+// Guards against hints that outlive lost events: a gap asks for a resync once
+// and voids the hints.
+func TestCacheEventGap(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(Config{}, Policy{}, engine("a", 1))
+	b.Announce(b.now, withEvents(engine("a", 1), CacheEvent{Sequence: 1, Stored: true, Prefix: 7}))
+	c.Assert(b.prefixes, qt.HasLen, 1)
+	out := b.Announce(b.now, withEvents(engine("a", 1), CacheEvent{Sequence: 5, Stored: true, Prefix: 8}))
+	c.Assert(out, qt.DeepEquals, []Decision{Resync{Endpoint: "a", After: 1}})
+	c.Assert(b.prefixes[7], qt.HasLen, 0)
+	out = b.Announce(b.now, withEvents(engine("a", 1), CacheEvent{Sequence: 9, Stored: true, Prefix: 9}))
+	c.Assert(out, qt.HasLen, 0)
+	b.Announce(b.now, withEvents(engine("a", 1), CacheEvent{Sequence: 9, Cleared: true}, CacheEvent{Sequence: 10, Stored: true, Prefix: 7}))
+	c.Assert(b.prefixes, qt.HasLen, 1)
+	for i := range 3 * cacheEntries {
+		b.remember(b.endpoints["a"], uint64(i), b.now)
+	}
+	c.Assert(b.prefixes, qt.HasLen, cacheEntries)
+}
+
+// Guards against work for broken endpoints, and against ejecting so many that
+// the rest breaks too.
+func TestEjection(t *testing.T) {
+	fault := Outcome{Failed: true, EndpointFault: true}
+	refused := Outcome{Failed: true, EndpointFault: true, ConnectRefused: true}
+	whole := Outcome{Tokens: 10, Duration: time.Second}
+	setup := func(n int) (b *bench) {
+		b = newBench(Config{}, Policy{})
+		for i := range n {
+			b.Announce(b.now, engine(fmt.Sprint("n", i), 8))
+		}
+		return b
+	}
+	fail := func(c *qt.C, b *bench, id string, o Outcome, n int) {
+		for range n {
+			b.observe(b.now, b.endpoints[id], o, false)
+		}
+	}
+	ejected := func(b *bench) (n int) {
+		for _, e := range b.Status(b.now).Endpoints {
+			if e.Ejected {
+				n++
+			}
+		}
+		return n
+	}
+	for _, test := range []struct {
+		name  string
+		n     int
+		apply func(*qt.C, *bench)
+		want  int
+	}{
+		{"two faults are not enough", 6, func(c *qt.C, b *bench) { fail(c, b, "n0", fault, 2) }, 0},
+		{"a success in between counts", 6, func(c *qt.C, b *bench) {
+			fail(c, b, "n0", fault, 2)
+			fail(c, b, "n0", whole, 1)
+			fail(c, b, "n0", fault, 2)
+		}, 0},
+		{"three faults in a row", 6, func(c *qt.C, b *bench) { fail(c, b, "n0", fault, 3) }, 1},
+		{"never more than a third", 6, func(c *qt.C, b *bench) {
+			for i := range 6 {
+				fail(c, b, fmt.Sprint("n", i), fault, 5)
+			}
+		}, 2},
+		{"one of two stays", 2, func(c *qt.C, b *bench) { fail(c, b, "n0", fault, 5) }, 0},
+		{"refused connections eject at once and without a floor", 2, func(c *qt.C, b *bench) {
+			fail(c, b, "n0", refused, 1)
+			fail(c, b, "n1", refused, 1)
+		}, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := setup(test.n)
+			test.apply(c, b)
+			c.Assert(ejected(b), qt.Equals, test.want)
+		})
+	}
+	t.Run("one repeatable probe before the return", func(t *testing.T) {
+		c := qt.New(t)
+		b := setup(1)
+		fail(c, b, "n0", refused, 1)
+		c.Assert(b.ask(request("early", 0)), qt.HasLen, 0)
+		b.pass(ejectFirst - 50*time.Millisecond)
+		c.Assert(b.Tick(b.now), qt.HasLen, 0)
+		once := request("once", 0)
+		once.MayRepeat = false
+		b.ask(once)
+		b.ask(request("second", 0))
+		b.now = b.now.Add(50 * time.Millisecond)
+		g := one(c, b.Tick(b.now))
+		c.Assert(g.RequestID, qt.Equals, "early")
+		out := b.Release(b.now, g.GrantID, whole)
+		c.Assert(len(grantsOf(out)), qt.Equals, 2)
+		c.Assert(ejected(b), qt.Equals, 0)
+	})
+	t.Run("a failed probe ejects for longer", func(t *testing.T) {
+		c := qt.New(t)
+		b := setup(1)
+		fail(c, b, "n0", refused, 1)
+		b.ask(request("probe", 0))
+		g := one(c, b.pass(ejectFirst))
+		b.Release(b.now, g.GrantID, fault)
+		b.ask(request("next", 0))
+		c.Assert(b.pass(2*ejectFirst-50*time.Millisecond), qt.HasLen, 0)
+		one(c, b.pass(100*time.Millisecond))
+	})
+}
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -19,6 +19,9 @@
 	prefillGain = 0.05
 )
 
+// priorByLoad has a full batch run at half the pace of a small one.
+var priorByLoad = [paceBuckets]float64{0.6 * priorPace, 0.8 * priorPace, priorPace, 1.2 * priorPace}
+
 var paceNames = [paceBuckets]string{"0-25%", "25-50%", "50-75%", "75-100%"}
 
 // speeds is what the core has learned about time in its group.
@@ -26,6 +29,7 @@
 	// pace holds seconds per token by load level (engines), duration by class
 	// (plain services); the estimator's customers are endpoints.
 	pace    *estimate.Estimator
+	learned [paceBuckets]float64 // zero: unknown
 	byLoad  [paceBuckets]float64
 	prefill float64
 }
@@ -41,8 +45,9 @@
 func (c *Core) learnPace(now time.Time, g *grant, o Outcome) {
 	ep := g.endpoint
 	if c.config.Kind == Plain {
-		expected := c.durations.Mean("", g.class.name)
-		ep.pace.Add(now, o.Duration.Seconds(), expected)
+		if expected, ok := c.durations.ClassMean(g.class.name); ok {
+			ep.pace.Add(now, o.Duration.Seconds(), expected)
+		}
 		return
 	}
 	if o.FirstToken > 0 && g.uncached > 0 {
@@ -53,12 +58,34 @@
 		return
 	}
 	perToken := (o.Duration - o.FirstToken).Seconds() / float64(o.Tokens-1)
-	level := paceNames[paceBucket(g.load, ep.spec.Slots)]
-	expected := c.speeds.pace.Quantile("", level, 0.5)
-	c.speeds.pace.Add(now, ep.spec.ID, level, perToken)
-	ep.pace.Add(now, perToken, expected)
-	for i, name := range paceNames {
-		c.speeds.byLoad[i] = c.speeds.pace.Quantile("", name, 0.5)
+	bucket := paceBucket(g.load, ep.spec.Slots)
+	if expected, ok := c.speeds.pace.ClassQuantile(paceNames[bucket], 0.5); ok {
+		ep.pace.Add(now, perToken, expected)
+	}
+	c.speeds.pace.Add(now, ep.spec.ID, paceNames[bucket], perToken)
+	c.speeds.learn(bucket)
+}
+
+// learn updates the pace by load. Levels without data follow the known ones in
+// proportion to the prior.
+func (s *speeds) learn(bucket int) {
+	pace, ok := s.pace.ClassQuantile(paceNames[bucket], 0.5)
+	if !ok {
+		return
+	}
+	s.learned[bucket] = pace
+	ratio, known := 0.0, 0.0
+	for i, v := range s.learned {
+		if v > 0 {
+			ratio += v / priorByLoad[i]
+			known++
+		}
+	}
+	for i, v := range s.learned {
+		s.byLoad[i] = v
+		if v == 0 {
+			s.byLoad[i] = priorByLoad[i] * ratio / known
+		}
 	}
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -100,9 +100,7 @@
 	c.durations = estimate.New(0.001, duration)
 	c.firsts = estimate.New(0.001, priorFirst)
 	c.speeds = speeds{pace: estimate.New(0.0001, priorPace), prefill: priorPrefill}
-	for i := range c.speeds.byLoad {
-		c.speeds.byLoad[i] = priorPace
-	}
+	c.speeds.byLoad = priorByLoad
 	return c
 }
 
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -22,6 +22,8 @@
 	known      bool // false: only known from adopted grants
 	leaseUntil time.Time
 	inFlight   int
+	reported   bool // a successor has a load report from after the takeover
+	foreign    int  // requests in that report that the successor did not know of
 	pace       estimate.Pace
 	health     health
 	cache      cache
@@ -55,7 +57,11 @@
 	if lease <= 0 {
 		lease = DefaultLease
 	}
+	fresh := ep.spec.Load == nil || e.Load != nil && e.Load.MeasuredAt.After(ep.spec.Load.MeasuredAt)
 	ep.spec, ep.known, ep.leaseUntil = e, true, now.Add(lease)
+	if fresh {
+		c.report(now, ep)
+	}
 	out := c.cacheEvents(now, ep, events, nil)
 	return c.dispatch(now, out)
 }
@@ -92,18 +98,26 @@
 
 // free returns how many more grants the endpoint may get now.
 func (c *Core) free(now time.Time, ep *endpoint) int {
-	used := ep.inFlight
+	free := c.capacity(now, ep) - ep.inFlight
 	if age := now.Sub(c.started); c.config.Successor && age < grantLapse && !c.allAdopted() {
 		// Grants of the predecessor may be in flight that nobody told of yet.
-		reported := ep.spec.Load != nil && !ep.spec.Load.MeasuredAt.Before(c.started)
-		if !reported && age < WarmUp {
+		if !ep.reported && age < WarmUp {
 			return 0
 		}
-		if reported {
-			used = max(used, ep.spec.Load.Running+ep.spec.Load.Waiting)
-		}
+		free -= ep.foreign
+	}
+	return free
+}
+
+// report takes over what a load report tells a successor about grants that have
+// not been adopted. Otherwise own counts are exact and reports are late.
+func (c *Core) report(now time.Time, ep *endpoint) {
+	load := ep.spec.Load
+	if !c.config.Successor || load == nil || load.MeasuredAt.Before(c.started) || now.Sub(c.started) >= grantLapse {
+		return
 	}
-	return c.capacity(now, ep) - used
+	ep.reported = true
+	ep.foreign = max(0, load.Running+load.Waiting-ep.inFlight)
 }
 
 // serves reports whether requests with the key may run on the endpoint, apart
--- a/internal/scheduler/grants.go
+++ b/internal/scheduler/grants.go
@@ -226,6 +226,7 @@
 		customer: c.customerOf(now, h.Customer), tier: cl.tier, epoch: h.Epoch, granted: now, adopted: true,
 	}
 	g.until = now.Add(grantLapse)
+	ep.foreign = max(0, ep.foreign-1)
 	c.hold(g)
 	return g
 }
--- /dev/null
+++ b/internal/scheduler/machine_test.go
@@ -0,0 +1,366 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"auburnstep.example/auburnstep/internal/limit"
+)
+
+// held is a grant as the entries know it, independent of the core.
+type held struct {
+	Granted
+	customer string
+	class    string
+	unused   time.Time // void after this unless used
+	used     bool
+}
+
+// machine drives a core with random calls and checks every decision against
+// what the callers and endpoints were told.
+type machine struct {
+	core      *Core
+	now       time.Time
+	epoch     uint64
+	next      int
+	requests  map[string]Request // waiting, as entries see them
+	held      map[string]*held   // by grant
+	endpoints map[string]Endpoint
+	policy    Policy
+	overlap   map[string]int // grants adopted beyond the slots, by endpoint
+}
+
+var machineEntries = []string{"e0", "e1", "e2"}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{
+		now: epoch, epoch: 1, requests: map[string]Request{}, held: map[string]*held{},
+		endpoints: map[string]Endpoint{}, overlap: map[string]int{},
+	}
+	m.policy = Policy{
+		QueueMax: rapid.IntRange(3, 30).Draw(t, "queueMax"),
+		Classes:  map[string]ClassPolicy{"class2": {StarvationBound: 2 * time.Second}, "class1": {ShareMin: 0.3}},
+		Customer: func(name string) limit.Policy {
+			if name == "k0" {
+				return limit.Policy{Concurrency: 2}
+			}
+			return limit.Policy{}
+		},
+	}
+	m.core = New(m.now, Config{Epoch: 1, Entries: machineEntries}, m.policy)
+	for i := range rapid.IntRange(1, 4).Draw(t, "endpoints") {
+		e := Endpoint{ID: fmt.Sprint("n", i), Incarnation: 1, Slots: rapid.IntRange(1, 6).Draw(t, "slots"), Models: []string{"m"}}
+		if i%2 == 1 {
+			e.Models = append(e.Models, "other")
+		}
+		m.endpoints[e.ID] = e
+		m.check(t, m.core.Announce(m.now, e))
+	}
+	return m
+}
+
+// check applies decisions and verifies them.
+func (m *machine) check(t *rapid.T, out []Decision) {
+	for _, d := range out {
+		switch d := d.(type) {
+		case Granted:
+			m.checkGranted(t, d)
+		case Refused:
+			if _, ok := m.requests[d.RequestID]; !ok {
+				t.Fatalf("refused %s, which does not wait", d.RequestID)
+			}
+			victim := m.requests[d.RequestID]
+			delete(m.requests, d.RequestID)
+			if d.Err.Message == "the queue is full" {
+				m.checkVictim(t, d.RequestID, victim)
+			}
+		}
+	}
+	m.checkTierOrder(t, out)
+	m.checkCounts(t)
+}
+
+func (m *machine) checkGranted(t *rapid.T, g Granted) {
+	if h := m.held[g.GrantID]; h != nil {
+		return // repeated
+	}
+	for _, h := range m.held {
+		if h.RequestID == g.RequestID {
+			t.Fatalf("request %s got grant %s while it holds %s", g.RequestID, g.GrantID, h.GrantID)
+		}
+	}
+	r, ok := m.requests[g.RequestID]
+	if !ok {
+		t.Fatalf("grant for %s, which does not wait", g.RequestID)
+	}
+	delete(m.requests, g.RequestID)
+	e := m.endpoints[g.Endpoint]
+	if e.Leaving {
+		t.Fatalf("grant at %s, which is leaving", g.Endpoint)
+	}
+	if !slices.Contains(e.Models, r.Model) || slices.Contains(r.Avoid, e.ID) {
+		t.Fatalf("grant for %+v at %+v", r, e)
+	}
+	m.held[g.GrantID] = &held{Granted: g, customer: r.Customer, class: r.Class, unused: m.now.Add(g.ExpiresIn)}
+	if n := m.count(g.Endpoint); n > e.Slots+m.overlap[g.Endpoint] {
+		t.Fatalf("%d grants on %d slots (%d overlap) of %s", n, e.Slots, m.overlap[g.Endpoint], g.Endpoint)
+	}
+}
+
+func (m *machine) count(endpoint string) (n int) {
+	for _, h := range m.held {
+		if h.Endpoint == endpoint {
+			n++
+		}
+	}
+	return n
+}
+
+// checkTierOrder verifies that no request of a higher tier that could have had
+// an ordinary slot still waits.
+func (m *machine) checkTierOrder(t *rapid.T, out []Decision) {
+	for _, g := range grantsOf(out) {
+		if g.Reserved || g.ExpiresIn < grantUnused {
+			continue
+		}
+		for id, w := range m.core.waiting {
+			if w.request.Tier >= g.Priority || w.customer.full() {
+				continue
+			}
+			ep := m.core.endpoints[g.Endpoint]
+			if ep.serves(w.account.pool) && (!ep.health.ejected || w.request.MayRepeat) {
+				t.Fatalf("%s of tier %d got %s while %s of tier %d waits", g.RequestID, g.Priority, g.Endpoint, id, w.request.Tier)
+			}
+		}
+	}
+}
+
+// checkVictim verifies that what was shed had the lowest tier among the
+// unprotected, and was the newest there.
+func (m *machine) checkVictim(t *rapid.T, id string, victim Request) {
+	for _, w := range m.core.waiting {
+		if w.protected() {
+			continue
+		}
+		if w.request.Tier > victim.Tier || w.request.Tier == victim.Tier && w.request.ID > id {
+			t.Fatalf("shed %s of tier %d while %s of tier %d waits", id, victim.Tier, w.request.ID, w.request.Tier)
+		}
+	}
+}
+
+// checkCounts compares the core's counts with its grants.
+func (m *machine) checkCounts(t *rapid.T) {
+	counts := map[*endpoint]int{}
+	byCustomer := map[string]int{}
+	reserved := 0
+	for _, g := range m.core.grants {
+		counts[g.endpoint]++
+		byCustomer[g.customer.name]++
+		if g.reserved {
+			reserved++
+		}
+	}
+	for _, ep := range m.core.endpointOrder {
+		if ep.inFlight != counts[ep] {
+			t.Fatalf("%s counts %d in flight, has %d grants", ep.spec.ID, ep.inFlight, counts[ep])
+		}
+	}
+	for name, cu := range m.core.customers {
+		if cu.inFlight != byCustomer[name] {
+			t.Fatalf("customer %s counts %d in flight, has %d grants", name, cu.inFlight, byCustomer[name])
+		}
+	}
+	if reserved != m.core.reservedInFlight || len(m.core.grants) != m.core.inFlight {
+		t.Fatalf("reserved %d, in flight %d do not match the grants", m.core.reservedInFlight, m.core.inFlight)
+	}
+	for _, p := range m.core.poolOrder {
+		for i := range p.tiers {
+			n := 0
+			for _, a := range p.accounts {
+				if a.tier == i {
+					n += a.onTime.len() + a.late.len()
+				}
+			}
+			if n != p.tiers[i].waiting {
+				t.Fatalf("pool %v tier %d counts %d waiting, has %d", p.key, i, p.tiers[i].waiting, n)
+			}
+		}
+	}
+}
+
+func (m *machine) enqueue(t *rapid.T) {
+	m.next++
+	tier := rapid.IntRange(0, Tiers-1).Draw(t, "tier")
+	r := request(fmt.Sprintf("r%06d", m.next), tier)
+	r.Entry = rapid.SampledFrom(machineEntries).Draw(t, "entry")
+	r.Customer = fmt.Sprint("k", rapid.IntRange(0, 2).Draw(t, "customer"))
+	r.MayRepeat = rapid.Bool().Draw(t, "mayRepeat")
+	r.Deadline = time.Duration(rapid.IntRange(1, 60).Draw(t, "deadline")) * time.Second
+	r.Target = r.Deadline / 2
+	if rapid.IntRange(0, 3).Draw(t, "model") == 0 {
+		r.Model = "other"
+	}
+	if rapid.IntRange(0, 5).Draw(t, "avoid") == 0 {
+		r.Avoid = []string{fmt.Sprint("n", rapid.IntRange(0, 3).Draw(t, "avoided"))}
+	}
+	m.requests[r.ID] = r
+	m.check(t, m.core.Enqueue(m.now, r))
+}
+
+func (m *machine) anyHeld(t *rapid.T) *held {
+	if len(m.held) == 0 {
+		t.Skip("no grants")
+	}
+	return m.held[rapid.SampledFrom(slices.Sorted(maps.Keys(m.held))).Draw(t, "grant")]
+}
+
+func (m *machine) release(t *rapid.T) {
+	h := m.anyHeld(t)
+	delete(m.held, h.GrantID)
+	o := Outcome{Tokens: rapid.IntRange(1, 500).Draw(t, "tokens"), FirstToken: 100 * time.Millisecond}
+	o.Duration = o.FirstToken + time.Duration(o.Tokens)*10*time.Millisecond
+	switch rapid.IntRange(0, 9).Draw(t, "outcome") {
+	case 0:
+		o.Failed, o.EndpointFault = true, true
+	case 1:
+		o.Failed, o.EndpointFault, o.ConnectRefused = true, true, true
+	case 2:
+		o = Outcome{Unused: true}
+	}
+	m.check(t, m.core.Release(m.now, h.GrantID, o))
+}
+
+func (m *machine) cancel(t *rapid.T) {
+	if len(m.requests) == 0 {
+		t.Skip("nothing waits")
+	}
+	id := rapid.SampledFrom(slices.Sorted(maps.Keys(m.requests))).Draw(t, "request")
+	delete(m.requests, id)
+	m.check(t, m.core.Cancel(m.now, id))
+}
+
+// repeat sends a request again that may hold a grant by now.
+func (m *machine) repeat(t *rapid.T) {
+	h := m.anyHeld(t)
+	r := request(h.RequestID, h.Priority)
+	r.Entry, r.Customer, r.Class = h.Entry, h.customer, h.class
+	got := grantsOf(m.core.Enqueue(m.now, r))
+	if len(got) != 1 || got[0].GrantID != h.GrantID {
+		t.Fatalf("repeated request %s got %v instead of %s", h.RequestID, got, h.GrantID)
+	}
+}
+
+// advance moves the clock; entries do not use grants that have expired.
+func (m *machine) advance() {
+	m.now = m.now.Add(250 * time.Millisecond)
+	for id, h := range m.held {
+		if !h.used && !m.now.Before(h.unused) {
+			delete(m.held, id)
+		}
+	}
+}
+
+// pass lets time go by; entries use, renew and repeat what they have.
+func (m *machine) pass(t *rapid.T) {
+	for range rapid.IntRange(1, 8).Draw(t, "steps") {
+		m.advance()
+		for _, e := range machineEntries {
+			m.check(t, m.core.Renew(m.now, e, m.heldBy(e)))
+		}
+		for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+			if r, waits := m.requests[id]; waits {
+				m.check(t, m.core.Enqueue(m.now, r))
+			}
+		}
+		for _, id := range slices.Sorted(maps.Keys(m.endpoints)) {
+			m.check(t, m.core.Announce(m.now, m.endpoints[id]))
+		}
+		m.check(t, m.core.Tick(m.now))
+	}
+}
+
+func (m *machine) heldBy(entry string) (list []HeldGrant) {
+	for _, id := range slices.Sorted(maps.Keys(m.held)) {
+		if h := m.held[id]; h.Entry == entry {
+			h.used = true
+			list = append(list, HeldGrant{
+				GrantID: id, RequestID: h.RequestID, Endpoint: h.Endpoint, Customer: h.customer, Class: h.class, Epoch: h.Epoch,
+			})
+		}
+	}
+	return list
+}
+
+func (m *machine) changeEndpoint(t *rapid.T) {
+	id := rapid.SampledFrom(slices.Sorted(maps.Keys(m.endpoints))).Draw(t, "endpoint")
+	e := m.endpoints[id]
+	switch rapid.IntRange(0, 2).Draw(t, "change") {
+	case 0:
+		e.Leaving = !e.Leaving
+	case 1:
+		e.Slots = rapid.IntRange(1, 6).Draw(t, "slots")
+	case 2:
+		e.Incarnation++
+	}
+	m.endpoints[id] = e
+	m.check(t, m.core.Announce(m.now, e))
+}
+
+// takeover replaces the core. Each entry adopts at once, within the warm-up or
+// after it; what is told too late may overlap.
+func (m *machine) takeover(t *rapid.T) {
+	m.epoch++
+	m.core = New(m.now, Config{Epoch: m.epoch, Successor: true, Entries: machineEntries}, m.policy)
+	m.overlap = map[string]int{}
+	silent := rapid.SampledFrom(append([]string{""}, machineEntries...)).Draw(t, "silent")
+	for _, h := range m.held {
+		h.used = true
+		if h.Entry == silent {
+			m.overlap[h.Endpoint]++
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.endpoints)) {
+		m.check(t, m.core.Announce(m.now, m.endpoints[id]))
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		if r, waits := m.requests[id]; waits {
+			m.check(t, m.core.Enqueue(m.now, r))
+		}
+	}
+	for _, e := range machineEntries {
+		if e != silent {
+			m.check(t, m.core.Adopt(m.now, e, m.heldBy(e)))
+		}
+	}
+	for range 5 {
+		m.advance()
+		m.check(t, m.core.Tick(m.now))
+	}
+	m.pass(t)
+}
+
+// Guards against violations of the invariants of section 1.3 and 6.3 of the
+// design under any order of calls: a grant to a lower tier while an admissible
+// higher one waits, a wrong shed victim, a double grant, more grants than slots
+// and known overlap, work for a leaving endpoint.
+func TestCoreInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"enqueue":  m.enqueue,
+			"enqueue2": m.enqueue,
+			"enqueue3": m.enqueue,
+			"release":  m.release,
+			"cancel":   m.cancel,
+			"repeat":   m.repeat,
+			"pass":     m.pass,
+			"endpoint": m.changeEndpoint,
+			"takeover": m.takeover,
+		})
+	})
+}
--- /dev/null
+++ b/internal/scheduler/overload_test.go
@@ -0,0 +1,252 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/limit"
+)
+
+// Guards against a higher tier that is refused because of lower-tier work, and
+// against late refusals.
+func TestAdmission(t *testing.T) {
+	setup := func(waiting, tier int) *bench {
+		b := newBench(Config{}, Policy{}, engine("a", 2))
+		for i := range waiting + 2 {
+			r := request(fmt.Sprint("w", i), tier)
+			r.Deadline = time.Hour
+			b.ask(r)
+		}
+		return b
+	}
+	for _, test := range []struct {
+		name     string
+		bench    *bench
+		tier     int
+		deadline time.Duration
+		refused  string
+	}{
+		// 20 waiting requests of 2 s on 2 slots take 20 s.
+		{"deadline out of reach", setup(20, 1), 1, 5 * time.Second, "deadline_unreachable"},
+		{"deadline within reach", setup(20, 1), 1, 50 * time.Second, ""},
+		{"higher tier passes the queue", setup(20, 1), 0, 5 * time.Second, ""},
+		{"lower tier waits for it", setup(20, 1), 2, 5 * time.Second, "deadline_unreachable"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := request("r", test.tier)
+			r.Class, r.Deadline = "asked", test.deadline
+			first := r
+			first.ID = "protected" // the only one of its class is not refused
+			c.Assert(test.bench.ask(first), qt.HasLen, 0)
+			out := test.bench.ask(r)
+			if test.refused == "" {
+				c.Assert(out, qt.HasLen, 0)
+				return
+			}
+			c.Assert(refusalsOf(out), qt.DeepEquals, []string{"r " + test.refused})
+			err := out[0].(Refused).Err
+			c.Assert(err.RetryAfter >= retryAfterLeast && err.RetryAfter <= retryAfterMost, qt.IsTrue)
+			c.Assert(err.Verdict.String(), qt.Equals, "not-run")
+		})
+	}
+}
+
+// Guards against limits that are exceeded, or that stop other customers.
+func TestCustomerLimits(t *testing.T) {
+	c := qt.New(t)
+	limits := limit.Policy{Concurrency: 1}
+	b := newBench(Config{}, Policy{Customer: func(name string) limit.Policy {
+		if name == "k" {
+			return limits
+		}
+		return limit.Policy{}
+	}}, engine("a", 4))
+	g := one(c, b.ask(request("r1", 0)))
+	c.Assert(b.ask(request("r2", 0)), qt.HasLen, 0)
+	other := request("r3", 2)
+	other.Customer = "other"
+	one(c, b.ask(other))
+	c.Assert(requestsOf(b.Release(b.now, g.GrantID, Outcome{Tokens: 1})), qt.DeepEquals, []string{"r2"})
+	b.ask(request("r4", 0))
+	limits.Concurrency = 2
+	c.Assert(requestsOf(b.Configure(b.now, b.policy)), qt.DeepEquals, []string{"r4"})
+	limits.TokensPerSecond = 10
+	b.Configure(b.now, b.policy)
+	c.Assert(b.ask(request("r5", 0)), qt.HasLen, 0) // spends the saved-up rate
+	out := b.ask(request("r6", 0))
+	c.Assert(refusalsOf(out), qt.DeepEquals, []string{"r6 rate_limit_exceeded"})
+	c.Assert(out[0].(Refused).Err.Status, qt.Equals, 429)
+	c.Assert(out[0].(Refused).Err.RetryAfter >= 10*time.Second, qt.IsTrue)
+}
+
+// Guards against groups that together exceed a customer's limit: without a
+// share nothing is granted, and a share ends.
+func TestSharedLimits(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(Config{SharedLimits: true}, Policy{Customer: func(string) limit.Policy {
+		return limit.Policy{Concurrency: 10}
+	}}, engine("a", 4))
+	c.Assert(b.ask(request("r1", 0)), qt.HasLen, 0)
+	c.Assert(b.Demands(), qt.HasLen, 1)
+	c.Assert(b.Demands()[0].Concurrency, qt.Equals, 1)
+	out := b.SetShares(b.now, []limit.Share{{Customer: "k", Concurrency: 1, Ends: at(1000)}})
+	g := one(c, out)
+	b.pass(time.Second)
+	b.Release(b.now, g.GrantID, Outcome{Tokens: 1})
+	c.Assert(b.ask(request("r2", 0)), qt.HasLen, 0)
+}
+
+// Guards against retries that multiply the load while everything fails.
+func TestRetryBudgetRefuses(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(Config{}, Policy{}, engine("a", 8), engine("b", 8))
+	var refused []string
+	for i := range 6 {
+		r := request(fmt.Sprint("r", i), 0)
+		r.Avoid = []string{"a"}
+		refused = append(refused, refusalsOf(b.ask(r))...)
+	}
+	c.Assert(refused, qt.DeepEquals, []string{
+		"r3 retry_budget_exhausted", "r4 retry_budget_exhausted", "r5 retry_budget_exhausted",
+	})
+}
+
+// Guards against a second attempt that is sent back to the endpoint that failed:
+// it arrives before the release of the first one.
+func TestRetryBeforeRelease(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(Config{}, Policy{}, engine("a", 1), engine("b", 1))
+	r := request("r", 0)
+	g := one(c, b.ask(r))
+	r.Avoid = []string{g.Endpoint}
+	second := one(c, b.ask(r))
+	c.Assert(second.Endpoint, qt.Not(qt.Equals), g.Endpoint)
+	c.Assert(b.Status(b.now).Endpoints[0].InFlight, qt.Equals, 0)
+	b.Renew(b.now, "e1", []HeldGrant{{GrantID: g.GrantID}}) // overtaken
+	c.Assert(b.Status(b.now).Endpoints[0].InFlight, qt.Equals, 0)
+	b.Release(b.now, g.GrantID, Outcome{Failed: true, EndpointFault: true, ConnectRefused: true})
+	c.Assert(b.Status(b.now).Endpoints[0].Ejected, qt.IsTrue)
+}
+
+// Guards against overload of engines by a successor that does not know yet what
+// is in flight.
+func TestWarmUp(t *testing.T) {
+	successor := Config{Epoch: 2, Successor: true, Entries: []string{"e1", "e2"}}
+	held := []HeldGrant{{GrantID: "1-1", RequestID: "old", Endpoint: "a", Customer: "k", Class: "class0", Epoch: 1}}
+	for _, test := range []struct {
+		name  string
+		steps func(*bench)
+		ms    int
+		free  int
+	}{
+		{"nothing known", func(*bench) {}, 999, 0},
+		{"warm-up over", func(*bench) {}, 1000, 4},
+		{"one entry is silent", func(b *bench) { b.Adopt(b.now, "e1", held) }, 500, 0},
+		{"all entries have adopted", func(b *bench) {
+			b.Adopt(b.now, "e1", held)
+			b.Adopt(b.now, "e2", nil)
+		}, 500, 3},
+		{"a fresh report says what is free", func(b *bench) {
+			e := engine("a", 4)
+			e.Load = &Load{Running: 2, Waiting: 1, MeasuredAt: b.now}
+			b.Announce(b.now, e)
+		}, 500, 1},
+		{"a report from before the takeover does not", func(b *bench) {
+			e := engine("a", 4)
+			e.Load = &Load{MeasuredAt: b.now.Add(-time.Second)}
+			b.Announce(b.now, e)
+		}, 500, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(successor, Policy{}, engine("a", 4))
+			test.steps(b)
+			for i := range 6 {
+				b.ask(request(fmt.Sprint("r", i), 0))
+			}
+			b.Tick(at(test.ms))
+			inFlight := 0
+			for _, g := range b.grants {
+				if !g.adopted {
+					inFlight++
+				}
+			}
+			c.Assert(inFlight, qt.Equals, test.free)
+		})
+	}
+}
+
+// starvation is one lasting overload by all three tiers.
+type starvation struct {
+	bound, service time.Duration
+	slots          int
+}
+
+// longest returns the longest time that any class went unserved.
+func (s starvation) longest() (longest time.Duration) {
+	policy := Policy{Classes: map[string]ClassPolicy{}}
+	served := map[string]time.Time{}
+	for i := range Tiers {
+		class := fmt.Sprint("class", i)
+		policy.Classes[class] = ClassPolicy{StarvationBound: s.bound}
+		served[class] = epoch
+	}
+	b := newBench(Config{}, policy, engine("a", s.slots))
+	ends := map[time.Time][]string{}
+	collect := func(out []Decision) {
+		for _, g := range grantsOf(out) {
+			class := fmt.Sprint("class", g.Priority)
+			longest = max(longest, b.now.Sub(served[class]))
+			served[class] = b.now
+			end := b.now.Add(s.service)
+			ends[end] = append(ends[end], g.GrantID)
+		}
+	}
+	for step := range 20 * 20 {
+		b.now = b.now.Add(50 * time.Millisecond)
+		b.keep()
+		for tier := range Tiers {
+			for i := range 1 + s.slots*50/int(s.service.Milliseconds()) {
+				r := request(fmt.Sprintf("%d-%d-%d", step, tier, i), tier)
+				r.Deadline = 2 * time.Second
+				collect(b.ask(r))
+			}
+		}
+		for _, id := range ends[b.now] {
+			collect(b.Release(b.now, id, Outcome{Tokens: 100, Duration: s.service}))
+		}
+		collect(b.Tick(b.now))
+	}
+	for _, last := range served {
+		longest = max(longest, b.now.Sub(last))
+	}
+	return longest
+}
+
+// Guards against starvation: under a lasting overload of higher tiers every
+// class with waiting requests is served within its bound plus the time until a
+// slot is free and the time that the lane serves each other starved class.
+func TestNoClassStarves(t *testing.T) {
+	for _, s := range []starvation{
+		{time.Second, 100 * time.Millisecond, 8},
+		{time.Second, 2 * time.Second, 8},
+		{3 * time.Second, 500 * time.Millisecond, 8},
+		{3 * time.Second, 2 * time.Second, 40},
+		{5 * time.Second, time.Second, 20},
+	} {
+		t.Run(fmt.Sprintf("%+v", s), func(t *testing.T) {
+			const tick = 50 * time.Millisecond
+			got := s.longest()
+			if most := s.bound + (Tiers-1)*s.service + 2*tick; got > most {
+				t.Fatalf("a class went unserved for %v, more than %v", got, most)
+			}
+			if got <= s.bound {
+				t.Fatalf("the longest wait of %v does not reach the bound: no overload", got)
+			}
+		})
+	}
+}
