Test the stand-in and the client to endpoints

POST /fault takes the form of the flag, since a text form and a JSON form of a fault exclude each other in encoding/json.

--- a/internal/fakeengine/fault.go
+++ b/internal/fakeengine/fault.go
@@ -38,13 +38,13 @@
 // Fault is one fault. Probability and Count choose the requests that a fault of
 // single requests hits; zero values hit all of them.
 type Fault struct {
-	Kind        FaultKind     `json:"kind"`
-	Factor      float64       `json:"factor,omitempty"`
-	Delay       time.Duration `json:"delay_ns,omitempty"`
-	Probability float64       `json:"probability,omitempty"`
-	Count       int           `json:"count,omitempty"`
+	Kind        FaultKind
+	Factor      float64
+	Delay       time.Duration
+	Probability float64
+	Count       int
 	// After delays the start of the fault.
-	After time.Duration `json:"after_ns,omitempty"`
+	After time.Duration
 }
 
 // UnmarshalText reads the form kind[,key=value...].
--- a/internal/fakeengine/server.go
+++ b/internal/fakeengine/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -201,11 +202,12 @@
 	mux.HandleFunc("POST /v1/orders", s.serveOrder)
 }
 
+// serveFault puts the fault in the body in force, in the form of the flag.
 func (s *Server) serveFault(w http.ResponseWriter, r *http.Request) {
 	var f Fault
-	err := json.NewDecoder(r.Body).Decode(&f)
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPlainBody))
 	if err == nil {
-		err = f.validate()
+		err = f.UnmarshalText(text)
 	}
 	if err != nil {
 		writeError(w, http.StatusBadRequest, "invalid_fault", err.Error())
--- /dev/null
+++ b/internal/upstream/plain_test.go
@@ -0,0 +1,132 @@
+package upstream
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/fakeengine"
+	"auburnstep.example/auburnstep/internal/verdict"
+)
+
+func booking(s *fakeengine.Server, body io.Reader, length int64) PlainCall {
+	return PlainCall{
+		Endpoint: s.Addr(), RequestID: "r", Method: http.MethodPost, Target: "/bookings?crew=2", Body: body, Length: length,
+		Header:  http.Header{"Idempotency-Key": {"k"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
+		MaxBody: 1000, MaxAnswer: 1000, FirstByte: longBound, BetweenBytes: longBound,
+	}
+}
+
+func TestDoPassesBodies(t *testing.T) {
+	c := qt.New(t)
+	fake := startFake(c, fakeengine.Config{Kind: fakeengine.KindPlain})
+	client := startClient(c, Options{})
+	for _, length := range []int64{5, -1} {
+		text, err := readAnswer(client, booking(fake, strings.NewReader("hello"), length))
+		c.Assert(err, qt.IsNil)
+		var echo fakeengine.Echo
+		c.Assert(json.Unmarshal([]byte(text), &echo), qt.IsNil)
+		c.Check(echo.Digest, qt.Equals, fakeengine.DigestOf("hello"))
+		c.Check(echo.Query, qt.Equals, "crew=2")
+	}
+	c.Check(len(fake.Ledger()), qt.Equals, 2)
+	c.Check(fake.Stats().Connections, qt.Equals, int64(2), qt.Commentf("bookings use fresh connections"))
+}
+
+// errReader fails as the body of a caller that went away does.
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, errors.New("caller went away") }
+
+func TestDoFailures(t *testing.T) {
+	long := strings.Repeat("x", 5000)
+	for _, test := range []struct {
+		name    string
+		fault   fakeengine.FaultKind
+		change  func(*PlainCall)
+		reason  Reason
+		verdict verdict.Verdict
+		blame   bool
+	}{
+		{"refused", fakeengine.FaultOverload, nil, ReasonRefused, verdict.NotRun, false},
+		{"crossed", fakeengine.FaultCrossed, nil, ReasonCrossed, verdict.MayHaveRun, true},
+		{"truncated", fakeengine.FaultTruncated, nil, ReasonTruncated, verdict.MayHaveRun, true},
+		{"frozen", fakeengine.FaultFreeze, func(p *PlainCall) { p.FirstByte = 20 * time.Millisecond }, ReasonFirstToken, verdict.MayHaveRun, true},
+		{"body of known length too large", "", func(p *PlainCall) { p.Body, p.Length = strings.NewReader(long), 5000 }, ReasonBodyTooLarge, verdict.NotRun, false},
+		{"body of unknown length too large", "", func(p *PlainCall) { p.Body, p.Length = strings.NewReader(long), -1 }, ReasonBodyTooLarge, verdict.MayHaveRun, false},
+		{"body ends early", "", func(p *PlainCall) { p.Length = 50 }, ReasonBodyFailed, verdict.MayHaveRun, false},
+		{"caller went away", "", func(p *PlainCall) { p.Body, p.Length = io.MultiReader(p.Body, errReader{}), -1 }, ReasonBodyFailed, verdict.MayHaveRun, false},
+		{"answer too large", "", func(p *PlainCall) { p.MaxAnswer = 10 }, ReasonTooLarge, verdict.MayHaveRun, false},
+		{"invalid target", "", func(p *PlainCall) { p.Target = "no path" }, ReasonInvalid, verdict.NotRun, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			fake := startFake(c, fakeengine.Config{Kind: fakeengine.KindPlain})
+			client := startClient(c, Options{})
+			if test.fault != "" {
+				fake.Inject(fakeengine.Fault{Kind: test.fault})
+			}
+			call := booking(fake, strings.NewReader("hello"), 5)
+			if test.change != nil {
+				test.change(&call)
+			}
+			_, err := readAnswer(client, call)
+			checkFailure(c, err, test.reason, test.verdict, test.blame)
+			if test.verdict == verdict.NotRun {
+				c.Check(fake.Ledger(), qt.HasLen, 0)
+			}
+		})
+	}
+}
+
+// TestDoRawAnswers guards against an incomplete answer that is taken as whole.
+func TestDoRawAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer string
+		hold   bool // keep the connection open after the answer
+		reason Reason
+	}{
+		{"end of connection as end of body", "HTTP/1.1 200 OK\r\n\r\nbody", false, ReasonMalformed},
+		{"body shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", false, ReasonTruncated},
+		{"body stalls", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", true, ReasonBetweenTokens},
+		{"chunks end early", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", false, ReasonTruncated},
+		{"chunks beyond the bound", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n14\r\n01234567890123456789\r\n0\r\n\r\n", false, ReasonTooLarge},
+		{"no answer", "", false, ReasonConnectionLost},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = io.WriteString(conn, test.answer)
+				if test.hold {
+					_, _ = io.Copy(io.Discard, conn)
+				}
+			}()
+			client := startClient(c, Options{})
+			_, err = readAnswer(client, PlainCall{
+				Endpoint: l.Addr().String(), RequestID: "r", Method: http.MethodGet, Target: "/", MaxAnswer: 16, BetweenBytes: 50 * time.Millisecond,
+			})
+			c.Check(ReasonOf(err), qt.Equals, test.reason, qt.Commentf("%v", err))
+			c.Check(verdict.From(err).Verdict, qt.Equals, verdict.MayHaveRun)
+			_ = l.Close()
+			<-done
+		})
+	}
+}
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -106,3 +106,93 @@
 	_, err = client.Chat(context.Background(), Call{Endpoint: address, RequestID: "r", Body: chatBody("p", 1)})
 	checkFailure(c, err, ReasonUnreachable, verdict.NotRun, true)
 }
+
+// TestResume guards against tokens that are repeated or skipped when an answer
+// moves to another endpoint, any number of times.
+func TestResume(t *testing.T) {
+	for _, total := range []int{1, 2, 7, 64} {
+		c := qt.New(t)
+		client := startClient(c, Options{})
+		var text string
+		delivered, whole := 0, false
+		for i, fault := range []fakeengine.FaultKind{fakeengine.FaultTruncated, fakeengine.FaultReset, fakeengine.FaultCrossed, ""} {
+			fake := startFake(c, fakeengine.Config{})
+			if fault != "" {
+				fake.Inject(fakeengine.Fault{Kind: fault})
+			}
+			call := callTo(fake, string(rune('a'+i)), "a prompt", total)
+			call.PublicID, call.Offset = "public", delivered
+			s, err := client.Chat(context.Background(), call)
+			if err != nil {
+				c.Check(ReasonOf(err), qt.Equals, ReasonConnectionLost)
+				continue
+			}
+			part, err := collect(s)
+			text += part
+			delivered, whole = s.Delivered(), err == nil
+		}
+		c.Check(whole, qt.IsTrue)
+		c.Check(text, qt.Equals, fakeengine.Answer("a prompt", total))
+	}
+}
+
+// TestCancelReachesEngine guards against an engine that goes on for a caller who
+// is gone, also where the connection is silent and no one reads the stream.
+func TestCancelReachesEngine(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		silent bool
+		end    func(s *Stream, cancel context.CancelFunc)
+	}{
+		{"context ends", false, func(_ *Stream, cancel context.CancelFunc) { cancel() }},
+		{"context ends on a silent connection", true, func(_ *Stream, cancel context.CancelFunc) { cancel() }},
+		{"stream is closed", false, func(s *Stream, _ context.CancelFunc) { s.Close() }},
+		{"stream is closed on a silent connection", true, func(s *Stream, _ context.CancelFunc) { s.Close() }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			fake := startFake(c, fakeengine.Config{TokensPerSecond: 100})
+			client := startClient(c, Options{})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			s, err := client.Chat(ctx, callTo(fake, "r", "p", 100000))
+			c.Assert(err, qt.IsNil)
+			defer s.Close()
+			if test.silent {
+				fake.Inject(fakeengine.Fault{Kind: fakeengine.FaultSilent})
+			}
+			test.end(s, cancel)
+			eventually(c, "cancel at the engine", func() bool { return fake.Stats().Cancelled == 1 })
+			_, err = collect(s)
+			checkFailure(c, err, ReasonCancelled, verdict.MayHaveRun, false)
+		})
+	}
+}
+
+// TestPublicID guards against chunks passed on with the id of an attempt.
+func TestPublicID(t *testing.T) {
+	c := qt.New(t)
+	fake := startFake(c, fakeengine.Config{})
+	client := startClient(c, Options{})
+	call := callTo(fake, "attempt", "p", 1)
+	call.PublicID = "public"
+	s, err := client.Chat(context.Background(), call)
+	c.Assert(err, qt.IsNil)
+	defer s.Close()
+	chunk, err := s.Next()
+	c.Assert(err, qt.IsNil)
+	c.Check(chunk.ID, qt.Equals, "public")
+	c.Check(string(chunk.Raw), qt.Contains, `"id":"public"`)
+	c.Check(string(chunk.Raw), qt.Not(qt.Contains), "attempt")
+}
+
+func TestStreamBody(t *testing.T) {
+	c := qt.New(t)
+	out, err := StreamBody([]byte(`{"model":"m","stream":false,"n":1}`))
+	c.Assert(err, qt.IsNil)
+	c.Check(string(out), qt.JSONEquals, map[string]any{"model": "m", "stream": true, "n": 1})
+	for _, body := range []string{"", "null", "[]", "{"} {
+		_, err := StreamBody([]byte(body))
+		c.Check(err, qt.Not(qt.IsNil), qt.Commentf(body))
+	}
+}
