--- a/internal/settings/index.go
+++ b/internal/settings/index.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		p := t.servicePolicy(s)
-		for _, c := range t.nodes.prefixed(below(s.path)) {
+		for c := range t.classesOf(s) {
 			p.Classes = append(p.Classes, c.Name())
 			x.classes[classKey{p.Name, c.Name()}] = classPolicy(p.Name, c.Name(), t.chain(c, nil))
 		}
--- a/internal/settings/property_test.go
+++ b/internal/settings/property_test.go
@@ -18,7 +18,7 @@
 		"/g/k/u1/c1", "/u2", "/u2/c1", "/u2/c2", "/u1"})
 	genSetting = rapid.SampledFrom([][2]string{{KeyTier, "0"}, {KeyTier, "2"}, {KeyFirstToken, "2s"}, {KeyFirstToken, "2m"},
 		{KeyDeadline, "90ms"}, {KeyDeadline, "10m"}, {KeyShareMin, "0.4"}, {KeyShareMin, "0.7"}, {KeyClassDefault, "c1"},
-		{KeyWeight, "7"}, {KeyModels, "a/b-1,N: #x,12,no,\\t"}, {KeyHashes, strings.Repeat("a", 64)}, {KeyHashes, strings.Repeat("b", 64)}})
+		{KeyWeight, "7"}, {KeyModels, "a/b-1,N:#x,12,no,\\t"}, {KeyHashes, strings.Repeat("a", 64)}, {KeyHashes, strings.Repeat("b", 64)}})
 )
 
 // kindFor returns mostly the kind that fits the path, so that many trees are valid.
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"iter"
 	"slices"
 	"strings"
 )
@@ -149,6 +150,18 @@
 	return ok && p.kind == Customer
 }
 
+// classesOf calls yield for each class directly below n. A tree that was not
+// validated may hold other nodes there.
+func (t *Tree) classesOf(n *Node) iter.Seq[*Node] {
+	return func(yield func(*Node) bool) {
+		for path, c := range t.nodes.prefixed(below(n.path)) {
+			if c.kind == Class && parentOf(path) == n.path && !yield(c) {
+				return
+			}
+		}
+	}
+}
+
 // chain returns the nodes that a look-up at n asks, in order. For an override
 // of a customer class is the class node of the service the look-up is for.
 func (t *Tree) chain(n, class *Node) []*Node {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -210,7 +210,7 @@
 	chain := c.tree.chain(s, nil)
 	var names []string
 	var share float64
-	for _, class := range c.tree.nodes.prefixed(below(s.path)) {
+	for class := range c.tree.classesOf(s) {
 		names = append(names, class.Name())
 		classChain := c.tree.chain(class, nil)
 		c.checkTargets(class, classChain, "")
--- a/internal/settings/yaml.go
+++ b/internal/settings/yaml.go
@@ -19,7 +19,8 @@
 // same tree. Keys that this version does not know are left out as comments.
 func (t *Tree) YAML() []byte {
 	var b bytes.Buffer
-	b.WriteString("nodes:\n")
+	const head = "nodes:\n"
+	b.WriteString(head)
 	for path, n := range t.nodes.from("") {
 		if path == Root && len(n.settings) == 0 {
 			continue
@@ -35,6 +36,9 @@
 			indent = ""
 		}
 	}
+	if b.Len() == len(head) {
+		return []byte("nodes: []\n")
+	}
 	return b.Bytes()
 }
 
