settings: check the overrides of all classes below a changed service or group

A customer's class inherits from the class of the service, so a deadline that is lowered on a group can put the customer's target above it. The change was accepted, because only the classes of the services were checked.

--- a/internal/settings/property_test.go
+++ b/internal/settings/property_test.go
@@ -55,9 +55,29 @@
 	}), 1, 12).Draw(t, "ops")
 }
 
-// genTree returns a valid tree that has seen several changes.
+const fullTree = `
+nodes:
+  - {path: /g, kind: group}
+  - {path: /g/s, kind: service}
+  - {path: /g/s/c1, kind: class}
+  - {path: /g/s/c2, kind: class, set: {target.first_token: 2s}}
+  - {path: /s2, kind: service, set: {class.default: c1}}
+  - {path: /s2/c1, kind: class}
+  - {path: /g/k, kind: group}
+  - {path: /g/k/u1, kind: customer}
+  - {path: /g/k/u1/c1, kind: class, set: {target.first_token: 500ms}}
+  - {path: /u2, kind: customer}
+  - {path: /u2/c2, kind: class}
+`
+
+// genTree returns a valid tree that has seen several changes. Half of them start
+// from a full tree, so that rules between distant nodes come into play.
 func genTree(t *rapid.T) *Tree {
 	tree := New()
+	if rapid.Bool().Draw(t, "full") {
+		d, _ := Parse("full", []byte(fullTree))
+		tree = tree.Replay(Diff(tree, d, false))
+	}
 	for range rapid.IntRange(1, 12).Draw(t, "changes") {
 		if next, err := tree.Apply(genOps(t)); err == nil {
 			tree = next
@@ -104,6 +124,19 @@
 		}
 		assert(t, got, qt.DeepEquals, want)
 		assert(t, pair[0].size, qt.Equals, len(want))
+		checkHeap(t, pair[0].root)
+	}
+}
+
+// checkHeap guards the order of priorities, without which the map loses its
+// balance and insert may miss a key.
+func checkHeap(t *rapid.T, n *pnode[*Node]) {
+	if n == nil {
+		return
+	}
+	for _, child := range []*pnode[*Node]{n.left, n.right} {
+		assert(t, child == nil || child.priority <= n.priority, qt.IsTrue)
+		checkHeap(t, child)
 	}
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -113,16 +113,24 @@
 		c.classes[n.Name()] = true
 		c.services[parentOf(n.path)] = true
 	case Service:
-		c.services[n.path] = true
+		c.markService(n)
 	case Group:
 		for _, s := range c.tree.names.prefixed(entryService) {
 			if strings.HasPrefix(s.path, below(n.path)) {
-				c.services[s.path] = true
+				c.markService(s)
 			}
 		}
 	}
 }
 
+// markService notes a service and its classes, since their overrides inherit from it.
+func (c *checker) markService(s *Node) {
+	c.services[s.path] = true
+	for class := range c.tree.classesOf(s) {
+		c.classes[class.Name()] = true
+	}
+}
+
 func (c *checker) checkNode(n *Node) {
 	c.checkParent(n)
 	for _, s := range n.settings {
