--- /dev/null
+++ b/internal/control/state/state_test.go
@@ -0,0 +1,287 @@
+package state
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+)
+
+func change(id string, base uint64, ops ...*controlv1.Operation) *controlv1.Command {
+	return &controlv1.Command{Command: &controlv1.Command_Change{Change: &controlv1.Change{
+		ChangeId: id, BaseVersion: base, Actor: "ana", Operations: ops}}}
+}
+
+func put(path string) *controlv1.Operation {
+	return &controlv1.Operation{Kind: controlv1.Operation_NODE_PUT, Path: path, NodeKind: "group"}
+}
+
+func set(path, key, value string) *controlv1.Operation {
+	return &controlv1.Operation{Kind: controlv1.Operation_KEY_SET, Path: path, Key: key, Value: value}
+}
+
+func key(k string) *controlv1.BookingKey { return &controlv1.BookingKey{Customer: "torino", Key: k} }
+
+func begin(k, hash, attempt string, at int64) *controlv1.Command {
+	return &controlv1.Command{Command: &controlv1.Command_Begin{Begin: &controlv1.BeginBooking{
+		Key: key(k), BodyHash: []byte(hash), AttemptId: attempt, AtMs: at}}}
+}
+
+func finish(k, attempt, body string) *controlv1.Command {
+	return &controlv1.Command{Command: &controlv1.Command_Finish{Finish: &controlv1.FinishBooking{
+		Key: key(k), AttemptId: attempt, Outcome: &controlv1.BookingOutcome{Status: 200, Body: []byte(body)}}}}
+}
+
+func release(k, attempt string) *controlv1.Command {
+	return &controlv1.Command{Command: &controlv1.Command_Release{Release: &controlv1.ReleaseBooking{Key: key(k), AttemptId: attempt}}}
+}
+
+func expire(before int64) *controlv1.Command {
+	return &controlv1.Command{Command: &controlv1.Command_Expire{Expire: &controlv1.ExpireRecords{BeforeMs: before, Limit: 1000}}}
+}
+
+// Guards each rule of booking records against a change of its answer.
+func TestBookingAnswers(t *testing.T) {
+	type step struct {
+		cmd  *controlv1.Command
+		want controlv1.BookingResponse_State
+	}
+	const (
+		begun    = controlv1.BookingResponse_BEGUN
+		started  = controlv1.BookingResponse_STARTED
+		done     = controlv1.BookingResponse_FINISHED
+		mismatch = controlv1.BookingResponse_MISMATCH
+		expired  = controlv1.BookingResponse_EXPIRED
+		freed    = controlv1.BookingResponse_RELEASED
+	)
+	for _, test := range []struct {
+		name  string
+		steps []step
+	}{
+		{"repeat of the same attempt", []step{{begin("k", "h", "a", 1), begun}, {begin("k", "h", "a", 2), begun}}},
+		{"another attempt", []step{{begin("k", "h", "a", 1), begun}, {begin("k", "h", "b", 1), started}, {finish("k", "a", "x"), done}, {begin("k", "h", "b", 1), done}}},
+		{"another body", []step{{begin("k", "h", "a", 1), begun}, {begin("k", "g", "b", 1), mismatch}, {finish("k", "a", "x"), done}, {begin("k", "g", "b", 1), mismatch}}},
+		{"release by the holder only", []step{{begin("k", "h", "a", 1), begun}, {release("k", "b"), started}, {begin("k", "h", "c", 1), started}, {release("k", "a"), freed}, {begin("k", "g", "d", 1), begun}}},
+		{"released attempt never begins again", []step{{begin("k", "h", "a", 1), begun}, {release("k", "a"), freed}, {begin("k", "h", "a", 1), freed}, {begin("k", "h", "b", 1), begun}, {release("k", "b"), freed}, {begin("k", "h", "a", 1), freed}}},
+		{"release overtakes begin", []step{{release("k", "a"), freed}, {begin("k", "h", "a", 1), freed}, {begin("k", "h", "b", 1), begun}}},
+		{"refused attempt does not begin later", []step{{begin("k", "h", "a", 1), begun}, {begin("k", "h", "b", 1), started}, {release("k", "a"), freed}, {begin("k", "h", "b", 1), started}, {begin("k", "h", "c", 1), begun}}},
+		{"finish by another attempt", []step{{begin("k", "h", "a", 1), begun}, {finish("k", "b", "x"), started}}},
+		{"no release after finish", []step{{begin("k", "h", "a", 1), begun}, {finish("k", "a", "x"), done}, {release("k", "a"), done}, {finish("k", "a", "y"), done}}},
+		{"expiry leaves a tombstone", []step{{begin("k", "h", "a", 1), begun}, {finish("k", "a", "x"), done}, {expire(10), 0}, {begin("k", "h", "b", 11), expired}, {release("k", "b"), expired}, {finish("k", "a", "x"), expired}}},
+		{"unfinished expires as well", []step{{begin("k", "h", "a", 1), begun}, {expire(10), 0}, {begin("k", "h", "a", 11), expired}}},
+		{"released key outlives one expiry", []step{{release("k", "a"), freed}, {expire(10), 0}, {begin("k", "h", "a", 11), freed}, {expire(20), 0}, {begin("k", "h", "b", 21), begun}}},
+		{"time of a leader that is behind", []step{{begin("k", "h", "a", 50), begun}, {begin("l", "h", "b", 5), begun}, {expire(20), 0}, {begin("l", "h", "b", 5), begun}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := New()
+			for i, st := range test.steps {
+				r := s.Apply(uint64(i+1), st.cmd)
+				qt.Assert(t, r.Booking.GetState(), qt.Equals, st.want, qt.Commentf("step %d", i))
+			}
+		})
+	}
+}
+
+// Guards against a customer that fills the members' memory.
+func TestRecordLimit(t *testing.T) {
+	s := New()
+	s.bookings.limit = 2
+	s.Apply(1, begin("a", "h", "1", 1))
+	s.Apply(2, begin("b", "h", "2", 1))
+	qt.Assert(t, s.Apply(3, begin("c", "h", "3", 1)).Booking.State, qt.Equals, controlv1.BookingResponse_FULL)
+	qt.Assert(t, s.Apply(4, release("c", "3")).Booking.State, qt.Equals, controlv1.BookingResponse_FULL)
+	s.Apply(5, expire(2))
+	qt.Assert(t, s.Apply(6, begin("c", "h", "4", 1)).Booking.State, qt.Equals, controlv1.BookingResponse_BEGUN)
+}
+
+// Guards against changes that revert, apply twice or lose their first result.
+func TestChangeResults(t *testing.T) {
+	s := New()
+	r := s.Apply(1, change("c1", 0, put("/a"))).Change
+	qt.Assert(t, r.Outcome, qt.Equals, controlv1.ChangeResult_ACCEPTED)
+	qt.Assert(t, r.Version, qt.Equals, uint64(1))
+	r = s.Apply(2, change("c2", 0, put("/b"))).Change
+	qt.Assert(t, r.Outcome, qt.Equals, controlv1.ChangeResult_CONFLICT)
+	qt.Assert(t, r.Conflicts, qt.HasLen, 1)
+	qt.Assert(t, r.Conflicts[0].Touched, qt.DeepEquals, []string{"/a"})
+	s.Apply(3, change("c3", 1, put("/b")))
+	again := s.Apply(4, change("c1", 0, put("/a"))).Change
+	qt.Assert(t, again.Outcome, qt.Equals, controlv1.ChangeResult_ACCEPTED)
+	qt.Assert(t, again.Version, qt.Equals, uint64(1))
+	again = s.Apply(5, change("c2", 0, put("/b"))).Change
+	qt.Assert(t, again.Conflicts, qt.HasLen, 1)
+	other := s.Apply(6, change("c1", 0, put("/z"))).Change
+	qt.Assert(t, other.Outcome, qt.Equals, controlv1.ChangeResult_INVALID)
+	qt.Assert(t, s.Version(), qt.Equals, uint64(2))
+	qt.Assert(t, s.Apply(7, change("c4", 2)).Change.Outcome, qt.Equals, controlv1.ChangeResult_UNCHANGED)
+}
+
+// Guards against unbounded memory of results and history, and gaps in deltas.
+func TestResultsAndHistoryAreBounded(t *testing.T) {
+	s := New()
+	for i := range KeepResults + 5 {
+		s.Apply(uint64(i+1), change(fmt.Sprint(i), uint64(i), set("/", "tier", fmt.Sprint(i%3))))
+	}
+	qt.Assert(t, s.ResultByID("4"), qt.IsNil)
+	qt.Assert(t, s.ResultByID("5").GetVersion(), qt.Equals, uint64(6))
+	qt.Assert(t, s.results.byID, qt.HasLen, KeepResults)
+	changes, ok := s.ChangesSince(s.Version() - KeepHistory)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, changes, qt.HasLen, KeepHistory)
+	_, ok = s.ChangesSince(s.Version() - KeepHistory - 1)
+	qt.Assert(t, ok, qt.IsFalse)
+	again, err := Restore(s.Snapshot())
+	qt.Assert(t, err, qt.IsNil)
+	again.Apply(1, change("next", s.Version(), put("/x")))
+	qt.Assert(t, again.ResultByID("5"), qt.IsNil)
+	qt.Assert(t, again.ResultByID("6").GetVersion(), qt.Equals, uint64(7))
+}
+
+// Guards against epochs that repeat or fall.
+func TestEpochsGrow(t *testing.T) {
+	s := New()
+	assign := func(instance string) uint64 {
+		return s.Apply(1, &controlv1.Command{Command: &controlv1.Command_Assign{Assign: &controlv1.AssignGroup{Group: "g/0", Instance: instance}}}).Assignment.Epoch
+	}
+	qt.Assert(t, []uint64{assign("a"), assign(""), assign("a"), assign("b")}, qt.DeepEquals, []uint64{1, 2, 3, 4})
+	qt.Assert(t, s.Assignments(), qt.HasLen, 1)
+}
+
+func command(t *rapid.T, version uint64) *controlv1.Command {
+	k := rapid.SampledFrom([]string{"k", "l", "m"}).Draw(t, "key")
+	a := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "attempt")
+	at := rapid.Int64Range(1, 100).Draw(t, "at")
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0:
+		return expire(at)
+	case 1, 2, 3:
+		return begin(k, rapid.SampledFrom([]string{"h", "h", "h", "g"}).Draw(t, "hash"), a, at)
+	case 4:
+		return finish(k, a, a)
+	case 5, 6:
+		return release(k, a)
+	case 7:
+		return &controlv1.Command{Command: &controlv1.Command_Assign{Assign: &controlv1.AssignGroup{Group: k, Instance: a}}}
+	case 8:
+		return &controlv1.Command{Command: &controlv1.Command_Member{Member: &controlv1.MemberAddress{Id: uint64(at % 4), Address: a, Removed: at%3 == 0}}}
+	}
+	base := version - min(version, uint64(rapid.IntRange(0, 1).Draw(t, "behind")))
+	return change(fmt.Sprint(rapid.IntRange(0, 50).Draw(t, "id")), base, put("/"+k), set("/"+k, "tier", fmt.Sprint(at%3)))
+}
+
+// Guards the invariants of bookings and settings under random commands, and a
+// snapshot at any point that loses something: the restored state must answer
+// every later command in the same way.
+func TestRandomCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		holder, done, closed := map[string]string{}, map[string]string{}, map[string]bool{}
+		version, accepted := uint64(0), map[string]uint64{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			cmd := command(t, s.Version())
+			twin := s
+			if rapid.IntRange(0, 4).Draw(t, "restart") == 0 {
+				snapshot := s.Snapshot()
+				restored, err := Restore(snapshot)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !bytes.Equal(snapshot, restored.Snapshot()) {
+					t.Fatal("snapshot of the restored state differs")
+				}
+				twin, s = s, restored
+			}
+			r := s.Apply(uint64(i+1), cmd)
+			if twin != s {
+				if other := twin.Apply(uint64(i+1), cmd); fmt.Sprint(other) != fmt.Sprint(r) || !bytes.Equal(twin.Snapshot(), s.Snapshot()) {
+					t.Fatalf("restored state answers %v, not %v", r, other)
+				}
+			}
+			checkBooking(t, cmd, r.Booking, holder, done, closed)
+			if c := r.Change; c != nil && c.Outcome == controlv1.ChangeResult_ACCEPTED {
+				if before, ok := accepted[c.ChangeId]; ok && before != c.Version || !ok && c.Version != version+1 {
+					t.Fatalf("accepted as %v after version %d", c, version)
+				}
+				accepted[c.ChangeId] = c.Version
+				version = max(version, c.Version)
+			}
+			if s.Version() != version {
+				t.Fatalf("version %d, want %d", s.Version(), version)
+			}
+		}
+	})
+}
+
+func checkBooking(t *rapid.T, cmd *controlv1.Command, r *controlv1.BookingResponse, holder, done map[string]string, closed map[string]bool) {
+	switch c := cmd.Command.(type) {
+	case *controlv1.Command_Begin:
+		k, a := c.Begin.Key.Key, c.Begin.AttemptId
+		if r.State == controlv1.BookingResponse_BEGUN {
+			if h := holder[k]; h != "" && h != a || done[k] != "" || closed[k+a] {
+				t.Fatalf("%s began %s, held by %q, finished by %q, closed %v", a, k, h, done[k], closed[k+a])
+			}
+			holder[k] = a
+		}
+		if r.State == controlv1.BookingResponse_FINISHED && string(r.Outcome.Body) != done[k] {
+			t.Fatalf("outcome %q, want %q", r.Outcome.Body, done[k])
+		}
+	case *controlv1.Command_Finish:
+		k, a := c.Finish.Key.Key, c.Finish.AttemptId
+		if r.State == controlv1.BookingResponse_FINISHED && done[k] == "" {
+			if holder[k] != a {
+				t.Fatalf("%s finished %s, held by %q", a, k, holder[k])
+			}
+			done[k] = a
+		}
+	case *controlv1.Command_Release:
+		k, a := c.Release.Key.Key, c.Release.AttemptId
+		if r.State == controlv1.BookingResponse_RELEASED {
+			if h := holder[k]; h != "" && h != a || done[k] != "" {
+				t.Fatalf("%s released %s, held by %q, finished by %q", a, k, h, done[k])
+			}
+			holder[k] = ""
+			closed[k+a] = true
+		}
+	case *controlv1.Command_Expire:
+		// Released attempts may begin again long after; see bookings.expire.
+		clear(closed)
+	}
+}
+
+// Guards against panics and accepted nonsense on a damaged snapshot.
+func FuzzRestore(f *testing.F) {
+	s := New()
+	for i, cmd := range []*controlv1.Command{
+		change("c1", 0, put("/a"), set("/a", "tier", "1")), begin("k", "h", "a", 1), finish("k", "a", "x"),
+		begin("l", "h", "b", 2), expire(2), release("m", "c"), change("c2", 1),
+	} {
+		s.Apply(uint64(i+1), cmd)
+		snapshot := s.Snapshot()
+		f.Add(snapshot[:len(snapshot)-8])
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if _, err := Restore(body); err != nil && !errors.Is(err, ErrCorrupt) {
+			t.Fatalf("unexpected error %v", err)
+		}
+		// The checksum hides the decoder from the fuzzer.
+		s, err := decode(bytes.Clone(body))
+		if err != nil {
+			return
+		}
+		first := s.Snapshot()
+		again, err := Restore(first)
+		if err != nil {
+			t.Fatalf("own snapshot is refused: %v", err)
+		}
+		if !bytes.Equal(first, again.Snapshot()) {
+			t.Fatal("snapshot is not stable")
+		}
+		again.Apply(1, begin("k", "h", "z", 5))
+		again.Apply(2, expire(1<<40))
+	})
+}
