--- a/internal/control/state/changes.go
+++ b/internal/control/state/changes.go
@@ -76,8 +76,7 @@
 	s.tree = s.tree.Replay(c.GetOperations())
 	s.version++
 	if len(s.history) == KeepHistory {
-		// A new slice, since answers in progress may hold the old one.
-		s.history = append(make([]accepted, 0, KeepHistory), s.history[1:]...)
+		s.history = s.history[1:]
 	}
 	s.history = append(s.history, accepted{
 		version: s.version, changeID: c.GetChangeId(), actor: c.GetActor(), operations: c.GetOperations(),
