--- /dev/null
+++ b/internal/control/member.go
@@ -0,0 +1,249 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"auburnstep.example/auburnstep/internal/consensus"
+	"auburnstep.example/auburnstep/internal/control/state"
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/kernel"
+	"auburnstep.example/auburnstep/internal/ring"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+)
+
+// Member is one control member. It is a kernel.Service; Service serves its calls.
+type Member struct {
+	kernel.Base
+	options  Options
+	identity Identity
+	metrics  memberMetrics
+
+	inbox     *ring.Ring[consensus.Message]
+	proposals *ring.Ring[proposal]
+	orders    *ring.Ring[order]
+	applies   *ring.Ring[applyItem]
+	wake      chan struct{}
+
+	mu    sync.RWMutex // guards state
+	state *state.State
+	// applied follows state.Index for waiters and snapshots.
+	applied  atomic.Uint64
+	waiters  waiters
+	peers    peers
+	leads    leads
+	live     *liveness
+	changing chan struct{} // holds a token while a settings change is in flight
+
+	// opened is the time that tick 0 stands for.
+	opened time.Time
+	status atomic.Pointer[consensus.Status]
+	// formed is set once the member has a log or waits for a leader's.
+	formed atomic.Bool
+	fault  atomic.Pointer[error]
+	done   chan struct{}
+	cancel context.CancelFunc
+}
+
+// NewMember returns a member that is not started.
+func NewMember(o Options) *Member {
+	o = o.withDefaults()
+	m := &Member{
+		options:   o,
+		metrics:   newMemberMetrics(o.Scope),
+		inbox:     ring.New[consensus.Message]("control inbox", inboxCapacity, ring.DropOldest),
+		proposals: ring.New[proposal]("control proposals", proposalCapacity, ring.Reject),
+		orders:    ring.New[order]("control orders", 64, ring.Reject),
+		applies:   ring.New[applyItem]("control applies", applyCapacity, ring.Block),
+		wake:      make(chan struct{}, 1),
+		state:     state.New(),
+		waiters:   waiters{byIndex: make(map[uint64]waiter)},
+		live:      newLiveness(),
+		changing:  make(chan struct{}, 1),
+		done:      make(chan struct{}),
+	}
+	m.peers.senders = make(map[uint64]*sender)
+	m.peers.learned = make(map[uint64]string)
+	m.status.Store(&consensus.Status{})
+	return m
+}
+
+// Provision implements kernel.Service.
+func (m *Member) Provision(*kernel.Kernel) error { return nil }
+
+// Validate implements kernel.Service.
+func (m *Member) Validate() error {
+	o := &m.options
+	switch {
+	case o.Cluster == "":
+		return Error.New("the cluster needs a name")
+	case o.Instance == "":
+		return Error.New("the instance needs a name")
+	case o.Address == "":
+		return Error.New("the member needs an address")
+	case o.Storage == nil || o.Network == nil:
+		return Error.New("the member needs storage and a network")
+	}
+	return nil
+}
+
+// Start implements kernel.Service. An error of the storage ends it.
+func (m *Member) Start(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	m.cancel = cancel
+	defer close(m.done)
+	defer cancel()
+	err := m.run(ctx)
+	m.close()
+	if err != nil && !errors.Is(err, context.Canceled) {
+		m.fault.Store(&err)
+		return err
+	}
+	return nil
+}
+
+// Stop implements kernel.Service: a leader hands over first.
+func (m *Member) Stop(ctx context.Context) error {
+	if m.cancel == nil {
+		return nil
+	}
+	m.handOver(ctx)
+	m.cancel()
+	select {
+	case <-m.done:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+func (m *Member) run(ctx context.Context) error {
+	if err := m.loadIdentity(); err != nil {
+		return err
+	}
+	log, restored, err := m.options.Storage.OpenLog()
+	if err != nil {
+		return m.storageFailed(err)
+	}
+	defer log.Close()
+	if restored, err = m.found(ctx, log, restored); err != nil {
+		return err
+	}
+	if data := restored.Snapshot.Data; len(data) > 0 {
+		s, err := state.Restore(data)
+		if err != nil {
+			return m.corrupt(err)
+		}
+		m.state = s
+	}
+	m.applied.Store(restored.Snapshot.Index)
+	node, err := consensus.New(consensus.Config{ID: m.identity.ID, ElectionTicks: m.options.ElectionTicks, HeartbeatTicks: 2, Seed: m.options.Seed}, restored)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	m.options.Events.Emit(eventRestored, event.F("snapshot", restored.Snapshot.Index), event.F("entries", len(restored.Entries)))
+	return m.duties(ctx, node, log, restored.Snapshot.Index)
+}
+
+// duties runs the goroutines of the member until the first of them ends.
+func (m *Member) duties(ctx context.Context, node *consensus.Node, log Log, snapshotIndex uint64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.opened = time.Now()
+	m.formed.Store(true)
+	ended := make(chan error, 4)
+	var wg sync.WaitGroup
+	for _, duty := range []func() error{
+		func() error { return m.loop(ctx, node, log) },
+		func() error { return m.applyLoop(ctx, snapshotIndex) },
+		func() error { return m.joinLoop(ctx) },
+		func() error { return m.choresLoop(ctx) },
+	} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ended <- duty()
+		}()
+	}
+	err := <-ended
+	cancel()
+	wg.Wait()
+	m.peers.stop()
+	return err
+}
+
+// close fails everything that waits for the member.
+func (m *Member) close() {
+	m.inbox.Close()
+	m.proposals.Close()
+	m.orders.Close()
+	m.applies.Close()
+	for _, p := range m.proposals.Drain(proposalCapacity) {
+		p.answer(state.Result{}, ErrStopped)
+	}
+	for _, o := range m.orders.Drain(64) {
+		o.done <- ErrStopped
+	}
+	m.waiters.failAll(ErrUnknown)
+	m.leads.until.Store(0)
+}
+
+func (m *Member) loadIdentity() error {
+	id, ok, err := m.options.Storage.LoadIdentity()
+	if err != nil {
+		return err
+	}
+	if ok && id.Cluster != m.options.Cluster {
+		return Error.Wrap(fmt.Errorf("%w: the data folder belongs to %q, not %q", ErrClusterMismatch, id.Cluster, m.options.Cluster))
+	}
+	if !ok {
+		id = Identity{ID: drawID(), Cluster: m.options.Cluster, Instance: m.options.Instance}
+		if err := m.options.Storage.SaveIdentity(id); err != nil {
+			return m.storageFailed(err)
+		}
+		m.options.Events.Emit(eventNewIdentity, event.F("member", id.ID))
+	}
+	m.identity = id
+	m.status.Store(&consensus.Status{ID: id.ID})
+	return nil
+}
+
+func (m *Member) storageFailed(err error) error {
+	m.options.Events.Emit(eventStorageFailed, event.F("error", err))
+	return Error.New("storage: %w", err)
+}
+
+func (m *Member) corrupt(err error) error {
+	m.options.Events.Emit(eventCorruptEntry, event.F("error", err))
+	return Error.Wrap(err)
+}
+
+// leaderAddress returns the address of the leader this member follows, or "".
+func (m *Member) leaderAddress() string {
+	s := m.status.Load()
+	if s.Leader == 0 || s.Leader == s.ID {
+		return ""
+	}
+	return m.address(s.Leader)
+}
+
+// address returns where a member is reached: the address its last message
+// came from, else the replicated one.
+func (m *Member) address(id uint64) string {
+	if a := m.peers.learnedAddress(id); a != "" {
+		return a
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Member(id).GetAddress()
+}
+
+// members returns the replicated addresses of all members.
+func (m *Member) members() []*controlv1.MemberAddress {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Members()
+}
--- /dev/null
+++ b/internal/control/options.go
@@ -0,0 +1,139 @@
+// Package control runs one control member: the replicated state of package
+// state over consensus and a log on disk, and the calls of control.v1.Control.
+//
+// One goroutine carries each duty: the consensus loop owns the consensus node
+// and the log, one sender per peer sends messages, the apply loop applies
+// committed entries and makes snapshots, and the leader's chores promote and
+// remove members, assign scheduler groups and expire booking records.
+package control
+
+import (
+	"errors"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+
+	"auburnstep.example/auburnstep/internal/event"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("control")
+
+var (
+	// ErrNotLeader means that this member does not lead or holds no lease; the
+	// operation had no effect.
+	ErrNotLeader = errors.New("this member is not the leader")
+	// ErrBusy means that the operation was not started because of others in
+	// progress; it had no effect.
+	ErrBusy = errors.New("too many operations are in progress")
+	// ErrSuperseded means that another leader's entry took the place of the
+	// operation in the log; it had no effect.
+	ErrSuperseded = errors.New("the operation was superseded by a new leader")
+	// ErrUnknown means that the operation may still take effect.
+	ErrUnknown = errors.New("the outcome is unknown")
+	// ErrClusterMismatch means that the data folder or a message belongs to
+	// another cluster.
+	ErrClusterMismatch = errors.New("cluster name differs")
+	// ErrStopped means that the member has stopped.
+	ErrStopped = errors.New("control member has stopped")
+)
+
+// Events of the storage and of the consensus driver.
+var (
+	eventStorageFailed  = event.Define(2000, "storage_failed", event.Failure, "storing the log failed; the control member stops")
+	eventLeader         = event.Define(2001, "leader_elected", event.Info, "this member became leader")
+	eventFollower       = event.Define(2002, "leader_changed", event.Info, "the leader of the control members changed")
+	eventFounded        = event.Define(2003, "cluster_founded", event.Info, "the cluster was formed with the initial members")
+	eventFoundingWaits  = event.Define(2004, "founding_waits", event.Warn, "the cluster is not formed yet; some initial members do not answer")
+	eventJoining        = event.Define(2005, "member_joining", event.Info, "this member asks the leader to add it")
+	eventMemberChanged  = event.Define(2006, "member_changed", event.Info, "a control member was added, promoted or removed")
+	eventRemoved        = event.Define(2007, "member_removed", event.Warn, "this member was removed from the cluster")
+	eventSnapshot       = event.Define(2008, "snapshot_stored", event.Debug, "a snapshot of the state was stored")
+	eventNewIdentity    = event.Define(2009, "identity_drawn", event.Info, "the data folder was empty; a new member ID was drawn")
+	eventForeignMessage = event.Define(2010, "foreign_message", event.Warn, "a message of another cluster was refused")
+	eventRestored       = event.Define(2011, "state_restored", event.Info, "the state was restored from the data folder")
+	eventCorruptEntry   = event.Define(2012, "corrupt_entry", event.Failure, "a committed entry or snapshot cannot be read; the control member stops")
+)
+
+// Events of settings, groups and the feed.
+var (
+	eventChange       = event.Define(3000, "settings_changed", event.Info, "a settings change was accepted")
+	eventChangeFailed = event.Define(3001, "settings_refused", event.Info, "a settings change was not accepted")
+	eventAssigned     = event.Define(3002, "group_assigned", event.Info, "a scheduler group was assigned")
+	eventExpired      = event.Define(3003, "bookings_expired", event.Debug, "booking records passed their retention")
+)
+
+const (
+	defaultTick           = 50 * time.Millisecond
+	defaultElectionTicks  = 10
+	defaultSnapshotEvery  = 4096
+	defaultCallTimeout    = time.Second
+	defaultRetention      = 24 * time.Hour
+	snapshotSendTimeout   = 10 * time.Second
+	stepTimeout           = 500 * time.Millisecond
+	maxProposalsPerRound  = 256
+	maxInboundPerRound    = 512
+	inboxCapacity         = 4096
+	proposalCapacity      = 4096
+	applyCapacity         = 64
+	peerCapacity          = 512
+	maxMessagesPerStep    = 64
+	maxTicksCaughtUp      = 64
+	choresInterval        = 100 * time.Millisecond
+	expireInterval        = 10 * time.Second
+	expireBatch           = 1000
+	maxOutcomeBytes       = 256 << 10
+	maxCommandBytes       = 4 << 20
+	maxKeyBytes           = 512
+	maxAttemptBytes       = 128
+	instanceLiveFor       = 1500 * time.Millisecond
+	groupLeaseMargin      = 200 * time.Millisecond
+	directoryWarmup       = time.Second
+	joinInterval          = 500 * time.Millisecond
+	membershipWaitTimeout = 5 * time.Second
+)
+
+// Options configures a Member.
+type Options struct {
+	// Cluster names the cluster. Messages of another one are refused.
+	Cluster string
+	// Instance is the name of this instance, unique in the cluster.
+	Instance string
+	// Address is where other processes reach this one.
+	Address string
+	// InitialMembers lists the addresses of the members with which the cluster
+	// is formed. It must be the same on all of them and may stay set later.
+	InitialMembers []string
+	// Peers lists addresses of control members by which a member that is not
+	// initial finds the cluster.
+	Peers   []string
+	Storage Storage
+	Network Network
+	Events  *event.Recorder
+	Scope   tally.Scope
+	// Tick is the unit of the consensus clock; an election takes
+	// 1 to 2 times ElectionTicks.
+	Tick          time.Duration
+	ElectionTicks int
+	// SnapshotEvery is the number of entries between snapshots.
+	SnapshotEvery int
+	// Seed varies election timeouts between members.
+	Seed int64
+}
+
+func (o Options) withDefaults() Options {
+	if o.Tick == 0 {
+		o.Tick = defaultTick
+	}
+	if o.ElectionTicks == 0 {
+		o.ElectionTicks = defaultElectionTicks
+	}
+	if o.SnapshotEvery == 0 {
+		o.SnapshotEvery = defaultSnapshotEvery
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	return o
+}
