--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -12,10 +12,13 @@
 //     derived from an address. A member that lost its disk thereby gets a new
 //     ID, joins as a learner and cannot vote as its former self.
 //   - Tick is called once for every tick interval that passed on a monotonic
-//     clock, and ticks missed during a pause are delivered before LeaseTicks
-//     is consulted and before queued messages are stepped. Tick intervals of
-//     two members differ at most by the factor that Config.LeaseMarginTicks
-//     allows.
+//     clock, including intervals that passed during a pause of the process. A
+//     driver that is about to step a message or to consult LeaseTicks first
+//     delivers the ticks up to a clock reading taken after the message or the
+//     request was received. With the reading taken earlier, a pause in between
+//     would let a member acknowledge a lease and vote against it at once.
+//   - Tick intervals of two members differ at most by the factor that
+//     Config.LeaseMarginTicks allows.
 //   - A Node is used by one goroutine at a time.
 package consensus
 
