Add the control member, its service and the feed client

Member joins consensus, log and network with one goroutine per duty. Tested in memory with synctest: changes, restart, isolated and paused leader, lost disk followed by a lost member, failed disk, planned member changes.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -9,7 +9,6 @@
 
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/control/state"
-	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
@@ -19,6 +18,12 @@
 	entries  []consensus.Entry
 }
 
+// stateSnapshot is the state after the entry index.
+type stateSnapshot struct {
+	index uint64
+	data  []byte
+}
+
 // waiter waits for the entry it proposed in a term.
 type waiter struct {
 	term   uint64
@@ -31,15 +36,16 @@
 	byIndex map[uint64]waiter
 }
 
-// add registers the waiter of an entry. A waiter of an earlier term at the
-// same index lost its entry.
+// add registers the waiter of an entry. A waiter of an earlier term at the same
+// index learns nothing more: its entry is gone here, but may still be in the log
+// of another member that becomes leader.
 func (w *waiters) add(index uint64, next waiter) {
 	w.mu.Lock()
 	old, ok := w.byIndex[index]
 	w.byIndex[index] = next
 	w.mu.Unlock()
 	if ok {
-		old.answer(state.Result{}, ErrSuperseded)
+		old.answer(state.Result{}, ErrUnknown)
 	}
 }
 
@@ -139,22 +145,8 @@
 	start := time.Now()
 	data := m.state.Snapshot()
 	m.metrics.snapshot.Record(time.Since(start))
-	o := order{done: make(chan error, 1), do: func(n *consensus.Node) error { return m.storeSnapshot(n, index, data) }}
-	// A full ring leaves the log longer; the next snapshot covers it.
-	if m.orders.Push(ctx, o) == nil {
+	// A snapshot that is not stored yet is replaced by this newer one.
+	if m.snapshots.Push(ctx, stateSnapshot{index, data}) == nil {
 		m.signal()
 	}
 }
-
-func (m *Member) storeSnapshot(n *consensus.Node, index uint64, data []byte) error {
-	s, err := n.MakeSnapshot(index, data)
-	if err != nil {
-		return err
-	}
-	if err := m.saveSnapshot(s); err != nil {
-		return err
-	}
-	n.Compact(s)
-	m.options.Events.Emit(eventSnapshot, event.F("index", index), event.F("bytes", len(data)))
-	return nil
-}
--- /dev/null
+++ b/internal/control/bookings.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+)
+
+// Booking begins, finishes or releases a booking record.
+func (m *Member) Booking(ctx context.Context, r *controlv1.BookingRequest) (*controlv1.BookingResponse, error) {
+	m.metrics.bookings.Inc(1)
+	cmd, err := bookingCommand(r)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	term, ok := m.lease()
+	if !ok {
+		a, err := m.redirect()
+		return &controlv1.BookingResponse{LeaderAddress: a}, err
+	}
+	ctx, cancel := withDeadline(ctx)
+	defer cancel()
+	result, err := m.propose(ctx, cmd)
+	if err == nil && !m.held(term) {
+		err = fmt.Errorf("%w: the lease ended", ErrUnknown)
+	}
+	if err != nil {
+		return nil, failure(err)
+	}
+	return result.Booking, nil
+}
+
+// bookingCommand checks the sizes of a request and stamps it with the time.
+func bookingCommand(r *controlv1.BookingRequest) (*controlv1.Command, error) {
+	var key *controlv1.BookingKey
+	var attempt string
+	cmd := &controlv1.Command{}
+	switch b := r.GetRequest().(type) {
+	case *controlv1.BookingRequest_Begin:
+		key, attempt = b.Begin.GetKey(), b.Begin.GetAttemptId()
+		if len(b.Begin.GetBodyHash()) > maxAttemptBytes {
+			return nil, Error.New("the body hash is longer than %d bytes", maxAttemptBytes)
+		}
+		cmd.Command = &controlv1.Command_Begin{Begin: &controlv1.BeginBooking{
+			Key: key, BodyHash: b.Begin.GetBodyHash(), AttemptId: attempt, AtMs: time.Now().UnixMilli()}}
+	case *controlv1.BookingRequest_Finish:
+		key, attempt = b.Finish.GetKey(), b.Finish.GetAttemptId()
+		if n := len(b.Finish.GetOutcome().GetBody()); n > maxOutcomeBytes {
+			return nil, Error.New("the outcome has %d bytes, %d are allowed", n, maxOutcomeBytes)
+		}
+		cmd.Command = &controlv1.Command_Finish{Finish: b.Finish}
+	case *controlv1.BookingRequest_Release:
+		key, attempt = b.Release.GetKey(), b.Release.GetAttemptId()
+		cmd.Command = &controlv1.Command_Release{Release: b.Release}
+	default:
+		return nil, Error.New("the request is empty")
+	}
+	if key.GetCustomer() == "" || key.GetKey() == "" || len(key.GetCustomer())+len(key.GetKey()) > maxKeyBytes {
+		return nil, Error.New("customer and key must be set and have at most %d bytes", maxKeyBytes)
+	}
+	if attempt == "" || len(attempt) > maxAttemptBytes {
+		return nil, Error.New("the attempt ID must have 1 to %d bytes", maxAttemptBytes)
+	}
+	return cmd, nil
+}
--- /dev/null
+++ b/internal/control/chores.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/settings"
+)
+
+// choresLoop does what only the leader does without being asked.
+func (m *Member) choresLoop(ctx context.Context) error {
+	var expired time.Time
+	for {
+		if err := sleep(ctx, choresInterval); err != nil {
+			return nil
+		}
+		term, ok := m.lease()
+		if !ok {
+			continue
+		}
+		now := time.Now()
+		m.live.mu.Lock()
+		m.live.enter(term, now)
+		m.live.mu.Unlock()
+		m.assignGroups(ctx)
+		call, cancel := context.WithTimeout(ctx, defaultCallTimeout)
+		m.promote(call)
+		cancel()
+		if now.Sub(expired) >= expireInterval {
+			expired = now
+			m.expire(ctx)
+		}
+	}
+}
+
+// groupNames returns the names of all scheduler groups of the services.
+func groupNames(x *settings.Index) []string {
+	var out []string
+	for _, s := range x.Services() {
+		for n := range s.Groups {
+			out = append(out, fmt.Sprintf("%s/%d", s.Name, n))
+		}
+	}
+	return out
+}
+
+// derived caches what is computed from one version of the settings.
+type derived struct {
+	version   uint64
+	groups    []string
+	wanted    map[string]bool
+	retention time.Duration
+	snapshot  *controlv1.Settings
+}
+
+// derive returns the cached values for the present settings.
+func (m *Member) derive() *derived {
+	m.mu.RLock()
+	version, tree := m.state.Version(), m.state.Tree()
+	m.mu.RUnlock()
+	if d := m.derived.Load(); d != nil && d.version == version {
+		return d
+	}
+	d := &derived{version: version, groups: groupNames(tree.Index()), wanted: make(map[string]bool), retention: retention(tree), snapshot: tree.Export()}
+	d.snapshot.Version = version
+	for _, g := range d.groups {
+		d.wanted[g] = true
+	}
+	m.derived.Store(d)
+	return d
+}
+
+// retention returns the longest time for which any customer wants outcomes to
+// be kept. Records are expired by one bound for all.
+func retention(t *settings.Tree) time.Duration {
+	longest := defaultRetention
+	for n := range t.Nodes {
+		for _, s := range n.Settings() {
+			if s.Key == settings.KeyBookingRetention {
+				longest = max(longest, s.Value.Duration())
+			}
+		}
+	}
+	return longest
+}
+
+// assignGroups gives groups without a live holder to other instances.
+func (m *Member) assignGroups(ctx context.Context) {
+	for _, group := range m.derive().groups {
+		m.mu.RLock()
+		a := m.state.Assignment(group)
+		m.mu.RUnlock()
+		if _, ok := m.lease(); !ok {
+			return
+		}
+		next := m.live.choose(group, a, time.Now())
+		if next == nil {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, defaultCallTimeout)
+		r, err := m.propose(call, &controlv1.Command{Command: &controlv1.Command_Assign{Assign: &controlv1.AssignGroup{
+			Group: group, Instance: next.Instance, Address: next.PeerAddress}}})
+		cancel()
+		if errors.Is(err, ErrUnknown) {
+			return // The group stays revoked and is assigned again.
+		}
+		m.live.settle(group)
+		if err == nil {
+			m.options.Events.Emit(eventAssigned, event.F("group", group), event.F("holder", next.Instance), event.F("epoch", r.Assignment.Epoch))
+		}
+	}
+}
+
+// expire proposes the expiry of old booking records.
+func (m *Member) expire(ctx context.Context) {
+	before := time.Now().Add(-m.derive().retention).UnixMilli()
+	m.mu.RLock()
+	oldest, ok := m.state.OldestRecordMs()
+	m.mu.RUnlock()
+	if !ok || oldest >= before {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, defaultCallTimeout)
+	defer cancel()
+	r, err := m.propose(call, &controlv1.Command{Command: &controlv1.Command_Expire{Expire: &controlv1.ExpireRecords{BeforeMs: before, Limit: expireBatch}}})
+	if err == nil {
+		m.options.Events.Emit(eventExpired, event.F("records", r.Expired))
+	}
+}
--- /dev/null
+++ b/internal/control/cluster_test.go
@@ -0,0 +1,329 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"auburnstep.example/auburnstep/internal/consensus"
+	"auburnstep.example/auburnstep/internal/control/feed"
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/hlc"
+	"auburnstep.example/auburnstep/internal/rpc/consensusv1"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+)
+
+var errLost = errors.New("no answer")
+
+// memDisk is the data folder of a member in memory.
+type memDisk struct {
+	mu       sync.Mutex
+	identity *Identity
+	restored consensus.Restored
+	err      error
+	// stall blocks saves while it is locked, as a paused process or disk does.
+	stall sync.Mutex
+	stop  chan struct{}
+}
+
+func (d *memDisk) LoadIdentity() (Identity, bool, error) {
+	if d.identity == nil {
+		return Identity{}, false, nil
+	}
+	return *d.identity, true, nil
+}
+
+func (d *memDisk) SaveIdentity(id Identity) error { d.identity = &id; return nil }
+
+func (d *memDisk) OpenLog() (Log, consensus.Restored, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.restored
+	r.Entries = slices.Clone(r.Entries)
+	return d, r, nil
+}
+
+func (d *memDisk) Save(hs *consensus.HardState, entries []consensus.Entry) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.err != nil {
+		return d.err
+	}
+	if hs != nil {
+		d.restored.HardState = *hs
+	}
+	for _, e := range entries {
+		at := int(e.Index - d.restored.Snapshot.Index - 1)
+		d.restored.Entries = append(d.restored.Entries[:at:at], e)
+	}
+	return nil
+}
+
+func (d *memDisk) SaveSnapshot(s consensus.Snapshot) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.err != nil {
+		return d.err
+	}
+	covered := int(s.Index - d.restored.Snapshot.Index)
+	d.restored.Entries = slices.Clone(d.restored.Entries[min(covered, len(d.restored.Entries)):])
+	d.restored.Snapshot = s
+	return nil
+}
+
+func (d *memDisk) Close() error { return nil }
+
+// memNetwork joins the members of a test and injects faults by a seed.
+type memNetwork struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	members map[string]*Member
+	cut     map[[2]string]bool // one way, from and to
+	drop    float64
+	delay   time.Duration
+}
+
+type memLink struct {
+	net  *memNetwork
+	from string
+}
+
+// pass carries one message and reports the receiver; a lost one costs the
+// sender its deadline.
+func (n *memNetwork) pass(ctx context.Context, from, to string) (*Member, error) {
+	n.mu.Lock()
+	lost := n.cut[[2]string{from, to}] || n.rng.Float64() < n.drop
+	delay := time.Duration(n.rng.Int64N(int64(n.delay) + 1))
+	m := n.members[to]
+	n.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if sleep(ctx, delay) != nil {
+		return nil, ctx.Err()
+	}
+	if m == nil {
+		return nil, errLost
+	}
+	return m, nil
+}
+
+func exchange[T any](ctx context.Context, l memLink, to string, call func(m *Member) (T, error)) (T, error) {
+	var zero T
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Second)
+		defer cancel()
+	}
+	m, err := l.net.pass(ctx, l.from, to)
+	if err != nil {
+		return zero, err
+	}
+	r, err := call(m)
+	if err != nil {
+		return zero, err
+	}
+	if _, err := l.net.pass(ctx, to, l.from); err != nil && !errors.Is(err, errLost) {
+		return zero, err
+	}
+	return r, nil
+}
+
+func (l memLink) Step(ctx context.Context, to string, r *consensusv1.StepRequest) error {
+	r = proto.Clone(r).(*consensusv1.StepRequest)
+	_, err := exchange(ctx, l, to, func(m *Member) (bool, error) { return true, m.HandleStep(ctx, l.from, r) })
+	return err
+}
+
+func (l memLink) Status(ctx context.Context, to string) (*controlv1.StatusResponse, error) {
+	return exchange(ctx, l, to, func(m *Member) (*controlv1.StatusResponse, error) { return m.Status(), nil })
+}
+
+func (l memLink) Member(ctx context.Context, to string, r *controlv1.MemberRequest) (*controlv1.MemberResponse, error) {
+	return exchange(ctx, l, to, func(m *Member) (*controlv1.MemberResponse, error) { return m.ChangeMember(ctx, r) })
+}
+
+func (l memLink) Feed(ctx context.Context, to string, r *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
+	return exchange(ctx, l, to, func(m *Member) (*controlv1.FeedResponse, error) {
+		return m.Feed(proto.Clone(r).(*controlv1.FeedRequest))
+	})
+}
+
+func (l memLink) Booking(ctx context.Context, to string, r *controlv1.BookingRequest) (*controlv1.BookingResponse, error) {
+	return exchange(ctx, l, to, func(m *Member) (*controlv1.BookingResponse, error) {
+		return m.Booking(ctx, proto.Clone(r).(*controlv1.BookingRequest))
+	})
+}
+
+func (l memLink) Change(ctx context.Context, to string, r *controlv1.ChangeRequest) (*controlv1.ChangeResponse, error) {
+	return exchange(ctx, l, to, func(m *Member) (*controlv1.ChangeResponse, error) {
+		return m.Change(ctx, proto.Clone(r).(*controlv1.ChangeRequest))
+	})
+}
+
+// cluster is a set of members in memory.
+type cluster struct {
+	t     testing.TB
+	net   *memNetwork
+	names []string
+	disks map[string]*memDisk
+	ends  map[string]chan error
+	stops map[string]context.CancelFunc
+	seed  int64
+}
+
+func newCluster(t testing.TB, seed int64, n int) *cluster {
+	c := &cluster{
+		t: t, seed: seed, disks: make(map[string]*memDisk), ends: make(map[string]chan error), stops: make(map[string]context.CancelFunc),
+		net: &memNetwork{rng: rand.New(rand.NewPCG(uint64(seed), 0)), members: make(map[string]*Member), cut: make(map[[2]string]bool), delay: 2 * time.Millisecond},
+	}
+	for i := range n {
+		c.names = append(c.names, fmt.Sprintf("m%d", i))
+	}
+	for _, name := range c.names {
+		c.disks[name] = &memDisk{}
+		c.start(name)
+	}
+	return c
+}
+
+// recorder logs events to standard error if AUBURNSTEP_TEST_EVENTS is set.
+func recorder(name string) *event.Recorder {
+	if os.Getenv("AUBURNSTEP_TEST_EVENTS") == "" {
+		return nil
+	}
+	return event.NewRecorder(name, hlc.New(nil), os.Stderr, logrus.DebugLevel)
+}
+
+func (c *cluster) link(from string) memLink { return memLink{c.net, from} }
+
+func (c *cluster) start(name string) {
+	c.seed++
+	m := NewMember(Options{
+		Cluster: "test", Instance: name, Address: name, InitialMembers: c.names[:min(3, len(c.names))],
+		Peers: c.names, Storage: c.disks[name], Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name),
+	})
+	if err := m.Validate(); err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	c.stops[name], c.ends[name] = cancel, end
+	go func() { end <- m.Start(ctx) }()
+	c.net.mu.Lock()
+	c.net.members[name] = m
+	c.net.mu.Unlock()
+}
+
+// kill ends a member at once; what its disk holds remains.
+func (c *cluster) kill(name string) {
+	c.net.mu.Lock()
+	delete(c.net.members, name)
+	c.net.mu.Unlock()
+	c.stops[name]()
+	<-c.ends[name]
+}
+
+func (c *cluster) restart(name string) { c.kill(name); c.start(name) }
+
+// wipe kills a member and starts it again with an empty disk.
+func (c *cluster) wipe(name string) {
+	c.kill(name)
+	c.disks[name] = &memDisk{}
+	c.start(name)
+}
+
+func (c *cluster) stop() {
+	for _, name := range c.names {
+		if c.member(name) != nil {
+			c.kill(name)
+		}
+	}
+}
+
+func (c *cluster) member(name string) *Member {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	return c.net.members[name]
+}
+
+// isolate cuts a member off in both directions.
+func (c *cluster) isolate(name string, cut bool) {
+	for _, other := range append(slices.Clone(c.names), "client", "e0", "e1", "e2") {
+		c.oneWay(name, other, cut)
+		c.oneWay(other, name, cut)
+	}
+}
+
+func (c *cluster) oneWay(from, to string, cut bool) {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	c.net.cut[[2]string{from, to}] = cut
+}
+
+// leader waits for a member that holds the lease.
+func (c *cluster) leader() string {
+	for range 2000 {
+		for _, name := range c.names {
+			if m := c.member(name); m != nil {
+				if _, ok := m.lease(); ok {
+					return name
+				}
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatal("no leader was elected")
+	return ""
+}
+
+// waitFor waits until a condition holds.
+func (c *cluster) waitFor(what string, ok func() bool) {
+	c.t.Helper()
+	for range 3000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatalf("waited too long for %s", what)
+}
+
+// change sends a change to the leader, wherever it is, until it is answered.
+func (c *cluster) change(ctx context.Context, r *controlv1.ChangeRequest) (*controlv1.ChangeResult, error) {
+	var err error
+	for i := 0; ctx.Err() == nil; i++ {
+		var resp *controlv1.ChangeResponse
+		try, cancel := context.WithTimeout(ctx, time.Second)
+		resp, err = c.link("client").Change(try, c.names[i%len(c.names)], r)
+		cancel()
+		if err == nil && resp.Result != nil {
+			return resp.Result, nil
+		}
+		_ = sleep(ctx, 20*time.Millisecond)
+	}
+	return nil, err
+}
+
+func (c *cluster) feed(name string, reports func() []*controlv1.GroupReport) (*feed.Client, func()) {
+	f := feed.NewClient(feed.Options{
+		Members: c.names, Caller: c.link(name), Reports: reports,
+		Self: func() *controlv1.EntryInfo {
+			return &controlv1.EntryInfo{Instance: name, Address: name + ":80", PeerAddress: name}
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Start(ctx) }()
+	return f, func() { cancel(); <-done }
+}
--- /dev/null
+++ b/internal/control/feed/view.go
@@ -0,0 +1,78 @@
+package feed
+
+import (
+	"time"
+
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/settings"
+)
+
+// View is what an instance knows from the control members at one moment. It is
+// immutable.
+type View struct {
+	Tree    *settings.Tree
+	Index   *settings.Index
+	Version uint64
+	// Assignments lists the holders of all scheduler groups.
+	Assignments []*controlv1.Assignment
+	// Entries lists the live instances.
+	Entries []*controlv1.EntryInfo
+	// Groups holds the latest report of each group.
+	Groups []*controlv1.GroupReport
+	// Members lists the addresses of the control members.
+	Members []string
+	// FreshUntil is when the view ends unless a poll renews it. It carries a
+	// monotonic reading, so that steps of the wall clock do not move it.
+	FreshUntil time.Time
+}
+
+// Fresh reports whether the view may be acted on.
+func (v *View) Fresh(now time.Time) bool { return now.Before(v.FreshUntil) }
+
+// Assignment returns the assignment of a group, or nil.
+func (v *View) Assignment(group string) *controlv1.Assignment {
+	for _, a := range v.Assignments {
+		if a.Group == group {
+			return a
+		}
+	}
+	return nil
+}
+
+// Lease is the right of this instance to act as holder of a group.
+type Lease struct {
+	Epoch uint64
+	Until time.Time
+}
+
+// advance returns the settings after an answer. It fails for an answer that
+// does not continue the view; the caller then asks for the whole tree.
+func (v *View) advance(r *controlv1.FeedResponse) (*View, error) {
+	next := *v
+	if s := r.GetSnapshot(); s != nil && (s.GetVersion() != v.Version || v.Version == 0) {
+		if s.GetVersion() < v.Version {
+			return nil, Error.New("version %d was offered after %d", s.GetVersion(), v.Version)
+		}
+		tree, err := settings.FromProto(s)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		next.Tree, next.Version = tree, s.GetVersion()
+	}
+	for _, c := range r.GetChanges() {
+		if c.GetVersion() <= next.Version {
+			continue
+		}
+		if c.GetVersion() != next.Version+1 {
+			return nil, Error.New("change %d was offered after version %d", c.GetVersion(), next.Version)
+		}
+		next.Tree, next.Version = next.Tree.Replay(c.GetOperations()), c.GetVersion()
+	}
+	if next.Version != r.GetSettingsVersion() {
+		return nil, Error.New("answer of version %d leads to version %d", r.GetSettingsVersion(), next.Version)
+	}
+	if next.Tree != v.Tree {
+		next.Index = next.Tree.Index()
+	}
+	return &next, nil
+}
--- /dev/null
+++ b/internal/control/liveness.go
@@ -0,0 +1,180 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"auburnstep.example/auburnstep/internal/control/feed"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+)
+
+// holdTime is how long after its last poll an instance may still act as holder
+// of a group. The instance counts its lease from sending the poll, which is
+// before the leader received it; the margin covers clocks that run at different
+// speeds.
+const holdTime = feed.GroupLease + groupLeaseMargin
+
+// instance is what the leader knows about an instance from its polls.
+type instance struct {
+	info        *controlv1.EntryInfo
+	incarnation uint64
+	// since is when this leader first heard of the incarnation.
+	since   time.Time
+	last    time.Time
+	reports map[string]*controlv1.GroupReport
+	// held is the last epoch that the incarnation reported to hold, by group.
+	held map[string]uint64
+}
+
+// liveness is the leader's memory of instances. It starts empty with each term.
+type liveness struct {
+	mu        sync.Mutex
+	term      uint64
+	began     time.Time
+	instances map[string]*instance
+	// revoking holds the epoch of each group that is being taken from its
+	// holder. Polls answered meanwhile must not renew the holder's lease.
+	revoking map[string]uint64
+}
+
+func newLiveness() *liveness {
+	return &liveness{instances: make(map[string]*instance), revoking: make(map[string]uint64)}
+}
+
+// enter forgets everything if the term is a new one. Callers hold the mutex.
+func (l *liveness) enter(term uint64, now time.Time) {
+	if l.term != term {
+		l.term, l.began = term, now
+		clear(l.instances)
+		clear(l.revoking)
+	}
+}
+
+// poll records a poll and returns the groups that are being revoked. Both
+// happen at one moment: a poll is either seen by the decision to revoke or sees it.
+func (l *liveness) poll(term uint64, now time.Time, r *controlv1.FeedRequest) map[string]uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.enter(term, now)
+	name := r.GetSelf().GetInstance()
+	if name == "" {
+		return maps.Clone(l.revoking)
+	}
+	i := l.instances[name]
+	if i == nil || i.incarnation != r.GetIncarnation() {
+		i = &instance{incarnation: r.GetIncarnation(), since: now, held: make(map[string]uint64)}
+		l.instances[name] = i
+	}
+	i.info, i.last = r.GetSelf(), now
+	i.info.SettingsVersion = r.GetSettingsVersion()
+	i.reports = make(map[string]*controlv1.GroupReport, len(r.GetGroups()))
+	for _, g := range r.GetGroups() {
+		i.reports[g.GetGroup()] = g
+		if g.GetEpoch() != 0 {
+			i.held[g.GetGroup()] = g.GetEpoch()
+		}
+	}
+	return maps.Clone(l.revoking)
+}
+
+// warm reports whether the leader has led long enough to know all instances.
+func (l *liveness) warm(now time.Time) bool { return now.Sub(l.began) >= directoryWarmup }
+
+// entries returns the live instances by name, or nothing before all were heard.
+func (l *liveness) entries(now time.Time) []*controlv1.EntryInfo {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.warm(now) {
+		return nil
+	}
+	var out []*controlv1.EntryInfo
+	for _, name := range slices.Sorted(maps.Keys(l.instances)) {
+		if i := l.instances[name]; now.Sub(i.last) < instanceLiveFor {
+			out = append(out, i.info)
+		}
+	}
+	return out
+}
+
+// groupReports returns the reports of the present holders.
+func (l *liveness) groupReports(assignments []*controlv1.Assignment) []*controlv1.GroupReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*controlv1.GroupReport
+	for _, a := range assignments {
+		if i := l.instances[a.Instance]; i != nil {
+			if r := i.reports[a.Group]; r.GetEpoch() == a.Epoch {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+// choose decides on a group: it returns the instance that is to hold it next,
+// or nil if the holder stays or nobody can hold it. The group is being revoked
+// from then on until settle.
+func (l *liveness) choose(group string, a *controlv1.Assignment, now time.Time) *controlv1.EntryInfo {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.GetInstance() == "" {
+		if !l.warm(now) {
+			return nil
+		}
+	} else if !l.replaceable(group, a, now) {
+		return nil
+	}
+	next := l.rendezvous(group, now)
+	if next != nil {
+		l.revoking[group] = a.GetEpoch()
+	}
+	return next
+}
+
+// settle ends the revocation of a group.
+func (l *liveness) settle(group string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.revoking, group)
+}
+
+// replaceable reports whether the holder of a group cannot act as such any
+// more. Answers of former leaders were sent before this term began, since no
+// leader answers after its lease, and may have renewed the holder until then.
+func (l *liveness) replaceable(group string, a *controlv1.Assignment, now time.Time) bool {
+	if _, revoking := l.revoking[group]; revoking {
+		return true // Decided before; the proposal had no known outcome.
+	}
+	i := l.instances[a.Instance]
+	if i == nil {
+		return now.Sub(l.began) >= holdTime
+	}
+	if r := i.reports[group]; r != nil && r.GetEpoch() == 0 {
+		// The instance says that it does not hold the group and will not under
+		// this epoch. If this very process held it before, that is enough; if it
+		// is a new process, the former one is waited for.
+		return i.held[group] == a.Epoch || now.Sub(i.since) >= holdTime
+	}
+	return now.Sub(i.last) >= holdTime
+}
+
+// rendezvous returns the live instance with the highest hash for a group, so
+// that few groups move when instances come and go.
+func (l *liveness) rendezvous(group string, now time.Time) *controlv1.EntryInfo {
+	var best *controlv1.EntryInfo
+	var highest uint64
+	for name, i := range l.instances {
+		if now.Sub(i.last) >= instanceLiveFor || i.info.GetDraining() || i.info.GetPeerAddress() == "" {
+			continue
+		}
+		h := xxhash.Sum64String(group + "\x00" + name)
+		if best == nil || h > highest || h == highest && name < best.Instance {
+			best, highest = i.info, h
+		}
+	}
+	return best
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -49,6 +49,11 @@
 		}
 		d.tick()
 		d.input()
+		for _, s := range m.snapshots.Drain(1) {
+			if err := d.storeSnapshot(s); err != nil {
+				return err
+			}
+		}
 		for d.node.HasReady() {
 			if err := d.process(ctx, d.node.Ready()); err != nil {
 				return err
@@ -138,6 +143,20 @@
 	return nil
 }
 
+// storeSnapshot makes a snapshot of the state durable and cuts the log.
+func (d *driver) storeSnapshot(s stateSnapshot) error {
+	snapshot, err := d.node.MakeSnapshot(s.index, s.data)
+	if err != nil {
+		return nil // A snapshot of the leader has overtaken this one.
+	}
+	if err := d.log.SaveSnapshot(snapshot); err != nil {
+		return d.m.storageFailed(err)
+	}
+	d.node.Compact(snapshot)
+	d.m.options.Events.Emit(eventSnapshot, event.F("index", s.index), event.F("bytes", len(s.data)))
+	return nil
+}
+
 func (m *Member) leaderChanged(s consensus.SoftState) {
 	if s.Role == consensus.Leader {
 		m.options.Events.Emit(eventLeader, event.F("member", m.identity.ID))
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -27,6 +27,7 @@
 	proposals *ring.Ring[proposal]
 	orders    *ring.Ring[order]
 	applies   *ring.Ring[applyItem]
+	snapshots *ring.Ring[stateSnapshot]
 	wake      chan struct{}
 
 	mu    sync.RWMutex // guards state
@@ -43,10 +44,11 @@
 	opened time.Time
 	status atomic.Pointer[consensus.Status]
 	// formed is set once the member has a log or waits for a leader's.
-	formed atomic.Bool
-	fault  atomic.Pointer[error]
-	done   chan struct{}
-	cancel context.CancelFunc
+	formed  atomic.Bool
+	derived atomic.Pointer[derived]
+	fault   atomic.Pointer[error]
+	done    chan struct{}
+	cancel  context.CancelFunc
 }
 
 // NewMember returns a member that is not started.
@@ -59,6 +61,7 @@
 		proposals: ring.New[proposal]("control proposals", proposalCapacity, ring.Reject),
 		orders:    ring.New[order]("control orders", 64, ring.Reject),
 		applies:   ring.New[applyItem]("control applies", applyCapacity, ring.Block),
+		snapshots: ring.New[stateSnapshot]("control snapshots", 1, ring.DropOldest),
 		wake:      make(chan struct{}, 1),
 		state:     state.New(),
 		waiters:   waiters{byIndex: make(map[uint64]waiter)},
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"auburnstep.example/auburnstep/internal/rpc/consensusv1"
+	"auburnstep.example/auburnstep/internal/rpc/consensusv1/consensusv1connect"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1/controlv1connect"
+	"auburnstep.example/auburnstep/internal/rpc/transport"
+)
+
+// Service serves the calls of other processes to a Member. A call that only
+// the leader answers gets the leader's address, or the error Unavailable where
+// none is known. DeadlineExceeded means that the outcome is unknown.
+type Service struct{ member *Member }
+
+var (
+	_ controlv1connect.ControlHandler = (*Service)(nil)
+	_ consensusv1connect.PeerHandler  = (*Service)(nil)
+)
+
+// NewService returns the service of a member.
+func NewService(m *Member) *Service { return &Service{member: m} }
+
+// Register adds the handlers to a server.
+func (s *Service) Register(server *transport.Server) {
+	path, h := controlv1connect.NewControlHandler(s, server.HandlerOptions())
+	server.Handle(path, h, transport.AnyRole, map[string]transport.Role{
+		controlv1connect.ControlFeedProcedure:     transport.PeerRole,
+		controlv1connect.ControlBookingProcedure:  transport.PeerRole,
+		controlv1connect.ControlChangeProcedure:   transport.OperatorRole,
+		controlv1connect.ControlResultProcedure:   transport.OperatorRole,
+		controlv1connect.ControlSettingsProcedure: transport.OperatorRole,
+	})
+	path, h = consensusv1connect.NewPeerHandler(s, server.HandlerOptions())
+	server.Handle(path, h, transport.PeerRole, nil)
+}
+
+// errNoLeader answers calls while neither this member nor a known one leads.
+func errNoLeader() error { return connect.NewError(connect.CodeUnavailable, ErrNotLeader) }
+
+// redirect returns the leader's address for an answer, or errNoLeader.
+func (m *Member) redirect() (string, error) {
+	if a := m.leaderAddress(); a != "" {
+		return a, nil
+	}
+	return "", errNoLeader()
+}
+
+// failure maps an error of an operation on the log to the caller.
+func failure(err error) error {
+	switch {
+	case errors.Is(err, ErrUnknown):
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
+	case errors.Is(err, ErrBusy):
+		return connect.NewError(connect.CodeResourceExhausted, err)
+	case errors.Is(err, ErrNotLeader), errors.Is(err, ErrSuperseded), errors.Is(err, ErrStopped):
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewError(connect.CodeFailedPrecondition, err)
+}
+
+// withDeadline bounds a call whose caller set no deadline.
+func withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, 5*defaultCallTimeout)
+}
+
+// Step implements consensusv1connect.PeerHandler.
+func (s *Service) Step(ctx context.Context, r *connect.Request[consensusv1.StepRequest]) (*connect.Response[consensusv1.StepResponse], error) {
+	if err := s.member.HandleStep(ctx, r.Header().Get(transport.SenderHeader), r.Msg); err != nil {
+		return nil, failure(err)
+	}
+	return connect.NewResponse(&consensusv1.StepResponse{}), nil
+}
+
+// Change implements controlv1connect.ControlHandler.
+func (s *Service) Change(ctx context.Context, r *connect.Request[controlv1.ChangeRequest]) (*connect.Response[controlv1.ChangeResponse], error) {
+	return respond(s.member.Change(ctx, r.Msg))
+}
+
+// Result implements controlv1connect.ControlHandler. A change without a result
+// is NotFound: it was not accepted so far, but may be if it is in progress.
+func (s *Service) Result(_ context.Context, r *connect.Request[controlv1.ResultRequest]) (*connect.Response[controlv1.ChangeResponse], error) {
+	return respond(s.member.Result(r.Msg))
+}
+
+// Settings implements controlv1connect.ControlHandler.
+func (s *Service) Settings(context.Context, *connect.Request[controlv1.SettingsRequest]) (*connect.Response[controlv1.SettingsResponse], error) {
+	return respond(s.member.Settings())
+}
+
+// Feed implements controlv1connect.ControlHandler.
+func (s *Service) Feed(_ context.Context, r *connect.Request[controlv1.FeedRequest]) (*connect.Response[controlv1.FeedResponse], error) {
+	return respond(s.member.Feed(r.Msg))
+}
+
+// Booking implements controlv1connect.ControlHandler.
+func (s *Service) Booking(ctx context.Context, r *connect.Request[controlv1.BookingRequest]) (*connect.Response[controlv1.BookingResponse], error) {
+	return respond(s.member.Booking(ctx, r.Msg))
+}
+
+// Status implements controlv1connect.ControlHandler.
+func (s *Service) Status(context.Context, *connect.Request[controlv1.StatusRequest]) (*connect.Response[controlv1.StatusResponse], error) {
+	return connect.NewResponse(s.member.Status()), nil
+}
+
+// Member implements controlv1connect.ControlHandler. Processes may add
+// themselves; only operators remove members.
+func (s *Service) Member(ctx context.Context, r *connect.Request[controlv1.MemberRequest]) (*connect.Response[controlv1.MemberResponse], error) {
+	if r.Msg.GetRemove() && transport.RoleOf(ctx)&transport.OperatorRole == 0 {
+		return nil, connect.NewError(connect.CodePermissionDenied, errors.New("only operators remove members"))
+	}
+	return respond(s.member.ChangeMember(ctx, r.Msg))
+}
+
+func respond[T any](msg *T, err error) (*connect.Response[T], error) {
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(msg), nil
+}
+
+// ChangeMember adds or removes a member; see controlv1.MemberRequest.
+func (m *Member) ChangeMember(ctx context.Context, r *controlv1.MemberRequest) (*controlv1.MemberResponse, error) {
+	if _, ok := m.lease(); !ok {
+		a, err := m.redirect()
+		return &controlv1.MemberResponse{LeaderAddress: a}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*membershipWaitTimeout)
+	defer cancel()
+	change := m.addMember
+	if r.GetRemove() {
+		change = func(ctx context.Context, r *controlv1.MemberRequest) (string, error) {
+			return m.removeMember(ctx, r.GetId())
+		}
+	}
+	text, err := change(ctx, r)
+	if err != nil {
+		return nil, failure(err)
+	}
+	return &controlv1.MemberResponse{Message: text}, nil
+}
+
+// Status describes this member, and the cluster as far as it knows it. A
+// member that never took part in a cluster lists only itself, with term 0.
+func (m *Member) Status() *controlv1.StatusResponse {
+	s := m.status.Load()
+	_, leads := m.lease()
+	out := &controlv1.StatusResponse{Term: s.Term, Commit: s.Commit, Applied: m.applied.Load()}
+	if leads {
+		out.LeaderAddress = m.options.Address
+	} else {
+		out.LeaderAddress = m.leaderAddress()
+	}
+	m.mu.RLock()
+	out.SettingsVersion = m.state.Version()
+	out.Assignments = m.state.Assignments()
+	members := m.state.Members()
+	m.mu.RUnlock()
+	for _, a := range members {
+		ms := &controlv1.MemberStatus{Id: a.Id, Instance: a.Instance, Address: a.Address, Voter: s.Members.IsVoter(a.Id), Leader: a.Id == s.Leader}
+		for _, p := range s.Progress {
+			if p.ID == a.Id {
+				ms.Match = p.Match
+			}
+		}
+		out.Members = append(out.Members, ms)
+	}
+	if len(members) == 0 {
+		out.Members = []*controlv1.MemberStatus{{Id: s.ID, Instance: m.options.Instance, Address: m.options.Address}}
+	}
+	if leads {
+		out.Entries = m.live.entries(time.Now())
+		out.Groups = m.live.groupReports(out.Assignments)
+	}
+	return out
+}
