--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -30,9 +30,6 @@
 	identity *Identity
 	restored consensus.Restored
 	err      error
-	// stall blocks saves while it is locked, as a paused process or disk does.
-	stall sync.Mutex
-	stop  chan struct{}
 }
 
 func (d *memDisk) LoadIdentity() (Identity, bool, error) {
@@ -287,6 +284,9 @@
 	return ""
 }
 
+// id returns the member ID that an instance has at present.
+func (c *cluster) id(name string) uint64 { return c.member(name).status.Load().ID }
+
 // waitFor waits until a condition holds.
 func (c *cluster) waitFor(what string, ok func() bool) {
 	c.t.Helper()
@@ -301,18 +301,16 @@
 
 // change sends a change to the leader, wherever it is, until it is answered.
 func (c *cluster) change(ctx context.Context, r *controlv1.ChangeRequest) (*controlv1.ChangeResult, error) {
-	var err error
 	for i := 0; ctx.Err() == nil; i++ {
-		var resp *controlv1.ChangeResponse
 		try, cancel := context.WithTimeout(ctx, time.Second)
-		resp, err = c.link("client").Change(try, c.names[i%len(c.names)], r)
+		resp, err := c.link("client").Change(try, c.names[i%len(c.names)], r)
 		cancel()
 		if err == nil && resp.Result != nil {
 			return resp.Result, nil
 		}
 		_ = sleep(ctx, 20*time.Millisecond)
 	}
-	return nil, err
+	return nil, fmt.Errorf("%w: %w", errLost, context.Cause(ctx))
 }
 
 func (c *cluster) feed(name string, reports func() []*controlv1.GroupReport) (*feed.Client, func()) {
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -140,7 +140,9 @@
 		if err != nil {
 			return m.corrupt(err)
 		}
+		m.mu.Lock()
 		m.state = s
+		m.mu.Unlock()
 	}
 	m.applied.Store(restored.Snapshot.Index)
 	node, err := consensus.New(consensus.Config{ID: m.identity.ID, ElectionTicks: m.options.ElectionTicks, HeartbeatTicks: 2, Seed: m.options.Seed}, restored)
--- a/internal/control/member_test.go
+++ b/internal/control/member_test.go
@@ -148,7 +148,7 @@
 			c.wipe(lost)
 			c.waitFor("the repair", func() bool {
 				s := c.member(c.leader()).status.Load()
-				return len(s.Members.Voters) == 3 && s.Members.IsVoter(c.member(lost).identity.ID)
+				return s.Commit == s.Last && len(s.Members.Voters) == 3 && s.Members.IsVoter(c.id(lost))
 			})
 			second := c.names[(round+1)%3]
 			c.kill(second)
@@ -178,7 +178,7 @@
 		accept(c, "c2", 1, put("/customers", "group"))
 		c.waitFor("the founder to vote again", func() bool {
 			s := c.member(c.leader()).status.Load()
-			return s.Members.IsVoter(c.member("m0").identity.ID)
+			return s.Members.IsVoter(c.id("m0"))
 		})
 	})
 }
@@ -213,7 +213,7 @@
 		accept(c, "c1", 0, put("/services", "group"))
 		c.waitFor("four voters", func() bool { return len(c.member(c.leader()).status.Load().Members.Voters) == 4 })
 		old := c.leader()
-		id := c.member(old).identity.ID
+		id := c.id(old)
 		c.waitFor("the removal", func() bool {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
