--- a/internal/control/feed/booking.go
+++ b/internal/control/feed/booking.go
@@ -32,7 +32,7 @@
 	releaseWait = 250 * time.Millisecond
 )
 
-var eventReleaseDelayed = event.Define(3104, "booking_release_delayed", event.Warn, "a booking record is released in the background because no control member answered")
+var eventReleaseDelayed = event.Define(3104, "booking-release-delayed", event.Warn, "a booking record is released in the background because no control member answered")
 
 // Bookings is an entry's client of booking records. It is a kernel.Service and
 // safe for concurrent use.
--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -20,10 +20,10 @@
 const pollTimeout = 400 * time.Millisecond
 
 var (
-	eventFeedLost     = event.Define(3100, "feed_lost", event.Warn, "no control member answered in time; new requests are refused")
-	eventFeedBack     = event.Define(3101, "feed_fresh", event.Info, "the feed of the control members is fresh")
-	eventFeedRejected = event.Define(3102, "feed_rejected", event.Warn, "an answer of a control member does not continue the known settings")
-	eventInForce      = event.Define(3103, "settings_in_force", event.Info, "a settings version is in force on this instance")
+	eventFeedLost     = event.Define(3100, "feed-lost", event.Warn, "no control member answered in time; new requests are refused")
+	eventFeedBack     = event.Define(3101, "feed-fresh", event.Info, "the feed of the control members is fresh")
+	eventFeedRejected = event.Define(3102, "feed-rejected", event.Warn, "an answer of a control member does not continue the known settings")
+	eventInForce      = event.Define(3103, "settings-in-force", event.Info, "a settings version is in force on this instance")
 )
 
 // Options configures a Client.
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -41,27 +41,27 @@
 
 // Events of the storage and of the consensus driver.
 var (
-	eventStorageFailed  = event.Define(2000, "storage_failed", event.Failure, "storing the log failed; the control member stops")
-	eventLeader         = event.Define(2001, "leader_elected", event.Info, "this member became leader")
-	eventFollower       = event.Define(2002, "leader_changed", event.Info, "the leader of the control members changed")
-	eventFounded        = event.Define(2003, "cluster_founded", event.Info, "the cluster was formed with the initial members")
-	eventFoundingWaits  = event.Define(2004, "founding_waits", event.Warn, "the cluster is not formed yet; some initial members do not answer")
-	eventJoining        = event.Define(2005, "member_joining", event.Info, "this member asks the leader to add it")
-	eventMemberChanged  = event.Define(2006, "member_changed", event.Info, "a control member was added, promoted or removed")
-	eventRemoved        = event.Define(2007, "member_removed", event.Warn, "this member was removed from the cluster")
-	eventSnapshot       = event.Define(2008, "snapshot_stored", event.Debug, "a snapshot of the state was stored")
-	eventNewIdentity    = event.Define(2009, "identity_drawn", event.Info, "the data folder was empty; a new member ID was drawn")
-	eventForeignMessage = event.Define(2010, "foreign_message", event.Warn, "a message of another cluster was refused")
-	eventRestored       = event.Define(2011, "state_restored", event.Info, "the state was restored from the data folder")
-	eventCorruptEntry   = event.Define(2012, "corrupt_entry", event.Failure, "a committed entry or snapshot cannot be read; the control member stops")
+	eventStorageFailed  = event.Define(2000, "storage-failed", event.Failure, "storing the log failed; the control member stops")
+	eventLeader         = event.Define(2001, "leader-elected", event.Info, "this member became leader")
+	eventFollower       = event.Define(2002, "leader-changed", event.Info, "the leader of the control members changed")
+	eventFounded        = event.Define(2003, "cluster-founded", event.Info, "the cluster was formed with the initial members")
+	eventFoundingWaits  = event.Define(2004, "founding-waits", event.Warn, "the cluster is not formed yet; some initial members do not answer")
+	eventJoining        = event.Define(2005, "member-joining", event.Info, "this member asks the leader to add it")
+	eventMemberChanged  = event.Define(2006, "member-changed", event.Info, "a control member was added, promoted or removed")
+	eventRemoved        = event.Define(2007, "member-removed", event.Warn, "this member was removed from the cluster")
+	eventSnapshot       = event.Define(2008, "snapshot-stored", event.Debug, "a snapshot of the state was stored")
+	eventNewIdentity    = event.Define(2009, "identity-drawn", event.Info, "the data folder was empty; a new member ID was drawn")
+	eventForeignMessage = event.Define(2010, "foreign-message", event.Warn, "a message of another cluster was refused")
+	eventRestored       = event.Define(2011, "state-restored", event.Info, "the state was restored from the data folder")
+	eventCorruptEntry   = event.Define(2012, "corrupt-entry", event.Failure, "a committed entry or snapshot cannot be read; the control member stops")
 )
 
 // Events of settings, groups and the feed.
 var (
-	eventChange       = event.Define(3000, "settings_changed", event.Info, "a settings change was accepted")
-	eventChangeFailed = event.Define(3001, "settings_refused", event.Info, "a settings change was not accepted")
-	eventAssigned     = event.Define(3002, "group_assigned", event.Info, "a scheduler group was assigned")
-	eventExpired      = event.Define(3003, "bookings_expired", event.Debug, "booking records passed their retention")
+	eventChange       = event.Define(3000, "settings-changed", event.Info, "a settings change was accepted")
+	eventChangeFailed = event.Define(3001, "settings-refused", event.Info, "a settings change was not accepted")
+	eventAssigned     = event.Define(3002, "group-assigned", event.Info, "a scheduler group was assigned")
+	eventExpired      = event.Define(3003, "bookings-expired", event.Debug, "booking records passed their retention")
 )
 
 const (
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,225 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"hash/fnv"
+	"io"
+	"net"
+	"sync/atomic"
+
+	"github.com/zeebo/errs"
+
+	"auburnstep.example/auburnstep/internal/control"
+	"auburnstep.example/auburnstep/internal/control/feed"
+	"auburnstep.example/auburnstep/internal/entry"
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/grants"
+	"auburnstep.example/auburnstep/internal/hlc"
+	"auburnstep.example/auburnstep/internal/kernel"
+	"auburnstep.example/auburnstep/internal/metrics"
+	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/rpc/eventsv1/eventsv1connect"
+	"auburnstep.example/auburnstep/internal/rpc/schedulerv1/schedulerv1connect"
+	"auburnstep.example/auburnstep/internal/rpc/transport"
+	"auburnstep.example/auburnstep/internal/schedulerhost"
+	"auburnstep.example/auburnstep/internal/upstream"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("instance")
+
+// Names of the services in the kernel.
+const (
+	ServiceMetrics   = "metrics"
+	ServicePeers     = "peer-server"
+	ServiceControl   = "control-member"
+	ServiceFeed      = "feed"
+	ServiceBookings  = "bookings"
+	ServiceScheduler = "scheduler-host"
+	ServiceGrants    = "grants"
+	ServiceEntry     = "entry"
+)
+
+var (
+	eventStarted = event.Define(1001, "instance-started", event.Info, "the instance is starting")
+	eventStopped = event.Define(1002, "instance-stopped", event.Info, "the instance has stopped")
+)
+
+// Daemon is one instance with its services.
+type Daemon struct {
+	config  Config
+	kernel  *kernel.Kernel
+	clock   *hlc.Clock
+	events  *event.Recorder
+	metrics *metrics.Metrics
+	pool    *transport.Pool
+	peers   *transport.Server
+	view    *view
+}
+
+// New joins the services of an instance. It opens the listeners, so that an
+// address in use is an error before anything starts.
+func New(c Config, log io.Writer) (*Daemon, error) {
+	level, err := c.level()
+	if err != nil {
+		return nil, err
+	}
+	clock := hlc.New(nil)
+	d := &Daemon{
+		config: c, kernel: kernel.New(), clock: clock, metrics: metrics.New(c.Instance),
+		events: event.NewRecorder(c.Instance, clock, log, level),
+	}
+	if err := d.join(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Run runs the instance until stop or kill is closed.
+func (d *Daemon) Run(stop, kill <-chan struct{}) error {
+	d.events.Emit(eventStarted, event.F("failure_domain", d.config.FailureDomain), event.F("listen", d.config.Listen),
+		event.F("peer_listen", d.config.PeerListen), event.F("control_member", d.config.Data != ""))
+	err := d.kernel.Run(stop, kill)
+	d.events.Emit(eventStopped, event.F("error", err))
+	d.pool.Close()
+	return errs.Combine(err, d.metrics.Close())
+}
+
+// join creates the services in the order in which they start. They stop in the
+// reverse order: the entry drains first and the peer server goes last.
+func (d *Daemon) join() error {
+	for _, step := range []func() error{
+		d.joinMetrics, d.joinPeers, d.joinControl, d.joinFeed, d.joinScheduler, d.joinEntry,
+	} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) joinMetrics() error {
+	if d.config.MetricsListen == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", d.config.MetricsListen)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return d.kernel.Register(ServiceMetrics, newMetricsServer(l, d.metrics, func() bool { return d.view.Fresh() }))
+}
+
+func (d *Daemon) joinPeers() error {
+	tlsConfig, err := d.peerTLS()
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", d.config.PeerListen)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	d.peers = transport.NewServer(transport.ServerOptions{
+		Address: d.config.PeerListen, Listener: l, TLS: tlsConfig, Clock: d.clock, Scope: d.metrics.Scope,
+		Tokens: transport.Tokens{Peers: d.config.PeerTokens, Operators: d.config.OperatorTokens},
+	})
+	var token string
+	if len(d.config.PeerTokens) > 0 {
+		token = d.config.PeerTokens[0]
+	}
+	d.pool = transport.NewPool(transport.Options{
+		TLS: tlsConfig, Token: token, Sender: d.config.PeerAdvertise, Clock: d.clock, Scope: d.metrics.Scope,
+	})
+	return d.kernel.Register(ServicePeers, d.peers)
+}
+
+func (d *Daemon) peerTLS() (*tls.Config, error) {
+	if d.config.TLSCert == "" {
+		return nil, nil
+	}
+	return transport.LoadTLS(d.config.TLSCert, d.config.TLSKey, d.config.TLSCA)
+}
+
+func (d *Daemon) joinControl() error {
+	if d.config.Data == "" {
+		return nil
+	}
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(d.config.Instance))
+	m := control.NewMember(control.Options{
+		Cluster: d.config.Cluster, Instance: d.config.Instance, Address: d.config.PeerAdvertise,
+		InitialMembers: d.config.InitialMembers, Peers: d.config.Peers, Storage: &memoryStorage{},
+		Network: control.NewNetwork(d.pool), Events: d.events, Scope: d.metrics.Scope, Seed: int64(seed.Sum64()),
+	})
+	control.NewService(m).Register(d.peers)
+	return d.kernel.Register(ServiceControl, m)
+}
+
+func (d *Daemon) joinFeed() error {
+	d.view = &view{draining: new(atomic.Bool), self: &controlv1.EntryInfo{
+		Instance: d.config.Instance, Address: d.config.Advertise, PeerAddress: d.config.PeerAdvertise,
+		FailureDomain: d.config.FailureDomain, Weight: d.config.Weight,
+	}}
+	host := schedulerhost.New(d.view, d.events, d.metrics.Scope)
+	d.view.feed = feed.NewClient(feed.Options{
+		Members: d.config.Peers, Caller: feed.NewCaller(d.pool), Self: d.view.info, Reports: host.Reports,
+		Events: d.events, Scope: d.metrics.Scope,
+	})
+	path, handler := schedulerv1connect.NewSchedulerHandler(host, d.peers.HandlerOptions())
+	d.peers.Handle(path, handler, transport.PeerRole, map[string]transport.Role{
+		schedulerv1connect.SchedulerStatusProcedure: transport.AnyRole,
+	})
+	path, handler = eventsv1connect.NewInstanceHandler(&instanceHandler{d}, d.peers.HandlerOptions())
+	d.peers.Handle(path, handler, transport.OperatorRole, nil)
+	if err := d.kernel.Register(ServiceFeed, d.view.feed); err != nil {
+		return err
+	}
+	return d.kernel.Register(ServiceScheduler, host)
+}
+
+func (d *Daemon) joinScheduler() error {
+	client := grants.New(d.config.Instance, d.view, d.dialScheduler, d.metrics.Scope)
+	if err := d.kernel.Register(ServiceGrants, client); err != nil {
+		return err
+	}
+	return d.kernel.Register(ServiceBookings, feed.NewBookings(d.view.feed))
+}
+
+// dialScheduler returns the client of a scheduler. Its calls may be repeated:
+// Acquire carries a request id, and releases of unknown grants are ignored.
+func (d *Daemon) dialScheduler(address string) schedulerv1connect.SchedulerClient {
+	return schedulerv1connect.NewSchedulerClient(d.pool.Peer(address).Client())
+}
+
+func (d *Daemon) joinEntry() error {
+	l, err := d.listenCallers()
+	if err != nil {
+		return err
+	}
+	client, err := kernel.Lookup[*grants.Client](d.kernel, ServiceGrants)
+	if err != nil {
+		return err
+	}
+	bookings, err := kernel.Lookup[*feed.Bookings](d.kernel, ServiceBookings)
+	if err != nil {
+		return err
+	}
+	return d.kernel.Register(ServiceEntry, entry.New(entry.Options{
+		Instance: d.config.Instance, Listener: l, EndpointTokens: d.config.EndpointTokens, View: d.view, Grants: client,
+		Directory: d.view, Dial: d.dialScheduler, Bookings: records{bookings},
+		Upstream: upstream.New(upstream.Options{Scope: d.metrics.Scope, Events: d.events}),
+		Events:   d.events, Scope: d.metrics.Scope, Draining: d.view.draining, DrainWait: d.config.DrainWait,
+	}))
+}
+
+func (d *Daemon) listenCallers() (net.Listener, error) {
+	l, err := net.Listen("tcp", d.config.Listen)
+	if err != nil || d.config.CallerTLSCert == "" {
+		return l, Error.Wrap(err)
+	}
+	cert, err := tls.LoadX509KeyPair(d.config.CallerTLSCert, d.config.CallerTLSKey)
+	if err != nil {
+		l.Close()
+		return nil, Error.Wrap(err)
+	}
+	return tls.NewListener(l, &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}), nil
+}
--- /dev/null
+++ b/internal/daemon/instance.go
@@ -0,0 +1,114 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"auburnstep.example/auburnstep/internal/entry"
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/kernel"
+	"auburnstep.example/auburnstep/internal/metrics"
+	eventsv1 "auburnstep.example/auburnstep/internal/rpc/eventsv1"
+)
+
+// maxEvents bounds the answer of one call of Events.
+const maxEvents = 10_000
+
+// instanceHandler serves events.v1.Instance to operators.
+type instanceHandler struct{ d *Daemon }
+
+// Events implements events.v1.Instance.
+func (h *instanceHandler) Events(_ context.Context, req *connect.Request[eventsv1.EventsRequest]) (*connect.Response[eventsv1.EventsResponse], error) {
+	m := req.Msg
+	limit := int(m.Limit)
+	if limit == 0 || limit > maxEvents {
+		limit = maxEvents
+	}
+	res := &eventsv1.EventsResponse{}
+	records := h.d.events.Records()
+	for i := len(records) - 1; i >= 0 && len(res.Events) < limit; i-- {
+		if matches(records[i], m) {
+			res.Events = append(res.Events, eventMessage(records[i]))
+		}
+	}
+	for i, j := 0, len(res.Events)-1; i < j; i, j = i+1, j-1 {
+		res.Events[i], res.Events[j] = res.Events[j], res.Events[i]
+	}
+	return connect.NewResponse(res), nil
+}
+
+// matches applies the filters. Schedulers know a request by the ids of its
+// attempts, which extend its own id by a hyphen and a number.
+func matches(r event.Record, m *eventsv1.EventsRequest) bool {
+	if m.Request != "" {
+		id := r.Get(event.KeyRequest)
+		if id != m.Request && !strings.HasPrefix(id, m.Request+"-") {
+			return false
+		}
+	}
+	return (m.Customer == "" || r.Get(event.KeyCustomer) == m.Customer) &&
+		(m.Change == "" || r.Get(event.KeyChange) == m.Change)
+}
+
+func eventMessage(r event.Record) *eventsv1.Event {
+	e := &eventsv1.Event{
+		WallMs: r.At.Wall, Counter: r.At.Counter, Instance: r.Instance, Number: uint32(r.Event.Number),
+		Name: r.Event.Name, Text: r.Event.Text,
+	}
+	for _, f := range r.Fields {
+		e.Fields = append(e.Fields, &eventsv1.Field{Key: f.Key, Value: f.Value})
+	}
+	return e
+}
+
+// Drain implements events.v1.Instance.
+func (h *instanceHandler) Drain(context.Context, *connect.Request[eventsv1.DrainRequest]) (*connect.Response[eventsv1.DrainResponse], error) {
+	h.d.view.draining.Store(true)
+	h.d.events.Emit(eventDrainOrdered)
+	res := &eventsv1.DrainResponse{}
+	if s, err := kernel.Lookup[*entry.Server](h.d.kernel, ServiceEntry); err == nil {
+		res.InFlight = uint32(s.InFlight())
+	}
+	return connect.NewResponse(res), nil
+}
+
+var eventDrainOrdered = event.Define(1010, "drain-ordered", event.Info, "an operator took the instance out of the list of entries")
+
+// metricsServer serves GET /metrics and GET /healthz.
+type metricsServer struct {
+	kernel.Base
+	listener net.Listener
+	http     *http.Server
+}
+
+func newMetricsServer(l net.Listener, m *metrics.Metrics, healthy func() bool) *metricsServer {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if !healthy() {
+			http.Error(w, "the settings are not fresh", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	const headerTimeout = 5 * time.Second
+	return &metricsServer{listener: l, http: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}}
+}
+
+// Start implements kernel.Service.
+func (s *metricsServer) Start(ctx context.Context) error {
+	go func() {
+		<-ctx.Done()
+		_ = s.http.Close()
+	}()
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -48,17 +48,17 @@
 
 // Events of this package.
 var (
-	eventCrossed = event.Define(5100, "upstream.crossed", event.Warn,
+	eventCrossed = event.Define(5100, "upstream-crossed", event.Warn,
 		"an endpoint answered with another request's id; the answer was dropped")
-	eventTruncated = event.Define(5101, "upstream.truncated", event.Warn,
+	eventTruncated = event.Define(5101, "upstream-truncated", event.Warn,
 		"an endpoint ended an answer before it was complete")
-	eventStalled = event.Define(5102, "upstream.stalled", event.Info,
+	eventStalled = event.Define(5102, "upstream-stalled", event.Info,
 		"an endpoint passed the bound on time to the first token or between tokens")
-	eventUnreachable = event.Define(5103, "upstream.unreachable", event.Info,
+	eventUnreachable = event.Define(5103, "upstream-unreachable", event.Info,
 		"a connection to an endpoint could not be opened or was lost")
-	eventCancelFailed = event.Define(5104, "upstream.cancel_failed", event.Debug,
+	eventCancelFailed = event.Define(5104, "upstream-cancel-failed", event.Debug,
 		"an endpoint did not take the cancellation of a request")
-	eventInvalid = event.Define(5105, "upstream.invalid", event.Warn,
+	eventInvalid = event.Define(5105, "upstream-invalid", event.Warn,
 		"an endpoint sent an answer that is malformed or skips tokens")
 )
 
