Hold back a request whose grant ended before its first byte

A process that is paused between the grant and the first write would use a slot that the scheduler has given away. The check in the entry alone leaves the dial in between; the connection now checks in its first write and reports the request as not run.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -83,7 +83,9 @@
 	if r.err == nil {
 		return nil, false
 	}
-	a.avoid(lease.Grant.Endpoint)
+	if upstream.ReasonOf(r.err) != upstream.ReasonLate {
+		a.avoid(lease.Grant.Endpoint)
+	}
 	v := verdict.From(r.err)
 	if ctx.Err() == nil {
 		a.s.o.Events.Emit(eventAttempt, a.q.fields(event.F("attempt", id), event.F("endpoint", lease.Grant.Endpoint),
@@ -138,6 +140,7 @@
 	if r.err != nil {
 		o.EndpointFault = upstream.IsEndpointFault(r.err)
 		o.ConnectRefused = upstream.ReasonOf(r.err) == upstream.ReasonUnreachable
+		o.Unused = upstream.ReasonOf(r.err) == upstream.ReasonLate
 	}
 	return o
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -134,7 +134,7 @@
 	stream, err := c.s.o.Upstream.Chat(ctx, upstream.Call{
 		Endpoint: l.Grant.Address, RequestID: id, PublicID: "chatcmpl-" + c.q.id, Priority: int(l.Grant.Priority),
 		Offset: c.delivered, Body: c.body, FirstToken: c.q.service.FirstTokenTimeout,
-		BetweenTokens: c.q.service.IdleTimeout, MayRepeat: c.q.class.Idempotent,
+		BetweenTokens: c.q.service.IdleTimeout, MayRepeat: c.q.class.Idempotent, SendBefore: l.UseUntil(),
 	})
 	if err != nil {
 		return result{err: err}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -82,6 +82,7 @@
 		Endpoint: l.Grant.Address, RequestID: id, Method: c.method, Target: c.target, Header: c.header,
 		Body: bytes.NewReader(c.body), Length: int64(len(c.body)), MaxAnswer: maxAnswer,
 		FirstByte: c.q.service.FirstTokenTimeout, BetweenBytes: c.q.service.IdleTimeout, MayRepeat: c.q.class.Idempotent,
+		SendBefore: l.UseUntil(),
 	}
 }
 
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -115,6 +115,9 @@
 // scheduler may have given the slot to somebody else.
 func (l *Lease) Usable(now time.Time) bool { return now.Before(l.useUntil) }
 
+// UseUntil returns the time after which the first byte must not be sent.
+func (l *Lease) UseUntil() time.Time { return l.useUntil }
+
 // Release returns the grant with what became of it. Later calls do nothing.
 func (l *Lease) Release(o *schedulerv1.Outcome) {
 	l.once.Do(func() {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -167,12 +167,12 @@
 
 // roundTrip sends req once. An idle connection is used only if the request may
 // be repeated: a stale one would make its fate unknown.
-func (c *Client) roundTrip(req *http.Request, mayRepeat bool) (*http.Response, *writeProof, error) {
+func (c *Client) roundTrip(req *http.Request, mayRepeat bool, sendBefore time.Time) (*http.Response, *writeProof, error) {
 	transport := c.fresh
 	if mayRepeat {
 		transport = c.pooled
 	}
-	proof := &writeProof{}
+	proof := &writeProof{sendBefore: sendBefore}
 	trace := &httptrace.ClientTrace{GotConn: proof.gotConn}
 	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	return resp, proof, err
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -161,3 +161,19 @@
 
 // Write implements net.Conn.
 func (brokenConn) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
+// TestSendBefore guards against a request that is sent under a grant that has
+// ended, as after a pause of the process between the grant and the first byte.
+func TestSendBefore(t *testing.T) {
+	c := qt.New(t)
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	conn := &countingConn{Conn: near}
+	proof := &writeProof{sendBefore: time.Now().Add(-time.Millisecond)}
+	proof.gotConn(httptrace.GotConnInfo{Conn: conn})
+	_, err := conn.Write([]byte("x"))
+	c.Check(err, qt.ErrorIs, errLate)
+	c.Check(proof.late(), qt.IsTrue)
+	c.Check(proof.nothingWritten(), qt.IsTrue)
+}
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -35,12 +35,13 @@
 	ReasonCancelled      Reason = "request_cancelled"
 	ReasonDeadline       Reason = "deadline_exceeded"
 	ReasonInvalid        Reason = "request_invalid"
+	ReasonLate           Reason = "grant_expired"
 )
 
 var reasons = []Reason{
 	ReasonUnreachable, ReasonConnectionLost, ReasonRefused, ReasonEndpointError, ReasonRejected, ReasonFirstToken,
 	ReasonBetweenTokens, ReasonCrossed, ReasonTruncated, ReasonGap, ReasonMalformed, ReasonTooLarge, ReasonBodyTooLarge,
-	ReasonBodyFailed, ReasonCancelled, ReasonDeadline, ReasonInvalid,
+	ReasonBodyFailed, ReasonCancelled, ReasonDeadline, ReasonInvalid, ReasonLate,
 }
 
 // statusClientClosed is the customary status for a caller that went away.
@@ -101,6 +102,7 @@
 }
 
 var profiles = map[Reason]profile{
+	ReasonLate:           {http.StatusServiceUnavailable, false, "the grant ran out before the request was sent", nil},
 	ReasonUnreachable:    {http.StatusBadGateway, true, "the endpoint could not be reached", eventUnreachable},
 	ReasonConnectionLost: {http.StatusBadGateway, true, "the connection to the endpoint was lost", eventUnreachable},
 	ReasonRefused:        {http.StatusServiceUnavailable, false, "the endpoint refused the request", nil},
@@ -186,6 +188,9 @@
 	proof.mu.Lock()
 	dialed := proof.got
 	proof.mu.Unlock()
+	if proof.late() {
+		return a.fail(ReasonLate, v, errLate)
+	}
 	if !dialed {
 		return a.fail(ReasonUnreachable, v, err)
 	}
--- a/internal/upstream/plain.go
+++ b/internal/upstream/plain.go
@@ -32,6 +32,9 @@
 	// BetweenBytes the time that Read waits for more. Zero sets no bound.
 	FirstByte    time.Duration
 	BetweenBytes time.Duration
+	// SendBefore is the time after which the request must not be sent; zero
+	// sets no bound.
+	SendBefore time.Time
 	// MayRepeat allows the use of an idle connection.
 	MayRepeat bool
 }
@@ -63,7 +66,7 @@
 		return nil, a.fail(ReasonInvalid, verdict.NotRun, err)
 	}
 	timer := newBound(call.FirstByte, func() { cancel(errFirstToken) })
-	resp, proof, err := c.roundTrip(req, call.MayRepeat)
+	resp, proof, err := c.roundTrip(req, call.MayRepeat, call.SendBefore)
 	timer.stop()
 	if err != nil {
 		f := a.failRoundTrip(ctx, proof, err)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -33,6 +33,9 @@
 	// the time that Next waits for a further one. Zero sets no bound.
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
+	// SendBefore is the time after which the request must not be sent; zero
+	// sets no bound.
+	SendBefore time.Time
 	// MayRepeat allows the use of an idle connection.
 	MayRepeat bool
 }
@@ -122,7 +125,7 @@
 
 // open sends the request and checks the header of the response.
 func (s *Stream) open(ctx context.Context, req *http.Request) error {
-	resp, proof, err := s.client.roundTrip(req, s.call.MayRepeat)
+	resp, proof, err := s.client.roundTrip(req, s.call.MayRepeat, s.call.SendBefore)
 	if err != nil {
 		f := s.failRoundTrip(s.ctx, proof, err)
 		s.stop(f, f.Err.Verdict != verdict.NotRun)
