policy: measure the core against baselines and an oracle

Drives the real core with a fake clock over modelled engines with continuous batching, and counts attainment by class, goodput, wasted tokens, the longest time without service and grants out of tier order.

--- /dev/null
+++ b/internal/policy/engine.go
@@ -0,0 +1,150 @@
+package policy
+
+import (
+	"math"
+	"slices"
+)
+
+// engine models one endpoint. Running streams get tokens at one pace, which
+// falls with the size of the batch; requests beyond the slots wait in the engine
+// by tier. Endpoints of plain services have a pace that does not depend on the
+// batch.
+type engine struct {
+	id          string
+	sim         *sim
+	slow        float64
+	down        bool
+	incarnation uint64
+	tokens      float64 // tokens that each stream got since the start
+	at          float64 // time up to which tokens is computed
+	running     []*request
+	queue       []*request
+	cached      []uint64 // prefixes, least recently used first
+	version     int      // voids planned completions
+}
+
+const cachedPrefixes = 100
+
+func (e *engine) pace(batch int) float64 { return e.slow * e.sim.service.pace(batch) }
+
+func (e *engine) advance() {
+	if len(e.running) > 0 {
+		e.tokens += (e.sim.now - e.at) / e.pace(len(e.running))
+	}
+	e.at = e.sim.now
+}
+
+// submit hands over a request; it reports false if the engine is down.
+func (e *engine) submit(r *request) bool {
+	if e.down {
+		return false
+	}
+	r.engine, r.last = e, e
+	i := slices.IndexFunc(e.queue, func(q *request) bool { return q.class.tier > r.class.tier })
+	if i < 0 {
+		i = len(e.queue)
+	}
+	e.queue = slices.Insert(e.queue, i, r)
+	e.advance()
+	e.fill()
+	return true
+}
+
+// fill starts queued requests while there are slots and plans the next
+// completion.
+func (e *engine) fill() {
+	for len(e.queue) > 0 && len(e.running) < e.sim.service.slots {
+		r := e.queue[0]
+		e.queue = e.queue[1:]
+		e.sim.started(r)
+		e.running = append(e.running, r)
+		r.running = true
+		r.attempt++
+		attempt := r.attempt
+		e.sim.after(e.slow*e.prefill(r), func() {
+			if r.running && r.attempt == attempt {
+				e.decode(r)
+			}
+		})
+	}
+	e.version++
+	version, next := e.version, math.Inf(1)
+	for _, r := range e.running {
+		if r.decoding {
+			next = min(next, max(0, r.ends-e.tokens))
+		}
+	}
+	if !math.IsInf(next, 1) {
+		e.sim.after(next*e.pace(len(e.running)), func() {
+			if e.version == version {
+				e.complete()
+			}
+		})
+	}
+}
+
+// prefill returns the seconds for the part of the prompt that is not cached.
+func (e *engine) prefill(r *request) float64 {
+	whole := e.sim.service.prefillTime * float64(r.class.prompt)
+	i := slices.Index(e.cached, r.prefix)
+	if i >= 0 {
+		e.cached = slices.Delete(e.cached, i, i+1)
+		whole *= 1 - cachedPart
+	} else if len(e.cached) >= cachedPrefixes {
+		e.cached = e.cached[1:]
+	}
+	e.cached = append(e.cached, r.prefix)
+	return whole
+}
+
+func (e *engine) decode(r *request) {
+	e.advance()
+	r.decoding, r.ends = true, e.tokens+float64(r.tokens-r.done)
+	if r.first == 0 {
+		r.first = e.sim.now + e.pace(len(e.running))
+	}
+	e.fill()
+}
+
+func (e *engine) complete() {
+	e.advance()
+	var done []*request
+	for _, r := range e.running {
+		if r.decoding && r.ends-e.tokens < 1e-6 {
+			done = append(done, r)
+		}
+	}
+	for _, r := range done {
+		e.take(r)
+		r.done = r.tokens
+	}
+	e.fill()
+	for _, r := range done {
+		e.sim.finished(r, true)
+	}
+}
+
+// take removes a request and keeps its progress.
+func (e *engine) take(r *request) {
+	same := func(q *request) bool { return q == r }
+	e.running, e.queue = slices.DeleteFunc(e.running, same), slices.DeleteFunc(e.queue, same)
+	if r.decoding {
+		r.done = r.tokens - int(math.Ceil(max(0, r.ends-e.tokens)))
+	}
+	r.engine, r.running, r.decoding = nil, false, false
+}
+
+// crash loses all streams.
+func (e *engine) crash() {
+	e.advance()
+	lost := append(slices.Clone(e.running), e.queue...)
+	e.down, e.cached = true, nil
+	e.incarnation++
+	for _, r := range lost {
+		e.take(r)
+	}
+	e.version++
+	for _, r := range lost {
+		e.sim.finished(r, false)
+	}
+}
--- /dev/null
+++ b/internal/policy/workload.go
@@ -0,0 +1,163 @@
+// Package policy measures the scheduling core against baselines: it drives the
+// real scheduler.Core and simple routers with a fake clock over modelled
+// endpoints and seeded workloads. Times are in seconds.
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// class is one request class. Output lengths are log-normal.
+type class struct {
+	name                      string
+	tier                      int
+	share                     float64 // of the service's requests
+	prompt                    int
+	median, sigma             float64 // output tokens
+	target, between, deadline float64 // first token, mean between tokens, caller leaves
+	once                      bool    // may not be repeated
+	index                     int
+}
+
+// service is one service of a deployment; a full batch takes 1+batchSlow times
+// as long per token as a single stream. Plain services have tokens of 1 ms.
+type service struct {
+	name                              string
+	plain                             bool
+	replicas, slots                   int
+	tokenTime, batchSlow, prefillTime float64
+	classes                           []*class
+}
+
+func (s *service) pace(batch int) float64 {
+	return s.tokenTime * (1 + s.batchSlow*float64(max(0, batch-1))/float64(s.slots-1))
+}
+
+// capacity returns the requests per second at which all slots are busy if the
+// cachable part of every prompt is cached.
+func (s *service) capacity() float64 {
+	busy := 0.0
+	for _, c := range s.classes {
+		tokens := c.median * math.Exp(c.sigma*c.sigma/2)
+		busy += c.share * (float64(c.prompt)*s.prefillTime*(1-cachedPart) + tokens*s.pace(s.slots))
+	}
+	return float64(s.replicas*s.slots) / busy
+}
+
+var services = []*service{
+	{"auburn-pool", false, 20, 16, 0.015, 1, 0.0002, []*class{
+		{"schedule", 1, 0.5, 4000, 600, 0.5, 3, 0.071, 30, false, 0},
+		{"crew-chat", 2, 0.5, 400, 80, 0.7, 2, 0.071, 15, false, 1},
+	}},
+	{"rota-app", true, 3, 4, 0.001, 0, 0, []*class{
+		{"booking", 0, 0.3, 0, 120, 0.4, 1, 1, 5, true, 0},
+		{"lookup", 1, 0.7, 0, 40, 0.5, 0.5, 1, 3, false, 1},
+	}},
+	{"auburnstep-sort", false, 10, 16, 0.012, 1.5, 0.0002, []*class{
+		{"note", 1, 0.8, 2500, 300, 0.4, 2, 0.071, 20, false, 0},
+		{"chat", 2, 0.2, 300, 60, 0.7, 2, 0.071, 15, false, 1},
+	}},
+	{"lotes", true, 3, 4, 0.001, 0, 0, []*class{
+		{"reservation", 0, 0.4, 0, 100, 0.4, 1, 1, 5, true, 0},
+		{"stock", 1, 0.6, 0, 30, 0.5, 0.5, 1, 3, false, 1},
+	}},
+}
+
+// scenario is one situation that all routers meet.
+type scenario struct {
+	name       string
+	load       float64 // times capacity
+	burst      float64 // multiplies the rate of burstClass from 40 s to 70 s
+	burstClass int
+	slowed     bool // one engine runs 5 times slower from 30 s to 90 s
+	crashed    bool // one engine is down from 30 s to 50 s
+	reportLag  float64
+	takeover   bool // the scheduler is lost at 40 s, its successor starts at 43 s
+}
+
+var scenarios = []scenario{
+	{name: "0.7 times capacity", load: 0.7},
+	{name: "1.0 times capacity", load: 1},
+	{name: "1.5 times capacity", load: 1.5},
+	{name: "3.0 times capacity", load: 3},
+	{name: "burst of the first class", load: 0.7, burst: 4, burstClass: 0},
+	{name: "burst of the second class", load: 0.7, burst: 8, burstClass: 1},
+	{name: "one engine 5 times slower", load: 0.8, slowed: true},
+	{name: "one engine crashed", load: 0.8, crashed: true},
+	{name: "load reports 2 s late", load: 0.9, reportLag: 2},
+	{name: "scheduler lost", load: 0.8, takeover: true},
+}
+
+const (
+	arrivalsUntil = 120.0
+	// countedFrom leaves the time in which estimates are learned out of the
+	// figures.
+	countedFrom = 20.0
+	drainUntil  = 200.0
+	entries     = 8
+	// cachedPart is the part of a prompt that requests about the same file
+	// share; each customer has 20 files.
+	cachedPart = 0.5
+)
+
+// request is one request of a workload and its fate.
+type request struct {
+	id       string
+	class    *class
+	customer string
+	tokens   int
+	prefix   uint64
+	arrive   float64
+	entry    int
+
+	engine, last      *engine // now (nil if none), and the latest
+	running, decoding bool
+	attempt           int
+	ends              float64 // engine.tokens at which the response is whole
+	done              int     // tokens delivered
+	first, end        float64 // first token, end of the response
+	delivered, over   bool
+	granted           float64
+	grant             string
+	avoid             []string
+}
+
+// inTime reports whether the targets for the first token and the pace were met.
+func (r *request) inTime() bool {
+	return r.delivered && r.first-r.arrive <= r.class.target && r.end-r.first <= r.class.between*float64(r.tokens)
+}
+
+// generate returns the arrivals of a scenario in order of time.
+func generate(s *service, sc scenario, seed uint64) (all []*request) {
+	rnd := rand.New(rand.NewPCG(seed, 7))
+	for _, c := range s.classes {
+		base := s.capacity() * c.share * sc.load
+		most := base
+		if sc.burst > 0 && sc.burstClass == c.index {
+			most *= sc.burst
+		}
+		for t := rnd.ExpFloat64() / most; t < arrivalsUntil; t += rnd.ExpFloat64() / most {
+			if inBurst := t >= 40 && t < 70; !inBurst && rnd.Float64()*most > base {
+				continue
+			}
+			k := rnd.IntN(3) // three of ten customers send most requests
+			if rnd.Float64() > 0.7 {
+				k = 3 + rnd.IntN(7)
+			}
+			all = append(all, &request{
+				class: c, customer: fmt.Sprint("customer", k), arrive: t, entry: rnd.IntN(entries),
+				tokens: max(1, int(c.median*math.Exp(c.sigma*rnd.NormFloat64()))),
+				prefix: uint64(1 + c.index + 2*(k*20+rnd.IntN(20))),
+			})
+		}
+	}
+	slices.SortFunc(all, func(a, b *request) int { return cmp.Compare(a.arrive, b.arrive) })
+	for i, r := range all {
+		r.id = fmt.Sprint("r", i)
+	}
+	return all
+}
--- a/internal/scheduler/cases_test.go
+++ b/internal/scheduler/cases_test.go
@@ -10,22 +10,6 @@
 	"auburnstep.example/auburnstep/internal/limit"
 )
 
-// endpointsOf returns the endpoints that n requests got, released in between.
-func (b *bench) endpointsOf(c *qt.C, n int, r Request, o Outcome) (out []string) {
-	c.Helper()
-	for i := range n {
-		r.ID = fmt.Sprint(b.now.UnixNano(), "-", i)
-		gs := grantsOf(b.ask(r))
-		if len(gs) == 0 {
-			out = append(out, "")
-			continue
-		}
-		out = append(out, gs[0].Endpoint)
-		b.Release(b.now, gs[0].GrantID, o)
-	}
-	return out
-}
-
 // Guards against work for endpoints that can not or must not take it.
 func TestEndpointsThatGetNothing(t *testing.T) {
 	for _, test := range []struct {
