policy: treat a plain response as one whole

Its first token was counted at the start of the service time, for the core and the oracle alike, so that targets of plain services were too easy to meet.

--- a/internal/policy/engine.go
+++ b/internal/policy/engine.go
@@ -100,7 +100,7 @@
 func (e *engine) decode(r *request) {
 	e.advance()
 	r.decoding, r.ends = true, e.tokens+float64(r.tokens-r.done)
-	if r.first == 0 {
+	if r.first == 0 && !e.sim.service.plain {
 		r.first = e.sim.now + e.pace(len(e.running))
 	}
 	e.fill()
@@ -117,6 +117,9 @@
 	for _, r := range done {
 		e.take(r)
 		r.done = r.tokens
+		if r.first == 0 {
+			r.first = e.sim.now // a plain response comes whole
+		}
 	}
 	e.fill()
 	for _, r := range done {
--- a/internal/policy/routers.go
+++ b/internal/policy/routers.go
@@ -101,12 +101,21 @@
 func (o *oracle) submit(r *request) {
 	q := &o.onTime[r.class.tier]
 	i, _ := slices.BinarySearchFunc(*q, r, func(a, b *request) int {
-		return cmp.Compare(a.arrive+a.class.target, b.arrive+b.class.target)
+		return cmp.Compare(o.due(a), o.due(b))
 	})
 	*q = slices.Insert(*q, i, r)
 	o.dispatch()
 }
 
+// due is the latest start that meets the target on an engine of usual speed. The
+// response of a plain service comes whole.
+func (o *oracle) due(r *request) float64 {
+	if o.sim.service.plain {
+		return r.arrive + r.class.target - float64(r.tokens)*o.sim.service.tokenTime
+	}
+	return r.arrive + r.class.target
+}
+
 func (o *oracle) ended(*request, *engine, bool) { o.dispatch() }
 
 func (o *oracle) left(r *request) {
@@ -138,7 +147,11 @@
 		}
 		pace := e.pace(len(e.running) + 1)
 		first := o.sim.now + e.slow*prefill + pace
-		if end := first + pace*float64(r.tokens-r.done); end < bestEnd {
+		end := first + pace*float64(r.tokens-r.done)
+		if o.sim.service.plain {
+			first = end
+		}
+		if end < bestEnd {
 			best, bestEnd = e, end
 			inTime = first <= r.arrive+r.class.target && pace <= r.class.between
 		}
@@ -151,7 +164,7 @@
 		for len(o.onTime[t]) > 0 {
 			r := o.onTime[t][0]
 			e, inTime := o.best(r)
-			if e == nil || !inTime && o.sim.now < r.arrive+r.class.target-1 {
+			if e == nil || !inTime && o.sim.now < o.due(r)-1 {
 				return // no engine is free, or only a slow one
 			}
 			o.onTime[t] = o.onTime[t][1:]
--- a/internal/policy/sim.go
+++ b/internal/policy/sim.go
@@ -159,7 +159,7 @@
 // finished is told by an engine that a request has ended there.
 func (s *sim) finished(r *request, whole bool) {
 	s.router.ended(r, r.last, whole)
-	if whole || r.class.once && r.first > 0 {
+	if whole || r.class.once && r.attempt > 0 { // it may have run
 		r.delivered, r.over, r.end = whole, true, s.now
 		return
 	}
