cli: add auburnctl with its sessions, page and examples

apply sends the difference under one change id and repeats a call whose answer was lost. It reports a change as not applied only where no connection was made or a server refused the call, and otherwise as perhaps applied.

--wait counts an entry that was listed before the change and is missing after it as live for 3 s: a leader that was elected a moment ago does not list all entries yet, and an entry without contact accepts requests for that long.

The sessions run in the test process with a clock that moves only while a command sleeps, so that no test depends on the speed of the machine.

--- /dev/null
+++ b/cmd/auburnctl/main.go
@@ -0,0 +1,10 @@
+// Command auburnctl is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"auburnstep.example/auburnstep/internal/cli"
+)
+
+func main() { os.Exit(cli.Run(os.Args[1:], cli.SystemEnv())) }
--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,193 @@
+package cli
+
+import (
+	"strings"
+	"time"
+
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1/controlv1connect"
+	"auburnstep.example/auburnstep/internal/settings"
+)
+
+type applyCmd struct {
+	File     []string `short:"f" required:"" sep:"none" placeholder:"FILE|DIR" help:"File or directory of declarations. May be repeated."`
+	DryRun   bool     `help:"Show what would change, without changing it."`
+	Prune    bool     `help:"Remove all that is not declared, so that the tree equals the declarations."`
+	ChangeID string   `placeholder:"ID" help:"Identity of the change, the same for a resend. Drawn at random by default."`
+	Actor    string   `env:"AUBURNSTEP_ACTOR" placeholder:"NAME" help:"Who makes the change. The system user by default."`
+	Wait     bool     `default:"true" negatable:"" help:"Wait until every live entry has the new version."`
+}
+
+// Help is shown by --help.
+func (applyCmd) Help() string {
+	return `The difference between the declarations and the present settings is sent as one change, which is accepted as a whole or not at all. If others changed the settings meanwhile, nothing is changed.
+
+Examples:
+
+  auburnctl apply -f examples/cerapulita --dry-run
+  auburnctl apply -f settings/ --prune --timeout 30s
+  auburnctl apply -f limits.yaml --no-wait -o json`
+}
+
+// applyOutput is the JSON form of the outcome of a change.
+type applyOutput struct {
+	ChangeID   string           `json:"change_id,omitempty"`
+	Outcome    string           `json:"outcome"`
+	Version    uint64           `json:"version"`
+	Diff       []string         `json:"diff"`
+	Conflicts  []conflictOutput `json:"conflicts,omitempty"`
+	WaitingFor []string         `json:"waiting_for,omitempty"`
+}
+
+type conflictOutput struct {
+	ChangeID string   `json:"change_id"`
+	Version  uint64   `json:"version"`
+	Actor    string   `json:"actor"`
+	Touched  []string `json:"touched"`
+}
+
+// Run applies the declarations.
+func (c *applyCmd) Run(s *session) error {
+	declared, err := settings.Load(c.File...)
+	if err != nil {
+		return exit(CodeInvalid, "%w", err)
+	}
+	version, tree, err := s.tree()
+	if err != nil {
+		return err
+	}
+	ops := settings.Diff(tree, declared, c.Prune)
+	out := applyOutput{Version: version, Outcome: "unchanged", Diff: settings.Describe(tree, ops)}
+	if len(ops) == 0 {
+		return c.print(s, out)
+	}
+	if _, err := tree.Apply(ops); err != nil {
+		return exit(CodeInvalid, "%w", declared.Locate(err))
+	}
+	if c.DryRun {
+		out.Outcome = "dry run"
+		return c.dryRun(s, ops, out)
+	}
+	return c.send(s, ops, out)
+}
+
+func (c *applyCmd) change(s *session, ops []*controlv1.Operation, base uint64) *controlv1.Change {
+	change := &controlv1.Change{ChangeId: c.ChangeID, BaseVersion: base, Actor: c.Actor, Operations: ops, Clock: s.clock.Now().String()}
+	if change.ChangeId == "" {
+		change.ChangeId = s.NewID()
+	}
+	if change.Actor == "" {
+		change.Actor = s.Actor
+	}
+	return change
+}
+
+func changeLeader(r *controlv1.ChangeResponse) (string, bool) {
+	return r.GetLeaderAddress(), r.GetResult() != nil
+}
+
+// dryRun asks the leader as well, whose rules may be those of another version.
+func (c *applyCmd) dryRun(s *session, ops []*controlv1.Operation, out applyOutput) error {
+	req := &controlv1.ChangeRequest{Change: c.change(s, ops, out.Version), DryRun: true}
+	res, failed := ask(s, controlv1connect.ControlClient.Change, req, changeLeader)
+	if failed != nil {
+		return readError(failed)
+	}
+	if res.GetResult().GetOutcome() == controlv1.ChangeResult_INVALID {
+		return exit(CodeInvalid, "the leader refuses the change: %s", res.GetResult().GetMessage())
+	}
+	return c.print(s, out)
+}
+
+func (c *applyCmd) send(s *session, ops []*controlv1.Operation, out applyOutput) error {
+	change := c.change(s, ops, out.Version)
+	out.ChangeID = change.ChangeId
+	w := &waiter{session: s, absent: make(map[string]time.Time)}
+	if c.Wait {
+		w.learn()
+	}
+	res, failed := ask(s, controlv1connect.ControlClient.Change, &controlv1.ChangeRequest{Change: change}, changeLeader)
+	if failed != nil {
+		return changeError(change.ChangeId, failed)
+	}
+	result := res.GetResult()
+	base := out.Version
+	out.Version = result.GetVersion()
+	out.Outcome = strings.ToLower(result.GetOutcome().String())
+	switch result.GetOutcome() {
+	case controlv1.ChangeResult_ACCEPTED:
+		return c.accepted(s, out, w)
+	case controlv1.ChangeResult_UNCHANGED:
+		return c.print(s, out)
+	case controlv1.ChangeResult_CONFLICT:
+		out.Conflicts = conflictOutputs(result.GetConflicts())
+		if err := c.print(s, out); err != nil {
+			return err
+		}
+		return exit(CodeConflict, "conflict: the settings are at version %d, the change was made from %d; nothing was changed, apply again to use the present settings",
+			out.Version, base)
+	default:
+		return exit(CodeInvalid, "the leader refuses the change: %s", result.GetMessage())
+	}
+}
+
+// changeError says whether a change without an answer may have been applied.
+func changeError(id string, failed *callError) error {
+	if failed.sent {
+		return exit(CodeUnknown, "change %s may have been applied: %w; ask with: auburnctl result %s", id, failed, id)
+	}
+	if failed.final {
+		return exit(CodeFailure, "not applied: %w", failed)
+	}
+	return exit(CodeUnreachable, "not applied: no server answered, last tried %w", failed)
+}
+
+func conflictOutputs(list []*controlv1.ChangeSummary) []conflictOutput {
+	out := make([]conflictOutput, 0, len(list))
+	for _, c := range list {
+		out = append(out, conflictOutput{c.GetChangeId(), c.GetVersion(), c.GetActor(), c.GetTouched()})
+	}
+	return out
+}
+
+// accepted waits until the version is in force. The change is accepted
+// whatever happens to the wait.
+func (c *applyCmd) accepted(s *session, out applyOutput, w *waiter) error {
+	if !s.json() {
+		printDiff(s, out.Diff)
+		s.printf("accepted: version %d, change %s\n", out.Version, out.ChangeID)
+	}
+	var waitErr error
+	if c.Wait {
+		out.WaitingFor, waitErr = w.wait(out.Version)
+	}
+	if s.json() {
+		if err := s.printJSON(out); err != nil {
+			return err
+		}
+	} else if c.Wait && waitErr == nil {
+		s.printf("in force: version %d at every entry\n", out.Version)
+	}
+	return waitErr
+}
+
+func (c *applyCmd) print(s *session, out applyOutput) error {
+	if s.json() {
+		return s.printJSON(out)
+	}
+	printDiff(s, out.Diff)
+	for _, conflict := range out.Conflicts {
+		s.printf("version %d by %s, change %s:\n", conflict.Version, conflict.Actor, conflict.ChangeID)
+		for _, touched := range conflict.Touched {
+			s.printf("    %s\n", touched)
+		}
+	}
+	s.printf("%s: version %d\n", out.Outcome, out.Version)
+	return nil
+}
+
+func printDiff(s *session, diff []string) {
+	for _, line := range diff {
+		s.printf("%s\n", line)
+	}
+}
--- /dev/null
+++ b/internal/cli/docs.go
@@ -0,0 +1,62 @@
+package cli
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+)
+
+const pageHead = `# auburnctl
+
+This page is generated from the command line by ` + "`go test ./internal/cli -run TestCommandPage -update`" + `.
+
+The servers are instances of auburnstep. They are tried in turn, and a call follows the leader's address. Calls are
+repeated until ` + "`--timeout`" + ` ends; a command gives up at once where no server accepts a connection or a server refuses
+the call. Errors are one line on stderr.
+
+` + "`apply`" + ` reads the present settings, sends the difference with their version and draws a change id. A lost answer is
+asked for again under the same id, under which a change takes effect at most once. With ` + "`--wait`" + ` the command returns once
+every live entry has the new version; an entry that loses contact counts as live for 3 s, after which it refuses
+requests by itself.
+
+## Exit codes
+
+| code | meaning |
+|---|---|
+`
+
+// Markdown returns docs/auburnctl.md.
+func Markdown() (string, error) {
+	var b strings.Builder
+	b.WriteString(pageHead)
+	for code, text := range codeTexts {
+		fmt.Fprintf(&b, "| %d | %s |\n", code, text)
+	}
+	var g grammar
+	parser, err := newParser(&g, Env{Stdout: io.Discard, Stderr: io.Discard})
+	if err != nil {
+		return "", err
+	}
+	for _, leaf := range parser.Model.Leaves(true) {
+		help, err := helpOf(strings.Fields(leaf.Path()))
+		if err != nil {
+			return "", err
+		}
+		fmt.Fprintf(&b, "\n## %s\n\n```\n%s```\n", "auburnctl "+leaf.Path(), help)
+	}
+	return b.String(), nil
+}
+
+// helpOf returns what --help prints for a command.
+func helpOf(command []string) (string, error) {
+	var out bytes.Buffer
+	args := make([]string, 0, len(command)+1)
+	for _, word := range command {
+		if !strings.HasPrefix(word, "<") && !strings.HasPrefix(word, "[") {
+			args = append(args, word)
+		}
+	}
+	err := run(append(args, "--help"), Env{Stdout: &out, Stderr: io.Discard})
+	return out.String(), err
+}
--- /dev/null
+++ b/internal/cli/fake_test.go
@@ -0,0 +1,241 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1/controlv1connect"
+	"auburnstep.example/auburnstep/internal/rpc/eventsv1"
+	"auburnstep.example/auburnstep/internal/rpc/eventsv1/eventsv1connect"
+	"auburnstep.example/auburnstep/internal/rpc/schedulerv1"
+	"auburnstep.example/auburnstep/internal/rpc/schedulerv1/schedulerv1connect"
+	"auburnstep.example/auburnstep/internal/settings"
+)
+
+const operatorToken = "operators-token"
+
+// fleet is a small deployment: nord-a-1 leads, nord-b-1 follows, nord-c-1 is
+// listed and down.
+type fleet struct {
+	mu      sync.Mutex
+	tree    *settings.Tree
+	version uint64
+	results map[string]*controlv1.ChangeResult
+	calls   int // of Change
+
+	// Faults.
+	lose    int  // answers of Change to lose after the change is applied
+	refuse  int  // calls of Change to cut off before anything happens
+	intrude bool // another change gets in before the next
+	lag     int  // answers of Status in which nord-b-1 reports an old version
+	vanish  bool // nord-b-1 loses contact once the next change is applied
+	gone    bool // nord-b-1 has no contact
+
+	addresses map[string]string
+	servers   []*httptest.Server
+}
+
+func newFleet() *fleet {
+	f := &fleet{tree: settings.New(), version: 1, results: map[string]*controlv1.ChangeResult{}, addresses: map[string]string{}}
+	for _, name := range []string{"nord-a-1", "nord-b-1"} {
+		server := httptest.NewServer(f.handler(name))
+		f.addresses[name] = strings.TrimPrefix(server.URL, "http://")
+		f.servers = append(f.servers, server)
+	}
+	f.addresses["nord-c-1"] = "127.0.0.1:1" // nothing listens there
+	return f
+}
+
+func (f *fleet) close() {
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
+
+func (f *fleet) handler(name string) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(controlv1connect.NewControlHandler(&fakeControl{fleet: f, name: name}))
+	mux.Handle(eventsv1connect.NewInstanceHandler(&fakeInstance{fleet: f, name: name}))
+	mux.Handle(schedulerv1connect.NewSchedulerHandler(&fakeScheduler{}))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer "+operatorToken {
+			connect.NewErrorWriter().Write(w, r, connect.NewError(connect.CodeUnauthenticated, errors.New("the operators' token is missing or wrong")))
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// fakeControl is the control service of one instance.
+type fakeControl struct {
+	controlv1connect.UnimplementedControlHandler
+	*fleet
+	name string
+}
+
+// leader returns the leader's address at the other instances.
+func (f *fakeControl) leader() string {
+	if f.name == "nord-a-1" {
+		return ""
+	}
+	return f.addresses["nord-a-1"]
+}
+
+func (f *fakeControl) Settings(context.Context, *connect.Request[controlv1.SettingsRequest]) (*connect.Response[controlv1.SettingsResponse], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l := f.leader(); l != "" {
+		return connect.NewResponse(&controlv1.SettingsResponse{LeaderAddress: l}), nil
+	}
+	s := f.tree.Export()
+	s.Version = f.version
+	return connect.NewResponse(&controlv1.SettingsResponse{Settings: s}), nil
+}
+
+func (f *fakeControl) Change(_ context.Context, req *connect.Request[controlv1.ChangeRequest]) (*connect.Response[controlv1.ChangeResponse], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l := f.leader(); l != "" {
+		return connect.NewResponse(&controlv1.ChangeResponse{LeaderAddress: l}), nil
+	}
+	f.calls++
+	if f.refuse > 0 {
+		f.refuse--
+		panic(http.ErrAbortHandler)
+	}
+	change := req.Msg.GetChange()
+	if f.intrude {
+		f.intrude = false
+		f.apply(&controlv1.Change{ChangeId: "other-change", BaseVersion: f.version, Actor: "bea@nord", Operations: []*controlv1.Operation{
+			{Kind: controlv1.Operation_KEY_SET, Path: "/", Key: "tier", Value: "2"}}})
+	}
+	if req.Msg.GetDryRun() {
+		return connect.NewResponse(&controlv1.ChangeResponse{Result: &controlv1.ChangeResult{Outcome: controlv1.ChangeResult_ACCEPTED}}), nil
+	}
+	result, ok := f.results[change.GetChangeId()]
+	if !ok {
+		result = f.apply(change)
+		f.results[change.GetChangeId()] = result
+	}
+	if f.lose > 0 {
+		f.lose--
+		panic(http.ErrAbortHandler)
+	}
+	return connect.NewResponse(&controlv1.ChangeResponse{Result: result}), nil
+}
+
+func (f *fleet) apply(c *controlv1.Change) *controlv1.ChangeResult {
+	if c.GetBaseVersion() != f.version {
+		return &controlv1.ChangeResult{ChangeId: c.GetChangeId(), Outcome: controlv1.ChangeResult_CONFLICT, Version: f.version,
+			Conflicts: []*controlv1.ChangeSummary{{ChangeId: "other-change", Version: f.version, Actor: "bea@nord", Touched: []string{"/ tier"}}}}
+	}
+	next, err := f.tree.Apply(c.GetOperations())
+	if err != nil {
+		return &controlv1.ChangeResult{Outcome: controlv1.ChangeResult_INVALID, Version: f.version, Message: err.Error()}
+	}
+	f.tree, f.gone = next, f.vanish
+	f.version++
+	return &controlv1.ChangeResult{ChangeId: c.GetChangeId(), Outcome: controlv1.ChangeResult_ACCEPTED, Version: f.version}
+}
+
+func (f *fakeControl) Result(_ context.Context, req *connect.Request[controlv1.ResultRequest]) (*connect.Response[controlv1.ChangeResponse], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return connect.NewResponse(&controlv1.ChangeResponse{LeaderAddress: f.leader(), Result: f.results[req.Msg.GetChangeId()]}), nil
+}
+
+func (f *fakeControl) Member(_ context.Context, req *connect.Request[controlv1.MemberRequest]) (*connect.Response[controlv1.MemberResponse], error) {
+	if l := f.leader(); l != "" {
+		return connect.NewResponse(&controlv1.MemberResponse{LeaderAddress: l}), nil
+	}
+	verb := "added as a learner"
+	if req.Msg.GetRemove() {
+		verb = "removed"
+	}
+	return connect.NewResponse(&controlv1.MemberResponse{Message: fmt.Sprintf("member %d %s", req.Msg.GetId(), verb)}), nil
+}
+
+func (f *fakeControl) Status(context.Context, *connect.Request[controlv1.StatusRequest]) (*connect.Response[controlv1.StatusResponse], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l := f.leader(); l != "" {
+		return connect.NewResponse(&controlv1.StatusResponse{LeaderAddress: l}), nil
+	}
+	res := &controlv1.StatusResponse{LeaderAddress: f.addresses["nord-a-1"], Term: 3, Commit: 40, Applied: 40, SettingsVersion: f.version}
+	for i, name := range []string{"nord-a-1", "nord-b-1", "nord-c-1"} {
+		res.Members = append(res.Members, &controlv1.MemberStatus{Id: uint64(i + 1), Instance: name, Address: f.addresses[name],
+			Voter: name != "nord-c-1", Leader: name == "nord-a-1", Match: uint64(40 - i)})
+	}
+	res.Entries = []*controlv1.EntryInfo{f.entry("nord-a-1", "nord-a")}
+	if !f.gone {
+		res.Entries = append(res.Entries, f.entry("nord-b-1", "nord-b"))
+	}
+	res.Assignments = []*controlv1.Assignment{
+		{Group: "auburn-pool/0", Instance: "nord-a-1", Address: f.addresses["nord-a-1"], Epoch: 7},
+		{Group: "rota-app/0", Instance: "nord-c-1", Address: f.addresses["nord-c-1"], Epoch: 8}}
+	res.Groups = []*controlv1.GroupReport{{Group: "auburn-pool/0", Endpoints: 2, Slots: 16, InFlight: 5, Waiting: 1}}
+	return connect.NewResponse(res), nil
+}
+
+func (f *fleet) entry(name, domain string) *controlv1.EntryInfo {
+	version := f.version
+	if name == "nord-b-1" && f.lag > 0 {
+		f.lag--
+		version = 1
+	}
+	return &controlv1.EntryInfo{Instance: name, Address: "10.0.0.1:8080", PeerAddress: f.addresses[name], FailureDomain: domain, SettingsVersion: version}
+}
+
+// fakeInstance serves the events of one instance.
+type fakeInstance struct {
+	eventsv1connect.UnimplementedInstanceHandler
+	*fleet
+	name string
+}
+
+func (f *fakeInstance) Events(_ context.Context, req *connect.Request[eventsv1.EventsRequest]) (*connect.Response[eventsv1.EventsResponse], error) {
+	const start = 1767225600000
+	events := []*eventsv1.Event{
+		{WallMs: start + 5, Counter: 1, Number: 3001, Name: "change-accepted", Text: "a settings change was accepted",
+			Fields: []*eventsv1.Field{{Key: "change", Value: "c-1"}}},
+		{WallMs: start + 9, Number: 5002, Name: "request-refused", Text: "a request was refused",
+			Fields: []*eventsv1.Field{{Key: "request", Value: "r-1"}, {Key: "customer", Value: "torino"}}}}
+	res := &eventsv1.EventsResponse{}
+	for _, e := range events {
+		if f.name == "nord-b-1" {
+			e.WallMs-- // an earlier event at the instance that is asked later
+		}
+		e.Instance = f.name
+		if want := req.Msg.GetCustomer(); want == "" || e.Fields[len(e.Fields)-1].Value == want {
+			res.Events = append(res.Events, e)
+		}
+	}
+	return connect.NewResponse(res), nil
+}
+
+func (f *fakeInstance) Drain(context.Context, *connect.Request[eventsv1.DrainRequest]) (*connect.Response[eventsv1.DrainResponse], error) {
+	return connect.NewResponse(&eventsv1.DrainResponse{InFlight: 4}), nil
+}
+
+type fakeScheduler struct {
+	schedulerv1connect.UnimplementedSchedulerHandler
+}
+
+func (fakeScheduler) Status(_ context.Context, req *connect.Request[schedulerv1.StatusRequest]) (*connect.Response[schedulerv1.StatusResponse], error) {
+	endpoint := func(id string, s *schedulerv1.EndpointStatus) *schedulerv1.EndpointStatus {
+		s.Endpoint = &schedulerv1.Endpoint{Id: id, Address: "10.0.1.1:9000", FailureDomain: "nord-b", Slots: 8, Load: &schedulerv1.Load{Running: 3}}
+		s.LeaseLeftMs = 2500
+		return s
+	}
+	return connect.NewResponse(&schedulerv1.StatusResponse{Group: req.Msg.GetGroup(), Epoch: 7, Endpoints: []*schedulerv1.EndpointStatus{
+		endpoint("engine-1", &schedulerv1.EndpointStatus{InFlight: 3, ObservedTokensPerSecond: 41.6}),
+		endpoint("engine-2", &schedulerv1.EndpointStatus{InFlight: 2, Ejected: true})}}), nil
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,204 @@
+package cli
+
+import (
+	"slices"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1/controlv1connect"
+	"auburnstep.example/auburnstep/internal/rpc/eventsv1"
+)
+
+// status asks the leader, since only it knows the live entries.
+func (s *session) status() (*controlv1.StatusResponse, *callError) {
+	return ask(s, controlv1connect.ControlClient.Status, &controlv1.StatusRequest{},
+		func(r *controlv1.StatusResponse) (string, bool) {
+			return r.GetLeaderAddress(), len(r.GetEntries()) > 0 || r.GetLeaderAddress() == "" && hasLeader(r)
+		})
+}
+
+func hasLeader(r *controlv1.StatusResponse) bool {
+	return slices.ContainsFunc(r.GetMembers(), func(m *controlv1.MemberStatus) bool { return m.GetLeader() })
+}
+
+type statusCmd struct{}
+
+// Help is shown by --help.
+func (statusCmd) Help() string {
+	return "Examples:\n\n  auburnctl status\n  auburnctl status -o json"
+}
+
+// Run prints members, entries and groups.
+func (c *statusCmd) Run(s *session) error {
+	status, failed := s.status()
+	if failed != nil {
+		return readError(failed)
+	}
+	if s.json() {
+		return s.printMessage(status)
+	}
+	s.printf("leader %s, term %d, commit %d, applied %d, settings version %d\n\n", status.GetLeaderAddress(), status.GetTerm(),
+		status.GetCommit(), status.GetApplied(), status.GetSettingsVersion())
+	if err := memberTable(s, status); err != nil {
+		return err
+	}
+	s.printf("\n")
+	t := newTable(s.Stdout, "ENTRY", "ADDRESS", "FAILURE DOMAIN", "SETTINGS", "STATE")
+	for _, e := range status.GetEntries() {
+		state := "serving"
+		if e.GetDraining() {
+			state = "draining"
+		}
+		t.row(e.GetInstance(), e.GetAddress(), e.GetFailureDomain(), number(e.GetSettingsVersion()), state)
+	}
+	if err := t.flush(); err != nil {
+		return err
+	}
+	s.printf("\n")
+	return groupTable(s, status)
+}
+
+func memberTable(s *session, status *controlv1.StatusResponse) error {
+	t := newTable(s.Stdout, "MEMBER", "INSTANCE", "ADDRESS", "ROLE", "MATCH")
+	for _, m := range status.GetMembers() {
+		role := "learner"
+		if m.GetLeader() {
+			role = "leader"
+		} else if m.GetVoter() {
+			role = "voter"
+		}
+		t.row(number(m.GetId()), m.GetInstance(), m.GetAddress(), role, number(m.GetMatch()))
+	}
+	return t.flush()
+}
+
+func groupTable(s *session, status *controlv1.StatusResponse) error {
+	reports := make(map[string]*controlv1.GroupReport, len(status.GetGroups()))
+	for _, g := range status.GetGroups() {
+		reports[g.GetGroup()] = g
+	}
+	t := newTable(s.Stdout, "GROUP", "HOLDER", "EPOCH", "ENDPOINTS", "IN FLIGHT", "SLOTS", "WAITING")
+	for _, a := range status.GetAssignments() {
+		r := reports[a.GetGroup()]
+		t.row(a.GetGroup(), a.GetInstance(), number(a.GetEpoch()), number(r.GetEndpoints()), number(r.GetInFlight()),
+			number(r.GetSlots()), number(r.GetWaiting()))
+	}
+	return t.flush()
+}
+
+type memberCmd struct {
+	List   memberListCmd   `cmd:"" help:"Show the control members."`
+	Add    memberAddCmd    `cmd:"" help:"Add a member; it learns first and votes once it has caught up."`
+	Remove memberRemoveCmd `cmd:"" help:"Remove a member."`
+}
+
+type memberListCmd struct{}
+
+// Run prints the members.
+func (c *memberListCmd) Run(s *session) error {
+	status, failed := s.status()
+	if failed != nil {
+		return readError(failed)
+	}
+	if s.json() {
+		return s.printMessage(&controlv1.StatusResponse{Members: status.GetMembers()})
+	}
+	return memberTable(s, status)
+}
+
+type memberAddCmd struct {
+	ID       uint64 `arg:"" help:"ID of the member, as its log prints it at the first start."`
+	Address  string `arg:"" help:"HOST:PORT of the member."`
+	Instance string `help:"Name of its instance."`
+}
+
+// Help is shown by --help.
+func (memberAddCmd) Help() string {
+	return "Example:\n\n  auburnctl member add 7215309 10.1.3.4:7700 --instance nord-c-1"
+}
+
+// Run adds a member.
+func (c *memberAddCmd) Run(s *session) error {
+	return s.member(&controlv1.MemberRequest{Id: c.ID, Address: c.Address, Instance: c.Instance})
+}
+
+type memberRemoveCmd struct {
+	ID uint64 `arg:"" help:"ID of the member."`
+}
+
+// Help is shown by --help.
+func (memberRemoveCmd) Help() string { return "Example:\n\n  auburnctl member remove 7215309" }
+
+// Run removes a member.
+func (c *memberRemoveCmd) Run(s *session) error {
+	return s.member(&controlv1.MemberRequest{Id: c.ID, Remove: true})
+}
+
+func (s *session) member(req *controlv1.MemberRequest) error {
+	res, failed := ask(s, controlv1connect.ControlClient.Member, req,
+		func(r *controlv1.MemberResponse) (string, bool) { return r.GetLeaderAddress(), r.GetMessage() != "" })
+	switch {
+	case failed == nil:
+	case failed.sent:
+		return exit(CodeUnknown, "the member change may have been applied: %w; see: auburnctl member list", failed)
+	default:
+		return readError(failed)
+	}
+	if s.json() {
+		return s.printMessage(res)
+	}
+	s.printf("%s\n", res.GetMessage())
+	return nil
+}
+
+type drainCmd struct {
+	Instance string `arg:"" help:"Name of the instance, or its HOST:PORT."`
+}
+
+// Help is shown by --help.
+func (drainCmd) Help() string {
+	return "The instance leaves the entry list, so that callers go elsewhere, and finishes what it serves.\n\nExample:\n\n  auburnctl drain nord-a-1"
+}
+
+// Run drains an instance.
+func (c *drainCmd) Run(s *session) error {
+	address := c.Instance
+	if !strings.Contains(address, ":") {
+		var err error
+		if address, err = s.peerAddress(c.Instance); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := s.callContext()
+	defer cancel()
+	res, err := s.client.instance(address).Drain(ctx, connect.NewRequest(&eventsv1.DrainRequest{}))
+	if err != nil {
+		code := CodeUnreachable
+		if refused(err) {
+			code = CodeFailure
+		}
+		return exit(code, "drain %s: %w; a drain may be repeated", c.Instance, plain(err))
+	}
+	if s.json() {
+		return s.printMessage(res.Msg)
+	}
+	s.printf("%s is draining, %d requests in flight\n", c.Instance, res.Msg.GetInFlight())
+	return nil
+}
+
+func (s *session) peerAddress(instance string) (string, error) {
+	status, failed := s.status()
+	if failed != nil {
+		return "", readError(failed)
+	}
+	names := make([]string, 0, len(status.GetEntries()))
+	for _, e := range status.GetEntries() {
+		if e.GetInstance() == instance {
+			return e.GetPeerAddress(), nil
+		}
+		names = append(names, e.GetInstance())
+	}
+	return "", exit(CodeNotFound, "there is no live entry %s, known are %s", instance, strings.Join(names, ", "))
+}
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -132,7 +132,7 @@
 	if err != nil || text == "0" || d%time.Microsecond != 0 {
 		return Value{}, fmt.Errorf("%q is not a duration with a unit, such as 450ms, 20s or 24h", text)
 	}
-	return Value{TypeDuration, formatUnits(int64(d), durationUnits), int64(d)}, nil
+	return Value{TypeDuration, formatUnits(int64(d), durationUnits, "s"), int64(d)}, nil
 }
 
 func parseRatio(text string) (Value, error) {
@@ -164,9 +164,9 @@
 	decimalUnits = []unit{{"GB", 1e9}, {"MB", 1e6}, {"KB", 1e3}, {"kB", 1e3}}
 )
 
-func formatUnits(n int64, units []unit) string {
+func formatUnits(n int64, units []unit, base string) string {
 	if n == 0 {
-		return "0" + units[len(units)-1].name
+		return "0" + base
 	}
 	for _, u := range units {
 		if n%u.size == 0 {
@@ -186,7 +186,7 @@
 		if err != nil || n < 0 || n > math.MaxInt64/u.size {
 			break
 		}
-		return Value{TypeSize, formatUnits(n*u.size, sizeUnits), n * u.size}, nil
+		return Value{TypeSize, formatUnits(n*u.size, sizeUnits, "B"), n * u.size}, nil
 	}
 	return Value{}, fmt.Errorf("%q is not a size with a unit, such as 512KiB or 4MiB", text)
 }
