Route by remembered models and report errors as events

Requests right after a start or a scheduler take-over were answered 404 model_not_found, because the models came from the current group reports only (seen in the demo: 2 to 5 of 79 chat requests). Models now stay known for 10 minutes, and an entry that has heard of none answers 503 with Retry-After.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -59,11 +59,21 @@
 // route finds the service that serves a model.
 func (s *Server) route(q *request, model string) *verdict.Error {
 	announced := s.announcedModels()
+	unknown := false
 	for _, service := range q.index.Services() {
-		if service.Engine && slices.Contains(modelsOf(service, announced), model) {
+		if !service.Engine {
+			continue
+		}
+		models := modelsOf(service, announced)
+		if slices.Contains(models, model) {
 			q.service = service
 			return nil
 		}
+		unknown = unknown || len(models) == 0
+	}
+	if unknown {
+		// An entry that has just started has not heard of all endpoints yet.
+		return verdict.Overloaded("model_unavailable", "no endpoint has announced the model "+quote(model)+" so far", time.Second)
 	}
 	return verdict.Refused(http.StatusNotFound, "model_not_found", "no service offers the model "+quote(model))
 }
--- a/internal/entry/entries.go
+++ b/internal/entry/entries.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
+	"time"
 
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
@@ -42,12 +45,48 @@
 	return Address{Address: e.Address, FailureDomain: e.FailureDomain, Weight: max(e.Weight, 1)}
 }
 
-// announcedModels returns the models that endpoints announce, by service.
-func (s *Server) announcedModels() map[string][]string {
-	out := make(map[string][]string)
-	for _, r := range s.o.View.Reports() {
+// modelMemory is how long a model that was announced stays known without a
+// report. A scheduler that takes over a group reports models only after the
+// endpoints have announced themselves to it.
+const modelMemory = 10 * time.Minute
+
+// modelTable remembers the models that endpoints announce, by service.
+type modelTable struct {
+	mu   sync.Mutex
+	seen map[string]map[string]time.Time
+}
+
+// update adds the models of the reports and returns all known ones, sorted.
+func (t *modelTable) update(now time.Time, reports []*controlv1.GroupReport) map[string][]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.seen == nil {
+		t.seen = make(map[string]map[string]time.Time)
+	}
+	for _, r := range reports {
 		service, _, _ := strings.Cut(r.Group, "/")
-		out[service] = append(out[service], r.Models...)
+		if t.seen[service] == nil {
+			t.seen[service] = make(map[string]time.Time)
+		}
+		for _, m := range r.Models {
+			t.seen[service][m] = now
+		}
+	}
+	out := make(map[string][]string, len(t.seen))
+	for service, models := range t.seen {
+		for m, at := range models {
+			if now.Sub(at) > modelMemory {
+				delete(models, m)
+				continue
+			}
+			out[service] = append(out[service], m)
+		}
+		slices.Sort(out[service])
 	}
 	return out
 }
+
+// announcedModels returns the models that endpoints announce, by service.
+func (s *Server) announcedModels() map[string][]string {
+	return s.announced.update(time.Now(), s.o.View.Reports())
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -89,6 +89,8 @@
 	http     *http.Server
 	inFlight atomic.Int64
 	metrics  requestMetrics
+	// announced remembers the models that endpoints announce.
+	announced modelTable
 }
 
 // New returns a server that does not accept yet.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -46,11 +46,13 @@
 		defer s.inFlight.Add(-1)
 		q := &request{id: uuid.NewString(), start: time.Now()}
 		w.Header().Set(HeaderRequestID, q.id)
-		if err := s.admit(r, q); err != nil {
-			writeError(w, err)
-			return
+		err := s.admit(r, q)
+		if err == nil {
+			err = h(w, r, q)
 		}
-		if err := h(w, r, q); err != nil {
+		if err != nil {
+			s.o.Events.Emit(eventRefused, event.Request(q.id), event.Customer(q.customer), event.F("code", err.Code),
+				event.F("status", err.Status), event.F("verdict", err.Verdict))
 			writeError(w, err)
 		}
 	})
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -10,7 +10,7 @@
 cleanup() {
   kill "${pids[@]}" 2>/dev/null || true
   wait 2>/dev/null || true
-  rm -rf "$dir"
+  [ -n "${DEMO_KEEP:-}" ] || rm -rf "$dir"
 }
 trap cleanup EXIT
 fail() {
@@ -35,7 +35,7 @@
 instances=()
 for i in 0 1 2; do
   bin/auburnstepd --instance "instance-$i" --failure-domain "${domains[$i]}" --listen "${callers[$i]}" \
-    --peer-listen "${peers[$i]}" --data "$dir/data-$i" --initial-members "$members" --drain-wait 3s \
+    --peer-listen "${peers[$i]}" --data "$dir/data-$i" --initial-members "$members" \
     2>"$dir/instance-$i.log" &
   pids+=($!)
   instances+=($!)
@@ -53,9 +53,10 @@
   bin/fakeengine --announce "$entries" "$@" >>"$dir/endpoints.log" 2>&1 &
   pids+=($!)
 }
-start_endpoint --kind engine --service auburn-pool --id engine-1 --failure-domain nord-a --tokens-per-second 200
-start_endpoint --kind engine --service auburn-pool --id engine-2 --failure-domain nord-b --tokens-per-second 200
-start_endpoint --kind plain --service rota-app --id rota-1 --failure-domain nord-c
+start_endpoint --kind engine --service auburn-pool --id engine-1 --failure-domain nord-a --models wax-1 --tokens-per-second 400
+start_endpoint --kind engine --service auburn-pool --id engine-2 --failure-domain nord-b --models wax-1 --tokens-per-second 400
+rota=127.0.0.1:$((base + 20))
+start_endpoint --kind plain --service rota-app --id rota-1 --failure-domain nord-c --listen "$rota"
 for _ in $(seq 50); do
   [ "$(bin/auburnctl endpoints -o json 2>/dev/null | grep -c '"id"')" -ge 3 ] && break
   sleep 0.1
@@ -63,7 +64,8 @@
 bin/auburnctl endpoints || fail "endpoints"
 
 echo "== load of every class, each booking twice under one key; instance-2 leaves under load"
-bin/auburnload run --entries "$entries" --profile cerapulita --duration 8s --rate 20 &
+bin/auburnload run --instance "$entries" --profile cerapulita --model wax-1 --duration 8s --rate 20 --ledger "$rota" \
+  --key cera-demo-torino --key cera-demo-asti --key cera-demo-brera &
 load=$!
 sleep 2
 kill -TERM "${instances[2]}"
