Read usual chunks without encoding/json

Cause: encoding/json took 62% of the processor time of a profile of streams. Before: 5.6 us and 13 allocations for a chunk, 3246 allocations for a stream of 256 tokens with the stand-in. After: 1.0 to 1.1 us and 2 allocations, 429 for the stream. The machine was shared, so times of whole streams (2.5 ms before, 1.5 to 1.8 ms after) are rough. FuzzQuick compared both readers for 40 s and 15 s (888,000 runs) and found no difference.

--- a/internal/upstream/sse.go
+++ b/internal/upstream/sse.go
@@ -22,6 +22,10 @@
 	Choices []wireChoice    `json:"choices"`
 	Usage   json.RawMessage `json:"usage"`
 	Error   json.RawMessage `json:"error"`
+
+	// Storage of the usual case.
+	one    [1]wireChoice
+	offset int
 }
 
 type wireChoice struct {
@@ -37,6 +41,15 @@
 }
 
 func (w *wireChunk) parse(data []byte) error {
+	*w = wireChunk{}
+	if (&quick{data: data}).chunk(w) {
+		return nil
+	}
+	*w = wireChunk{}
+	return w.parseSlow(data)
+}
+
+func (w *wireChunk) parseSlow(data []byte) error {
 	if err := json.Unmarshal(data, w); err != nil {
 		return err
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -91,6 +91,7 @@
 	once   sync.Once
 	ended  error
 	long   []byte
+	wire   wireChunk
 	public []byte
 }
 
@@ -243,7 +244,7 @@
 		s.complete()
 		return Chunk{}, true, nil
 	}
-	var w wireChunk
+	w := &s.wire
 	if err := w.parse(data); err != nil {
 		return Chunk{}, false, s.abort(s.fail(ReasonMalformed, verdict.MayHaveRun, err))
 	}
@@ -254,7 +255,7 @@
 		s.client.metrics.crossed.Inc(1)
 		return Chunk{}, false, s.abort(s.fail(ReasonCrossed, verdict.MayHaveRun, Error.New("a chunk has id %q", w.ID)))
 	}
-	return s.place(&w, data)
+	return s.place(w, data)
 }
 
 // place checks the offset of a chunk of this answer.
