Check the bounds of the client on a simulated clock

The pace tests ran on the machine's clock with a bound of 300 ms, which a busy machine can pass; they now run under testing/synctest with the same cases, a slow engine added, and the cancel within 200 ms and the exact bounds checked.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -176,6 +176,15 @@
 	}
 }
 
+// TestRunWithoutEntries guards against a run that passes because it sent nothing.
+func TestRunWithoutEntries(t *testing.T) {
+	c := qt.New(t)
+	o := options(newEntryStub(c))
+	o.Instances = []string{"127.0.0.1:1"}
+	_, err := Run(context.Background(), o)
+	c.Check(err, qt.ErrorMatches, "load: none of .* requests could be sent to an entry")
+}
+
 func TestJudgeStream(t *testing.T) {
 	token := func(id, text string) string {
 		return fmt.Sprintf("data: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", id, text)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -144,6 +144,16 @@
 	return report
 }
 
+// anySent reports whether any request reached an entry.
+func (r *Report) anySent() bool {
+	for _, c := range r.Classes {
+		if c.Sent > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Failed reports whether an answer was wrong or a booking doubled, lost or run
 // against its verdict.
 func (r *Report) Failed() bool {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -82,7 +82,11 @@
 	start := time.Now()
 	r.send(ctx, arrivals, start)
 	r.wg.Wait()
-	return r.report(ctx, profile, time.Since(start)), nil
+	report := r.report(ctx, profile, time.Since(start))
+	if len(arrivals) > 0 && !report.anySent() {
+		return nil, Error.New("none of %d requests could be sent to an entry", len(arrivals))
+	}
+	return report, nil
 }
 
 // profile returns the profile with the changes of the options.
--- /dev/null
+++ b/internal/upstream/clock_test.go
@@ -0,0 +1,171 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/fakeengine"
+	"auburnstep.example/auburnstep/internal/verdict"
+)
+
+// pipeListener accepts in-memory connections, which a bubble's clock can wait for.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// inBubble runs a test against a stand-in with ten tokens per second on a clock
+// that moves only when all goroutines wait.
+func inBubble(t *testing.T, run func(c *qt.C, fake *fakeengine.Server, client *Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := newPipeListener()
+		fake, err := fakeengine.StartOn(l, fakeengine.Config{TokensPerSecond: 10})
+		c.Assert(err, qt.IsNil)
+		client := New(Options{Dial: l.dial})
+		run(c, fake, client)
+		client.Close()
+		fake.Close()
+	})
+}
+
+func bubbleCall() Call {
+	return Call{Endpoint: "engine:80", RequestID: "r", Body: chatBody("p", 1000), MayRepeat: true}
+}
+
+// TestCancelWithin200ms guards against a caller that is gone and keeps a slot of
+// an engine, also where the engine does not see the end of the connection.
+func TestCancelWithin200ms(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		inBubble(t, func(c *qt.C, fake *fakeengine.Server, client *Client) {
+			ctx, cancel := context.WithCancel(context.Background())
+			s, err := client.Chat(ctx, bubbleCall())
+			c.Assert(err, qt.IsNil)
+			if silent {
+				fake.Inject(fakeengine.Fault{Kind: fakeengine.FaultSilent})
+			}
+			cancel()
+			time.Sleep(200 * time.Millisecond)
+			synctest.Wait()
+			c.Check(fake.Stats().Cancelled, qt.Equals, int64(1))
+			s.Close()
+		})
+	}
+}
+
+// TestBoundsOnPace guards against a stalled engine that is waited for.
+func TestBoundsOnPace(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		fault  fakeengine.Fault
+		after  int // tokens before the fault
+		reason Reason
+	}{
+		{"frozen before the first token", fakeengine.Fault{Kind: fakeengine.FaultFreeze}, 0, ReasonFirstToken},
+		{"late answer", fakeengine.Fault{Kind: fakeengine.FaultLate, Delay: time.Minute}, 0, ReasonFirstToken},
+		{"frozen between tokens", fakeengine.Fault{Kind: fakeengine.FaultFreeze}, 2, ReasonBetweenTokens},
+		{"slow between tokens", fakeengine.Fault{Kind: fakeengine.FaultSlow, Factor: 4}, 2, ReasonBetweenTokens},
+		{"silent connection", fakeengine.Fault{Kind: fakeengine.FaultSilent}, 2, ReasonBetweenTokens},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, fake *fakeengine.Server, client *Client) {
+				call := bubbleCall()
+				call.FirstToken, call.BetweenTokens = time.Second, 300*time.Millisecond
+				inject := func() { fake.Inject(test.fault) }
+				if test.after == 0 {
+					inject()
+					_, err := chat(client, call)
+					checkFailure(c, err, test.reason, verdict.MayHaveRun, true)
+				} else {
+					s, err := client.Chat(context.Background(), call)
+					c.Assert(err, qt.IsNil)
+					for range test.after {
+						_, err := s.Next()
+						c.Assert(err, qt.IsNil)
+					}
+					inject()
+					_, err = collect(s)
+					checkFailure(c, err, test.reason, verdict.MayHaveRun, true)
+				}
+				fake.Inject(fakeengine.Fault{Kind: fakeengine.FaultClear})
+				time.Sleep(2 * time.Second)
+				// An engine that thaws after the connection has ended cannot read the body
+				// any more and refuses the request.
+				stats := fake.Stats()
+				c.Check(stats.Cancelled+stats.Refused, qt.Equals, int64(1), qt.Commentf("the engine drops the request: %+v", stats))
+			})
+		})
+	}
+}
+
+// TestBoundsAreExact guards against a bound that counts the time of a slow
+// reader, or that the other bound replaces.
+func TestBoundsAreExact(t *testing.T) {
+	inBubble(t, func(c *qt.C, fake *fakeengine.Server, client *Client) {
+		call := bubbleCall()
+		call.FirstToken, call.BetweenTokens = 450*time.Millisecond, 150*time.Millisecond
+		s, err := client.Chat(context.Background(), call)
+		c.Assert(err, qt.IsNil)
+		for range 3 {
+			_, err := s.Next()
+			c.Assert(err, qt.IsNil)
+			time.Sleep(time.Second)
+		}
+		fake.Inject(fakeengine.Fault{Kind: fakeengine.FaultFreeze})
+		var start time.Time
+		for err == nil {
+			start = time.Now()
+			_, err = s.Next()
+		}
+		checkFailure(c, err, ReasonBetweenTokens, verdict.MayHaveRun, true)
+		c.Check(time.Since(start), qt.Equals, call.BetweenTokens)
+
+		start = time.Now()
+		_, err = client.Chat(context.Background(), call)
+		checkFailure(c, err, ReasonFirstToken, verdict.MayHaveRun, true)
+		c.Check(time.Since(start), qt.Equals, call.FirstToken)
+		fake.Inject(fakeengine.Fault{Kind: fakeengine.FaultClear})
+	})
+}
--- a/internal/upstream/plain_test.go
+++ b/internal/upstream/plain_test.go
@@ -120,9 +120,11 @@
 				}
 			}()
 			client := startClient(c, Options{})
-			_, err = readAnswer(client, PlainCall{
-				Endpoint: l.Addr().String(), RequestID: "r", Method: http.MethodGet, Target: "/", MaxAnswer: 16, BetweenBytes: 50 * time.Millisecond,
-			})
+			call := PlainCall{Endpoint: l.Addr().String(), RequestID: "r", Method: http.MethodGet, Target: "/", MaxAnswer: 16}
+			if test.hold {
+				call.BetweenBytes = 20 * time.Millisecond
+			}
+			_, err = readAnswer(client, call)
 			c.Check(ReasonOf(err), qt.Equals, test.reason, qt.Commentf("%v", err))
 			c.Check(verdict.From(err).Verdict, qt.Equals, verdict.MayHaveRun)
 			_ = l.Close()
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
@@ -54,48 +53,6 @@
 	}
 }
 
-func TestChatBoundsOnPace(t *testing.T) {
-	for _, test := range []struct {
-		name   string
-		kind   fakeengine.Fault
-		after  int // tokens before the fault
-		reason Reason
-	}{
-		{"frozen before the first token", fakeengine.Fault{Kind: fakeengine.FaultFreeze}, 0, ReasonFirstToken},
-		{"late answer", fakeengine.Fault{Kind: fakeengine.FaultLate, Delay: longBound}, 0, ReasonFirstToken},
-		{"frozen between tokens", fakeengine.Fault{Kind: fakeengine.FaultFreeze}, 2, ReasonBetweenTokens},
-		{"silent connection", fakeengine.Fault{Kind: fakeengine.FaultSilent}, 2, ReasonBetweenTokens},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			fake := startFake(c, fakeengine.Config{TokensPerSecond: 100})
-			client := startClient(c, Options{})
-			call := callTo(fake, "r", "p", 100000)
-			if test.after == 0 {
-				fake.Inject(test.kind)
-				call.FirstToken = 30 * time.Millisecond
-				_, err := chat(client, call)
-				checkFailure(c, err, test.reason, verdict.MayHaveRun, true)
-				return
-			}
-			call.BetweenTokens = 300 * time.Millisecond
-			s, err := client.Chat(context.Background(), call)
-			c.Assert(err, qt.IsNil)
-			for range test.after {
-				_, err := s.Next()
-				c.Assert(err, qt.IsNil)
-			}
-			fake.Inject(test.kind)
-			_, err = collect(s)
-			checkFailure(c, err, test.reason, verdict.MayHaveRun, true)
-			if test.kind.Kind == fakeengine.FaultSilent {
-				// New connections work, so the cancel reaches the engine.
-				eventually(c, "cancel at the engine", func() bool { return fake.Stats().Cancelled == 1 })
-			}
-		})
-	}
-}
-
 func TestUnreachableIsNotRun(t *testing.T) {
 	c := qt.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
