--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -4,6 +4,8 @@
 	"strings"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1/controlv1connect"
 	"auburnstep.example/auburnstep/internal/settings"
@@ -124,7 +126,7 @@
 		if err := c.print(s, out); err != nil {
 			return err
 		}
-		return exit(CodeConflict, "conflict: the settings are at version %d, the change was made from %d; nothing was changed, apply again to use the present settings",
+		return exit(CodeConflict, "conflict: the settings are at version %d, the change was made from %d; nothing was changed, apply again under a new change id",
 			out.Version, base)
 	default:
 		return exit(CodeInvalid, "the leader refuses the change: %s", result.GetMessage())
@@ -136,7 +138,10 @@
 	if failed.sent {
 		return exit(CodeUnknown, "change %s may have been applied: %w; ask with: auburnctl result %s", id, failed, id)
 	}
-	if failed.final {
+	switch {
+	case failed.final && failed.code == connect.CodeInvalidArgument:
+		return exit(CodeInvalid, "not applied: %w", failed)
+	case failed.final:
 		return exit(CodeFailure, "not applied: %w", failed)
 	}
 	return exit(CodeUnreachable, "not applied: no server answered, last tried %w", failed)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -86,7 +86,9 @@
 	ctx      context.Context
 	clock    *hlc.Clock
 	deadline time.Time
-	client   *client
+	// callTimeout bounds one call.
+	callTimeout time.Duration
+	client      *client
 }
 
 // Run executes a command line and returns the exit code.
@@ -124,7 +126,7 @@
 	if err != nil {
 		return &exitError{CodeUsage, err}
 	}
-	s := &session{Env: env, grammar: &g, ctx: context.Background(), clock: hlc.New(env.Now), deadline: env.Now().Add(g.Timeout)}
+	s := &session{Env: env, grammar: &g, ctx: context.Background(), clock: hlc.New(env.Now), deadline: env.Now().Add(g.Timeout), callTimeout: callTimeout}
 	if err := s.connect(); err != nil {
 		return &exitError{CodeUsage, err}
 	}
--- a/internal/cli/read.go
+++ b/internal/cli/read.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 
+	"connectrpc.com/connect"
+
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1/controlv1connect"
 	"auburnstep.example/auburnstep/internal/settings"
@@ -164,16 +166,12 @@
 
 // Run prints what became of a change.
 func (c *resultCmd) Run(s *session) error {
-	res, failed := ask(s, controlv1connect.ControlClient.Result, &controlv1.ResultRequest{ChangeId: c.ChangeID},
-		func(r *controlv1.ChangeResponse) (string, bool) {
-			// Neither a result nor another leader: the leader does not know the change.
-			return r.GetLeaderAddress(), r.GetResult() != nil || r.GetLeaderAddress() == ""
-		})
-	if failed != nil && finalCode(failed) != CodeNotFound {
+	res, failed := ask(s, controlv1connect.ControlClient.Result, &controlv1.ResultRequest{ChangeId: c.ChangeID}, changeLeader)
+	if failed != nil && failed.code != connect.CodeNotFound {
 		return readError(failed)
 	}
 	result := res.GetResult()
-	if result.GetOutcome() == controlv1.ChangeResult_OUTCOME_UNSPECIFIED {
+	if failed != nil {
 		return exit(CodeNotFound, "change %s is not among the last 10,000 results; one sent in the last seconds may still be accepted", c.ChangeID)
 	}
 	out := applyOutput{ChangeID: c.ChangeID, Outcome: strings.ToLower(result.GetOutcome().String()), Version: result.GetVersion(),
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -137,6 +137,8 @@
 }
 
 func (s *session) member(req *controlv1.MemberRequest) error {
+	// The leader answers once the change is committed, after an election if need be.
+	s.callTimeout = s.Timeout
 	res, failed := ask(s, controlv1connect.ControlClient.Member, req,
 		func(r *controlv1.MemberResponse) (string, bool) { return r.GetLeaderAddress(), r.GetMessage() != "" })
 	switch {
--- a/internal/cli/wait.go
+++ b/internal/cli/wait.go
@@ -27,9 +27,12 @@
 	absent map[string]time.Time
 }
 
-// learn notes the entries that are live before the change.
+// learn notes the entries that are live before the change. It takes little of
+// the time, since the change matters more.
 func (w *waiter) learn() {
-	if status, failed := w.status(); failed == nil {
+	brief := *w.session
+	brief.deadline = w.Now().Add(w.deadline.Sub(w.Now()) / 4)
+	if status, failed := brief.status(); failed == nil {
 		w.note(status.GetEntries())
 	}
 }
--- a/internal/settings/apply.go
+++ b/internal/settings/apply.go
@@ -85,7 +85,7 @@
 
 func (e *edit) put(op *controlv1.Operation) {
 	kind := Kind(op.GetNodeKind())
-	if !kind.valid() {
+	if !kind.valid() && (!e.lenient || kind == "") {
 		e.refuse(op, "kind "+op.GetNodeKind()+" is not one of "+kindNames()+suggestion(string(kind), kindList()))
 		return
 	}
--- a/internal/settings/proto.go
+++ b/internal/settings/proto.go
@@ -26,10 +26,10 @@
 	return out
 }
 
-// FromProto returns the tree that Export wrote. Like Replay it keeps keys and
-// values that this version does not know, so that a snapshot of a later version
-// can be restored; Validate names them. It refuses only what no version
-// writes: a malformed path, an unknown kind or a node listed twice.
+// FromProto returns the tree that Export wrote. Like Replay it keeps kinds, keys
+// and values that this version does not know, so that a snapshot of a later
+// version can be restored; Validate names them. It refuses only what no version
+// writes: a malformed path, a node without a kind or a node listed twice.
 func FromProto(s *controlv1.Settings) (*Tree, error) {
 	nodes := make([]*Node, 0, len(s.GetNodes())+1)
 	hasRoot := false
@@ -58,8 +58,8 @@
 		return nil, err
 	}
 	kind := Kind(p.GetKind())
-	if !kind.valid() || p.GetPath() == Root && kind != Group {
-		return nil, ErrMalformed.New("node %s has the unknown kind %q", p.GetPath(), p.GetKind())
+	if kind == "" || p.GetPath() == Root && kind != Group {
+		return nil, ErrMalformed.New("node %s has the kind %q", p.GetPath(), p.GetKind())
 	}
 	n := &Node{path: p.GetPath(), kind: kind}
 	if len(p.GetValues()) > 0 {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -132,6 +132,10 @@
 }
 
 func (c *checker) checkNode(n *Node) {
+	if !n.kind.valid() {
+		c.add(n.path, "", "kind %s is not one of %s", n.kind, kindNames())
+		return
+	}
 	c.checkParent(n)
 	for _, s := range n.settings {
 		c.checkSetting(n, s)
