--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,7 @@
 	pool    *transport.Pool
 	peers   *transport.Server
 	view    *view
+	host    *schedulerhost.Host
 }
 
 // New joins the services of an instance. It opens the listeners, so that an
@@ -159,12 +160,12 @@
 		Instance: d.config.Instance, Address: d.config.Advertise, PeerAddress: d.config.PeerAdvertise,
 		FailureDomain: d.config.FailureDomain, Weight: d.config.Weight,
 	}}
-	host := schedulerhost.New(d.view, d.events, d.metrics.Scope)
+	d.host = schedulerhost.New(d.view, d.events, d.metrics.Scope)
 	d.view.feed = feed.NewClient(feed.Options{
-		Members: d.config.Peers, Caller: feed.NewCaller(d.pool), Self: d.view.info, Reports: host.Reports,
+		Members: d.config.Peers, Caller: feed.NewCaller(d.pool), Self: d.view.info, Reports: d.host.Reports,
 		Events: d.events, Scope: d.metrics.Scope,
 	})
-	path, handler := schedulerv1connect.NewSchedulerHandler(host, d.peers.HandlerOptions())
+	path, handler := schedulerv1connect.NewSchedulerHandler(d.host, d.peers.HandlerOptions())
 	d.peers.Handle(path, handler, transport.PeerRole, map[string]transport.Role{
 		schedulerv1connect.SchedulerStatusProcedure: transport.AnyRole,
 	})
@@ -173,7 +174,7 @@
 	if err := d.kernel.Register(ServiceFeed, d.view.feed); err != nil {
 		return err
 	}
-	return d.kernel.Register(ServiceScheduler, host)
+	return d.kernel.Register(ServiceScheduler, d.host)
 }
 
 func (d *Daemon) joinScheduler() error {
@@ -184,9 +185,13 @@
 	return d.kernel.Register(ServiceBookings, feed.NewBookings(d.view.feed))
 }
 
-// dialScheduler returns the client of a scheduler. Its calls may be repeated:
-// Acquire carries a request id, and releases of unknown grants are ignored.
+// dialScheduler returns the client of a scheduler. Calls of a scheduler on this
+// instance skip the network. All calls may be repeated: Acquire carries a
+// request id, and releases of unknown grants are ignored.
 func (d *Daemon) dialScheduler(address string) schedulerv1connect.SchedulerClient {
+	if address == d.config.PeerAdvertise {
+		return d.host
+	}
 	return schedulerv1connect.NewSchedulerClient(d.pool.Peer(address).Client())
 }
 
