--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -292,10 +292,15 @@
 				defer cancel()
 				var wg sync.WaitGroup
 				for client := range 3 {
-					rng := rand.New(rand.NewPCG(uint64(seed), uint64(client+1)))
 					wg.Add(2)
-					go func() { defer wg.Done(); c.settingsClient(ctx, &settings, client, rng) }()
-					go func() { defer wg.Done(); c.bookingsClient(ctx, &bookings, client, rng) }()
+					go func() {
+						defer wg.Done()
+						c.settingsClient(ctx, &settings, client, rand.New(rand.NewPCG(uint64(seed), uint64(client+1))))
+					}()
+					go func() {
+						defer wg.Done()
+						c.bookingsClient(ctx, &bookings, client, rand.New(rand.NewPCG(uint64(seed), uint64(client+11))))
+					}()
 				}
 				count := c.faults(ctx, rand.New(rand.NewPCG(uint64(seed), 99)))
 				wg.Wait()
--- /dev/null
+++ b/internal/control/liveness_test.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/control/feed"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+)
+
+func pollOf(name string, incarnation uint64, reports ...*controlv1.GroupReport) *controlv1.FeedRequest {
+	return &controlv1.FeedRequest{Self: &controlv1.EntryInfo{Instance: name, PeerAddress: name}, Incarnation: incarnation, Groups: reports}
+}
+
+// Guards the rules by which a group is taken from its holder: never before the
+// holder's lease has ended on its own clock, also when the leader is new.
+func TestHolderIsReplaced(t *testing.T) {
+	const group = "lotes/0"
+	held := &controlv1.Assignment{Group: group, Instance: "a", Epoch: 3}
+	report := func(epoch uint64) *controlv1.GroupReport {
+		return &controlv1.GroupReport{Group: group, Epoch: epoch}
+	}
+	start := time.Now()
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	early, late := holdTime-time.Millisecond, holdTime
+	for _, test := range []struct {
+		name string
+		a    *controlv1.Assignment
+		do   func(l *liveness)
+		now  time.Duration
+		want string
+	}{
+		{"holder that polls", held, func(l *liveness) { l.poll(1, at(late), pollOf("a", 1, report(3))) }, 2*late - time.Millisecond, ""},
+		{"holder that stopped polling", held, func(l *liveness) { l.poll(1, at(time.Second), pollOf("a", 1, report(3))) }, time.Second + late, "b"},
+		{"new leader, unheard holder", held, func(*liveness) {}, early, ""},
+		{"new leader waited", held, func(*liveness) {}, late, "b"},
+		{"holder resigns", held, func(l *liveness) {
+			l.poll(1, at(0), pollOf("a", 1, report(3)))
+			l.poll(1, at(time.Second), pollOf("a", 1, report(0)))
+		}, time.Second, "any"},
+		{"holder restarted, former process not waited for", held, func(l *liveness) {
+			l.poll(1, at(0), pollOf("a", 1, report(3)))
+			l.poll(1, at(time.Second), pollOf("a", 2, report(0)))
+		}, time.Second + early, ""},
+		{"holder restarted, former process waited for", held, func(l *liveness) {
+			l.poll(1, at(0), pollOf("a", 1, report(3)))
+			l.poll(1, at(time.Second), pollOf("a", 2, report(0)))
+		}, time.Second + late, "any"},
+		{"first assignment before all were heard", nil, func(*liveness) {}, directoryWarmup - time.Millisecond, ""},
+		{"first assignment", nil, func(*liveness) {}, directoryWarmup, "b"},
+		{"draining instances are not chosen", nil, func(l *liveness) {
+			r := pollOf("b", 1)
+			r.Self.Draining = true
+			l.poll(1, at(directoryWarmup), r)
+		}, directoryWarmup, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := newLiveness()
+			l.poll(1, at(0), pollOf("b", 1))
+			l.instances["b"].last = at(test.now)
+			test.do(l)
+			next := l.choose(group, test.a, at(test.now))
+			if test.want == "any" {
+				qt.Assert(t, next, qt.IsNotNil)
+				return
+			}
+			qt.Assert(t, next.GetInstance(), qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against a poll that renews the lease of a holder whose group is being
+// given to another one at that moment.
+func TestPollSeesRevocation(t *testing.T) {
+	l := newLiveness()
+	start := time.Now()
+	l.poll(1, start, pollOf("a", 1))
+	l.poll(1, start.Add(holdTime), pollOf("b", 1))
+	a := &controlv1.Assignment{Group: "g/0", Instance: "a", Epoch: 3}
+	qt.Assert(t, l.choose("g/0", a, start.Add(holdTime)).GetInstance(), qt.Equals, "b")
+	qt.Assert(t, l.poll(1, start.Add(holdTime), pollOf("a", 1))["g/0"], qt.Equals, uint64(3))
+	l.settle("g/0")
+	qt.Assert(t, l.poll(1, start.Add(holdTime), pollOf("a", 1)), qt.HasLen, 0)
+}
+
+// Guards the lease outside the consensus loop: it ends by time alone, and it
+// does not begin before the entries of earlier leaders are applied.
+func TestLeaseNeedsAppliedEntries(t *testing.T) {
+	m := NewMember(Options{})
+	m.opened = time.Now()
+	m.leads.update(2, 10, time.Hour)
+	m.applied.Store(9)
+	_, ok := m.lease()
+	qt.Assert(t, ok, qt.IsFalse)
+	m.applied.Store(10)
+	term, ok := m.lease()
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, m.held(term), qt.IsTrue)
+	m.leads.update(3, 12, time.Hour)
+	qt.Assert(t, m.held(term), qt.IsFalse)
+	m.applied.Store(12)
+	qt.Assert(t, m.held(term), qt.IsFalse)
+	m.opened = m.opened.Add(-2 * time.Hour)
+	_, ok = m.lease()
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// Guards against answers that name a revoked holder, or a group of a service
+// that no longer exists.
+func TestFeedLeavesOutRevokedGroups(t *testing.T) {
+	m := NewMember(Options{})
+	m.opened = time.Now()
+	m.leads.update(1, 0, time.Hour)
+	for i, op := range []*controlv1.Operation{put("/s", "service"), set("/s", "kind", "plain"), set("/s", "scheduler.groups", "2")} {
+		m.state.Apply(uint64(i+1), &controlv1.Command{Command: &controlv1.Command_Change{Change: request(op.String(), uint64(i), op).Change}})
+	}
+	for _, group := range []string{"s/0", "s/1", "s/2"} {
+		m.state.Apply(9, &controlv1.Command{Command: &controlv1.Command_Assign{Assign: &controlv1.AssignGroup{Group: group, Instance: "a"}}})
+	}
+	groups := func() (out []string) {
+		r, err := m.Feed(pollOf("a", 1))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.FreshForMs, qt.Equals, uint32(feed.FreshFor.Milliseconds()))
+		for _, a := range r.Assignments {
+			out = append(out, a.Group)
+		}
+		return out
+	}
+	qt.Assert(t, groups(), qt.DeepEquals, []string{"s/0", "s/1"})
+	m.live.revoking["s/0"] = 1
+	qt.Assert(t, groups(), qt.DeepEquals, []string{"s/1"})
+}
