--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -31,7 +31,8 @@
 	// Members lists addresses of control members; more are learned.
 	Members []string
 	Caller  Caller
-	// Self describes this instance for each poll. Instance must not change.
+	// Self returns a new description of this instance for each poll. Its
+	// Instance must not change.
 	Self func() *controlv1.EntryInfo
 	// Reports returns the state of the groups that run here; may be nil.
 	Reports func() []*controlv1.GroupReport
@@ -63,8 +64,10 @@
 	resigned  atomic.Bool
 
 	polls, failures tally.Counter
-	stop            context.CancelFunc
-	mu              sync.Mutex // guards stop
+	// stopping is closed by Stop, done when Start has ended.
+	stopping chan struct{}
+	stopOnce sync.Once
+	done     chan struct{}
 }
 
 // NewClient returns a client that is not started.
@@ -75,6 +78,7 @@
 	tree := settings.New()
 	c := &Client{
 		options: o, router: newRouter(o.Members), incarnation: rand.Uint64(), now: make(chan chan struct{}),
+		stopping: make(chan struct{}), done: make(chan struct{}),
 		polls: o.Scope.Counter("feed_polls_sent"), failures: o.Scope.Counter("feed_polls_failed"),
 	}
 	c.view.Store(&View{Tree: tree, Index: tree.Index()})
@@ -126,11 +130,7 @@
 
 // Start implements kernel.Service.
 func (c *Client) Start(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	c.mu.Lock()
-	c.stop = cancel
-	c.mu.Unlock()
+	defer close(c.done)
 	c.instance = c.options.Self().GetInstance()
 	for {
 		c.round(ctx)
@@ -141,6 +141,9 @@
 		case <-ctx.Done():
 			wait.Stop()
 			return nil
+		case <-c.stopping:
+			wait.Stop()
+			return nil
 		case done := <-c.now:
 			c.round(ctx)
 			close(done)
@@ -152,14 +155,8 @@
 
 // Stop implements kernel.Service: the instance gives up its groups first.
 func (c *Client) Stop(ctx context.Context) error {
-	c.mu.Lock()
-	stop := c.stop
-	c.mu.Unlock()
-	if stop == nil {
-		return nil
-	}
 	c.Resign(ctx)
-	stop()
+	c.stopOnce.Do(func() { close(c.stopping) })
 	return nil
 }
 
@@ -171,6 +168,8 @@
 	done := make(chan struct{})
 	select {
 	case c.now <- done:
+	case <-c.done:
+		return
 	case <-ctx.Done():
 		return
 	}
@@ -262,7 +261,7 @@
 	c.reset = false
 	first := c.inherited == nil
 	if len(r.GetMembers()) > 0 {
-		c.directory = DirectoryVersion(r)
+		c.directory = DirectoryVersion(r, EntriesVersion(r.GetEntries()))
 		next.Assignments, next.Members = r.GetAssignments(), r.GetMembers()
 		// A new leader lists no entries until it has heard from all of them.
 		if len(r.GetEntries()) > 0 {
--- a/internal/control/feed/lease.go
+++ b/internal/control/feed/lease.go
@@ -4,6 +4,7 @@
 package feed
 
 import (
+	"encoding/binary"
 	"strings"
 	"time"
 
@@ -29,20 +30,28 @@
 )
 
 // DirectoryVersion identifies the assignments, entries and members of an
-// answer. The leader leaves them out for a receiver that has them.
-func DirectoryVersion(r *controlv1.FeedResponse) uint64 {
+// answer. The leader leaves them out for a receiver that has them. entries is
+// EntriesVersion of the entries, which the leader computes less often.
+func DirectoryVersion(r *controlv1.FeedResponse, entries uint64) uint64 {
 	h := xxhash.New()
+	add(h, r.GetAssignments())
+	_, _ = h.WriteString(strings.Join(r.GetMembers(), "\x00"))
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, entries))
+	return h.Sum64()
+}
+
+// EntriesVersion identifies a list of entries.
+func EntriesVersion(entries []*controlv1.EntryInfo) uint64 {
+	h := xxhash.New()
+	add(h, entries)
+	return h.Sum64()
+}
+
+func add[M proto.Message](h *xxhash.Digest, messages []M) {
 	var buf []byte
-	add := func(m proto.Message) {
+	for _, m := range messages {
 		buf, _ = proto.MarshalOptions{Deterministic: true}.MarshalAppend(buf[:0], m)
-		_, _ = h.Write(append(buf, 0xff))
-	}
-	for _, a := range r.GetAssignments() {
-		add(a)
+		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(buf))))
+		_, _ = h.Write(buf)
 	}
-	for _, e := range r.GetEntries() {
-		add(e)
-	}
-	_, _ = h.WriteString(strings.Join(r.GetMembers(), "\x00"))
-	return h.Sum64()
 }
--- a/internal/control/feed/router.go
+++ b/internal/control/feed/router.go
@@ -23,10 +23,10 @@
 
 type rpcCaller struct{ pool *transport.Pool }
 
-// Feed implements Caller. A poll is not repeated on a fresh connection by the
-// transport: the client sends a new one, whose answer counts from a later time.
+// Feed implements Caller. Polls may be repeated: their answers count from the
+// sending of the first.
 func (c rpcCaller) Feed(ctx context.Context, address string, r *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
-	resp, err := controlv1connect.NewControlClient(c.pool.Peer(address).Client()).Feed(ctx, connect.NewRequest(r))
+	resp, err := controlv1connect.NewControlClient(c.pool.Peer(address).Client()).Feed(transport.Idempotent(ctx), connect.NewRequest(r))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -28,7 +28,8 @@
 	}
 	now := time.Now()
 	revoking := m.live.poll(term, now, r)
-	out := &controlv1.FeedResponse{FreshForMs: uint32(feed.FreshFor.Milliseconds()), Entries: m.live.entries(now)}
+	entries, entriesVersion := m.live.entries(now)
+	out := &controlv1.FeedResponse{FreshForMs: uint32(feed.FreshFor.Milliseconds()), Entries: entries}
 	derived := m.derive()
 	m.mu.RLock()
 	out.SettingsVersion = m.state.Version()
@@ -48,7 +49,7 @@
 	for _, a := range members {
 		out.Members = append(out.Members, a.Address)
 	}
-	if r.GetAssignmentsVersion() == feed.DirectoryVersion(out) {
+	if r.GetAssignmentsVersion() == feed.DirectoryVersion(out, entriesVersion) {
 		out.Assignments, out.Entries, out.Members = nil, nil, nil
 	}
 	if !m.held(term) {
--- a/internal/control/liveness.go
+++ b/internal/control/liveness.go
@@ -39,6 +39,11 @@
 	// revoking holds the epoch of each group that is being taken from its
 	// holder. Polls answered meanwhile must not renew the holder's lease.
 	revoking map[string]uint64
+
+	// listed is the entry list made at listedAt.
+	listed        []*controlv1.EntryInfo
+	listedVersion uint64
+	listedAt      time.Time
 }
 
 func newLiveness() *liveness {
@@ -51,6 +56,7 @@
 		l.term, l.began = term, now
 		clear(l.instances)
 		clear(l.revoking)
+		l.listed = nil
 	}
 }
 
@@ -84,20 +90,26 @@
 // warm reports whether the leader has led long enough to know all instances.
 func (l *liveness) warm(now time.Time) bool { return now.Sub(l.began) >= directoryWarmup }
 
-// entries returns the live instances by name, or nothing before all were heard.
-func (l *liveness) entries(now time.Time) []*controlv1.EntryInfo {
+// entries returns the live instances by name and their version, or nothing
+// before all were heard. The list is made anew every entriesAge at most, since
+// hundreds of instances ask for it several times a second.
+func (l *liveness) entries(now time.Time) ([]*controlv1.EntryInfo, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.warm(now) {
-		return nil
+		return nil, feed.EntriesVersion(nil)
 	}
-	var out []*controlv1.EntryInfo
+	if l.listed != nil && now.Sub(l.listedAt) < entriesAge {
+		return l.listed, l.listedVersion
+	}
+	out := make([]*controlv1.EntryInfo, 0, len(l.instances))
 	for _, name := range slices.Sorted(maps.Keys(l.instances)) {
 		if i := l.instances[name]; now.Sub(i.last) < instanceLiveFor {
 			out = append(out, i.info)
 		}
 	}
-	return out
+	l.listed, l.listedVersion, l.listedAt = out, feed.EntriesVersion(out), now
+	return out, l.listedVersion
 }
 
 // groupReports returns the reports of the present holders.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -104,8 +105,7 @@
 
 // refusal maps an error of Propose, after which nothing was appended.
 func refusal(err error) error {
-	switch err {
-	case consensus.ErrBusy, consensus.ErrTransferring:
+	if errors.Is(err, consensus.ErrBusy) || errors.Is(err, consensus.ErrTransferring) {
 		return fmt.Errorf("%w: %w", ErrBusy, err)
 	}
 	return fmt.Errorf("%w: %w", ErrNotLeader, err)
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -46,9 +46,11 @@
 	// formed is set once the member has a log or waits for a leader's.
 	formed  atomic.Bool
 	derived atomic.Pointer[derived]
-	fault   atomic.Pointer[error]
-	done    chan struct{}
-	cancel  context.CancelFunc
+	// stopping is closed by Stop, done when Start has ended.
+	stopping chan struct{}
+	stopOnce sync.Once
+	started  atomic.Bool
+	done     chan struct{}
 }
 
 // NewMember returns a member that is not started.
@@ -67,6 +69,7 @@
 		waiters:   waiters{byIndex: make(map[uint64]waiter)},
 		live:      newLiveness(),
 		changing:  make(chan struct{}, 1),
+		stopping:  make(chan struct{}),
 		done:      make(chan struct{}),
 	}
 	m.peers.senders = make(map[uint64]*sender)
@@ -97,25 +100,31 @@
 // Start implements kernel.Service. An error of the storage ends it.
 func (m *Member) Start(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	m.cancel = cancel
-	defer close(m.done)
 	defer cancel()
+	m.started.Store(true)
+	defer close(m.done)
+	go func() {
+		select {
+		case <-m.stopping:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	err := m.run(ctx)
 	m.close()
-	if err != nil && !errors.Is(err, context.Canceled) {
-		m.fault.Store(&err)
-		return err
+	if errors.Is(err, context.Canceled) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // Stop implements kernel.Service: a leader hands over first.
 func (m *Member) Stop(ctx context.Context) error {
-	if m.cancel == nil {
+	m.handOver(ctx)
+	m.stopOnce.Do(func() { close(m.stopping) })
+	if !m.started.Load() {
 		return nil
 	}
-	m.handOver(ctx)
-	m.cancel()
 	select {
 	case <-m.done:
 	case <-ctx.Done():
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -88,6 +88,7 @@
 	maxKeyBytes           = 512
 	maxAttemptBytes       = 128
 	instanceLiveFor       = 1500 * time.Millisecond
+	entriesAge            = 100 * time.Millisecond
 	groupLeaseMargin      = 200 * time.Millisecond
 	directoryWarmup       = time.Second
 	joinInterval          = 500 * time.Millisecond
