--- a/internal/rpc/transport/server.go
+++ b/internal/rpc/transport/server.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"crypto/tls"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -76,6 +77,8 @@
 	Scope    tally.Scope
 	// MaxMessage bounds messages in bytes; DefaultMaxMessage where it is zero.
 	MaxMessage int
+	// ErrorLog takes errors of connections; the standard logger where it is nil.
+	ErrorLog *log.Logger
 }
 
 // Server serves calls of other processes. It is a kernel.Service.
@@ -104,7 +107,8 @@
 		HTTP2:             http2Config(),
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       time.Minute,
-		TLSConfig:         o.TLS,
+		TLSConfig:         o.TLS.Clone(),
+		ErrorLog:          o.ErrorLog,
 	}
 	return s
 }
