--- a/internal/control/changes.go
+++ b/internal/control/changes.go
@@ -24,6 +24,10 @@
 	if c.GetChangeId() == "" || len(c.GetChangeId()) > maxAttemptBytes || proto.Size(c) > maxCommandBytes {
 		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("a change needs an ID of 1 to %d bytes and at most %d bytes in all", maxAttemptBytes, maxCommandBytes))
 	}
+	if _, ok := m.lease(); !ok {
+		a, err := m.redirect()
+		return &controlv1.ChangeResponse{LeaderAddress: a}, err
+	}
 	ctx, cancel := withDeadline(ctx)
 	defer cancel()
 	select {
