--- a/internal/control/chores.go
+++ b/internal/control/chores.go
@@ -74,10 +74,11 @@
 	return d
 }
 
-// retention returns the longest time for which any customer wants outcomes to
-// be kept. Records are expired by one bound for all.
+// retention returns the longest time for which outcomes are to be kept for any
+// customer. Records are expired by one bound for all.
 func retention(t *settings.Tree) time.Duration {
-	longest := defaultRetention
+	v, _, _ := t.Lookup(settings.Root, settings.KeyBookingRetention)
+	longest := v.Duration()
 	for n := range t.Nodes {
 		for _, s := range n.Settings() {
 			if s.Key == settings.KeyBookingRetention {
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -173,10 +173,12 @@
 	t     testing.TB
 	net   *memNetwork
 	names []string
-	disks map[string]*memDisk
-	ends  map[string]chan error
-	stops map[string]context.CancelFunc
-	seed  int64
+	// initial are the members that form the cluster: the first three.
+	initial []string
+	disks   map[string]*memDisk
+	ends    map[string]chan error
+	stops   map[string]context.CancelFunc
+	seed    int64
 }
 
 func newCluster(t testing.TB, seed int64, n int) *cluster {
@@ -187,6 +189,7 @@
 	for i := range n {
 		c.names = append(c.names, fmt.Sprintf("m%d", i))
 	}
+	c.initial = c.names[:min(3, n)]
 	for _, name := range c.names {
 		c.disks[name] = &memDisk{}
 		c.start(name)
@@ -207,7 +210,7 @@
 func (c *cluster) start(name string) {
 	c.seed++
 	m := NewMember(Options{
-		Cluster: "test", Instance: name, Address: name, InitialMembers: c.names[:min(3, len(c.names))],
+		Cluster: "test", Instance: name, Address: name, InitialMembers: c.initial,
 		Peers: c.names, Storage: c.disks[name], Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name),
 	})
 	if err := m.Validate(); err != nil {
--- a/internal/control/feeds_test.go
+++ b/internal/control/feeds_test.go
@@ -199,3 +199,58 @@
 		qt.Assert(t, b.Stop(context.Background()), qt.IsNil)
 	})
 }
+
+// Guards against booking records that fill the members for ever, and against
+// expired ones that run again.
+func TestBookingsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 14, 3)
+		defer c.stop()
+		accept(c, "c1", 0, set("/", "booking.retention", "1m"))
+		send := func(in call) string {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			r, err := c.link("client").Booking(ctx, c.leader(), bookingRequest(in))
+			qt.Assert(t, err, qt.IsNil)
+			return r.State.String()
+		}
+		qt.Assert(t, send(call{kind: "begin", key: "k", attempt: "a"}), qt.Equals, "BEGUN")
+		qt.Assert(t, send(call{kind: "finish", key: "k", attempt: "a", value: "x"}), qt.Equals, "FINISHED")
+		time.Sleep(55 * time.Second)
+		qt.Assert(t, send(call{kind: "begin", key: "k", attempt: "b"}), qt.Equals, "FINISHED")
+		time.Sleep(20 * time.Second)
+		qt.Assert(t, send(call{kind: "begin", key: "k", attempt: "c"}), qt.Equals, "EXPIRED")
+	})
+}
+
+// Guards a cluster that starts with one member and grows by members that join
+// by the address of another, and a member that returns at a new address.
+func TestJoinByPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 15, 1)
+		defer c.stop()
+		accept(c, "c1", 0, put("/services", "group"))
+		for i, name := range []string{"m1", "m2"} {
+			c.disks[name] = &memDisk{}
+			c.start(name)
+			c.waitFor("the promotion", func() bool { return len(c.member("m0").status.Load().Members.Voters) == i+2 })
+			c.names = append(c.names, name)
+		}
+		c.repaired()
+		c.kill("m2")
+		c.disks["m3"] = c.disks["m2"]
+		c.names = []string{"m0", "m1", "m3"}
+		c.start("m3")
+		c.repaired()
+		c.waitFor("the new address", func() bool {
+			for _, m := range c.member("m0").Status().Members {
+				if m.Id == c.id("m3") && m.Address == "m3" && m.Instance == "m3" {
+					return true
+				}
+			}
+			return false
+		})
+		c.kill("m1")
+		accept(c, "c2", 1, put("/customers", "group"))
+	})
+}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -69,7 +69,6 @@
 	defaultElectionTicks  = 10
 	defaultSnapshotEvery  = 4096
 	defaultCallTimeout    = time.Second
-	defaultRetention      = 24 * time.Hour
 	snapshotSendTimeout   = 10 * time.Second
 	stepTimeout           = 500 * time.Millisecond
 	maxProposalsPerRound  = 256
