--- a/internal/control/chores.go
+++ b/internal/control/chores.go
@@ -13,11 +13,15 @@
 
 // choresLoop does what only the leader does without being asked.
 func (m *Member) choresLoop(ctx context.Context) error {
-	var expired time.Time
+	var expired, gauged time.Time
 	for {
 		if err := sleep(ctx, choresInterval); err != nil {
 			return nil
 		}
+		if time.Since(gauged) >= gaugeInterval {
+			gauged = time.Now()
+			m.gauge()
+		}
 		term, ok := m.lease()
 		if !ok {
 			continue
--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -64,6 +64,7 @@
 	resigned  atomic.Bool
 
 	polls, failures tally.Counter
+	version, fresh  tally.Gauge
 	// stopping is closed by Stop, done when Start has ended.
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -80,6 +81,7 @@
 		options: o, router: newRouter(o.Members), incarnation: rand.Uint64(), now: make(chan chan struct{}),
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		polls: o.Scope.Counter("feed_polls_sent"), failures: o.Scope.Counter("feed_polls_failed"),
+		version: o.Scope.Gauge("feed_settings_version"), fresh: o.Scope.Gauge("feed_fresh_seconds"),
 	}
 	c.view.Store(&View{Tree: tree, Index: tree.Index()})
 	c.held.Store(&map[string]Lease{})
@@ -326,7 +328,10 @@
 
 // checkFresh records when the view ends and when it is renewed.
 func (c *Client) checkFresh() {
-	lost := !c.view.Load().Fresh(time.Now())
+	view, now := c.view.Load(), time.Now()
+	c.version.Update(float64(view.Version))
+	c.fresh.Update(max(0, view.FreshUntil.Sub(now).Seconds()))
+	lost := !view.Fresh(now)
 	if lost == c.lost {
 		return
 	}
--- a/internal/control/member_test.go
+++ b/internal/control/member_test.go
@@ -27,10 +27,6 @@
 	return &controlv1.Operation{Kind: controlv1.Operation_KEY_SET, Path: path, Key: key, Value: value}
 }
 
-func unset(path, key string) *controlv1.Operation {
-	return &controlv1.Operation{Kind: controlv1.Operation_KEY_UNSET, Path: path, Key: key}
-}
-
 func accept(c *cluster, id string, base uint64, ops ...*controlv1.Operation) {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -1,6 +1,10 @@
 package control
 
-import "github.com/uber-go/tally/v4"
+import (
+	"github.com/uber-go/tally/v4"
+
+	"auburnstep.example/auburnstep/internal/ring"
+)
 
 type memberMetrics struct {
 	save       tally.Timer
@@ -10,6 +14,12 @@
 	feeds      tally.Counter
 	bookings   tally.Counter
 	changes    tally.Counter
+
+	leading   tally.Gauge
+	version   tally.Gauge
+	applied   tally.Gauge
+	instances tally.Gauge
+	scope     tally.Scope
 }
 
 func newMemberMetrics(s tally.Scope) memberMetrics {
@@ -22,5 +32,29 @@
 		feeds:      s.Counter("feed_polls"),
 		bookings:   s.Counter("booking_calls"),
 		changes:    s.Counter("change_calls"),
+		leading:    s.Gauge("leading"),
+		version:    s.Gauge("settings_version"),
+		applied:    s.Gauge("applied_index"),
+		instances:  s.Gauge("instances"),
+		scope:      s,
+	}
+}
+
+// gauge reports the present values, for scrapes.
+func (m *Member) gauge() {
+	_, leads := m.lease()
+	m.metrics.leading.Update(map[bool]float64{true: 1}[leads])
+	m.metrics.applied.Update(float64(m.applied.Load()))
+	m.mu.RLock()
+	m.metrics.version.Update(float64(m.state.Version()))
+	m.mu.RUnlock()
+	m.live.mu.Lock()
+	m.metrics.instances.Update(float64(len(m.live.instances)))
+	m.live.mu.Unlock()
+	for _, s := range []ring.Stats{m.inbox.Stats(), m.proposals.Stats(), m.orders.Stats(), m.applies.Stats(), m.snapshots.Stats()} {
+		scope := m.metrics.scope.Tagged(map[string]string{"ring": s.Name})
+		scope.Gauge("ring_length").Update(float64(s.Length))
+		scope.Gauge("ring_dropped").Update(float64(s.Dropped))
+		scope.Gauge("ring_rejected").Update(float64(s.Rejected))
 	}
 }
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -80,6 +80,7 @@
 	maxMessagesPerStep    = 64
 	maxTicksCaughtUp      = 64
 	choresInterval        = 100 * time.Millisecond
+	gaugeInterval         = time.Second
 	expireInterval        = 10 * time.Second
 	expireBatch           = 1000
 	maxOutcomeBytes       = 256 << 10
