--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -87,6 +87,7 @@
 	cut     map[[2]string]bool // one way, from and to
 	drop    float64
 	delay   time.Duration
+	calls   sync.WaitGroup // calls in progress, also those without a waiting caller
 }
 
 type memLink struct {
@@ -115,55 +116,81 @@
 	return m, nil
 }
 
-func exchange[T any](ctx context.Context, l memLink, to string, call func(m *Member) (T, error)) (T, error) {
-	var zero T
+// exchange calls a member. The call goes on when its caller gives up, so that
+// requests are carried out late, and out of order with later ones.
+func exchange[T any](ctx context.Context, l memLink, to string, call func(ctx context.Context, m *Member) (T, error)) (T, error) {
+	type answer struct {
+		r   T
+		err error
+	}
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Second)
 		defer cancel()
 	}
-	m, err := l.net.pass(ctx, l.from, to)
-	if err != nil {
-		return zero, err
-	}
-	r, err := call(m)
-	if err != nil {
-		return zero, err
-	}
-	if _, err := l.net.pass(ctx, to, l.from); err != nil && !errors.Is(err, errLost) {
-		return zero, err
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	done := make(chan answer, 1)
+	l.net.calls.Add(1)
+	go func() {
+		defer l.net.calls.Done()
+		way, cancel := context.WithTimeout(context.Background(), left+l.net.longest())
+		defer cancel()
+		var a answer
+		var m *Member
+		if m, a.err = l.net.pass(way, l.from, to); a.err == nil {
+			server, cancel := context.WithTimeout(context.Background(), left)
+			defer cancel()
+			a.r, a.err = call(server, m)
+			if _, err := l.net.pass(way, to, l.from); err != nil && !errors.Is(err, errLost) {
+				return // The answer is lost on its way.
+			}
+		}
+		done <- a
+	}()
+	var zero T
+	select {
+	case a := <-done:
+		return a.r, a.err
+	case <-ctx.Done():
+		return zero, ctx.Err()
 	}
-	return r, nil
+}
+
+func (n *memNetwork) longest() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay
 }
 
 func (l memLink) Step(ctx context.Context, to string, r *consensusv1.StepRequest) error {
 	r = proto.Clone(r).(*consensusv1.StepRequest)
-	_, err := exchange(ctx, l, to, func(m *Member) (bool, error) { return true, m.HandleStep(ctx, l.from, r) })
+	_, err := exchange(ctx, l, to, func(ctx context.Context, m *Member) (bool, error) { return true, m.HandleStep(ctx, l.from, r) })
 	return err
 }
 
 func (l memLink) Status(ctx context.Context, to string) (*controlv1.StatusResponse, error) {
-	return exchange(ctx, l, to, func(m *Member) (*controlv1.StatusResponse, error) { return m.Status(), nil })
+	return exchange(ctx, l, to, func(_ context.Context, m *Member) (*controlv1.StatusResponse, error) { return m.Status(), nil })
 }
 
 func (l memLink) Member(ctx context.Context, to string, r *controlv1.MemberRequest) (*controlv1.MemberResponse, error) {
-	return exchange(ctx, l, to, func(m *Member) (*controlv1.MemberResponse, error) { return m.ChangeMember(ctx, r) })
+	return exchange(ctx, l, to, func(ctx context.Context, m *Member) (*controlv1.MemberResponse, error) { return m.ChangeMember(ctx, r) })
 }
 
 func (l memLink) Feed(ctx context.Context, to string, r *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
-	return exchange(ctx, l, to, func(m *Member) (*controlv1.FeedResponse, error) {
+	return exchange(ctx, l, to, func(_ context.Context, m *Member) (*controlv1.FeedResponse, error) {
 		return m.Feed(proto.Clone(r).(*controlv1.FeedRequest))
 	})
 }
 
 func (l memLink) Booking(ctx context.Context, to string, r *controlv1.BookingRequest) (*controlv1.BookingResponse, error) {
-	return exchange(ctx, l, to, func(m *Member) (*controlv1.BookingResponse, error) {
+	return exchange(ctx, l, to, func(ctx context.Context, m *Member) (*controlv1.BookingResponse, error) {
 		return m.Booking(ctx, proto.Clone(r).(*controlv1.BookingRequest))
 	})
 }
 
 func (l memLink) Change(ctx context.Context, to string, r *controlv1.ChangeRequest) (*controlv1.ChangeResponse, error) {
-	return exchange(ctx, l, to, func(m *Member) (*controlv1.ChangeResponse, error) {
+	return exchange(ctx, l, to, func(ctx context.Context, m *Member) (*controlv1.ChangeResponse, error) {
 		return m.Change(ctx, proto.Clone(r).(*controlv1.ChangeRequest))
 	})
 }
@@ -249,6 +276,7 @@
 			c.kill(name)
 		}
 	}
+	c.net.calls.Wait()
 }
 
 func (c *cluster) member(name string) *Member {
--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -318,7 +318,7 @@
 
 func (c *cluster) read(h *history, client int, member string) reply {
 	return h.run(client, call{kind: "read"}, func() reply {
-		r, err := exchange(context.Background(), c.link("client"), member, func(m *Member) (*controlv1.SettingsResponse, error) { return m.Settings() })
+		r, err := exchange(context.Background(), c.link("client"), member, func(_ context.Context, m *Member) (*controlv1.SettingsResponse, error) { return m.Settings() })
 		if err != nil || r.Settings == nil {
 			return reply{refused: true, unknown: true}
 		}
@@ -393,8 +393,13 @@
 	if rng.IntN(5) == 0 {
 		member = c.names[rng.IntN(len(c.names))]
 	}
+	patience := time.Second
+	if rng.IntN(2) == 0 {
+		patience = time.Duration(2+rng.IntN(50)) * time.Millisecond
+	}
 	return h.run(client, in, func() reply {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		// Impatient callers make releases overtake begins.
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
 		r, err := c.link("client").Booking(ctx, member, bookingRequest(in))
 		if err != nil || r.State == controlv1.BookingResponse_STATE_UNSPECIFIED {
