Refuse requests that wait for a grant when the settings go stale

TestMajorityLost froze two of three control members. Requests at another entry that were admitted shortly before waited for a scheduler that nobody could replace: the caller had no answer after 10 s (bound: 5 s). The wait for a grant now ends with the freshness of the feed. Ruled out: a shorter call timeout, since the entry would repeat the call at the same silent instance.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,9 @@
 	"crypto/tls"
 	"hash/fnv"
 	"io"
+	stdlog "log"
 	"net"
+	"strings"
 	"sync/atomic"
 
 	"github.com/zeebo/errs"
@@ -42,9 +44,19 @@
 
 var (
 	eventStarted = event.Define(1001, "instance-started", event.Info, "the instance is starting")
+	eventLibrary = event.Define(1003, "library-message", event.Debug, "a library wrote a log line")
 	eventStopped = event.Define(1002, "instance-stopped", event.Info, "the instance has stopped")
 )
 
+// libraryLog turns lines of the standard logger into events.
+type libraryLog struct{ events *event.Recorder }
+
+// Write implements io.Writer.
+func (l libraryLog) Write(line []byte) (int, error) {
+	l.events.Emit(eventLibrary, event.F("message", strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
 // Daemon is one instance with its services.
 type Daemon struct {
 	config  Config
@@ -70,6 +82,9 @@
 		config: c, kernel: kernel.New(), clock: clock, metrics: metrics.New(c.Instance),
 		events: event.NewRecorder(c.Instance, clock, log, level),
 	}
+	// Libraries write to the standard logger; their lines become events as well.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryLog{d.events})
 	if err := d.join(); err != nil {
 		return nil, err
 	}
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -41,6 +41,8 @@
 
 // Directory tells which instance schedules a group.
 type Directory interface {
+	// Fresh reports whether the directory is proved to be current.
+	Fresh() bool
 	// Groups returns the names of the groups of a service.
 	Groups(service string) []string
 	// AllGroups returns the names of the groups of all services.
@@ -175,6 +177,14 @@
 			}
 			return nil, waitEnded(ctx)
 		}
+		// Without a fresh directory the scheduler it names may have lost the
+		// group, and nothing tells when another one takes over.
+		if !c.directory.Fresh() {
+			if asked {
+				c.cancel(group, r.Id)
+			}
+			return nil, verdict.Overloaded("settings_stale", "this entry can not reach the control members; use another entry", time.Second)
+		}
 		address, _, ok := c.directory.Holder(group)
 		if !ok {
 			pause(ctx, retryPause)
--- /dev/null
+++ b/internal/proof/bookings_test.go
@@ -0,0 +1,127 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/fakeengine"
+)
+
+// bookingSeed draws the callers' pauses and the faults.
+const bookingSeed = 7
+
+// attempt is what a caller was told about one booking.
+type attempt struct {
+	key       string
+	confirmed string // body of the confirmation
+	notRun    bool   // the last answer was not-run, and the caller gave up
+}
+
+// book sends a booking under one key to random instances until it is
+// confirmed or the caller gives up.
+func (c *cluster) book(r *rand.Rand, key string, tries int) attempt {
+	out := attempt{key: key}
+	header := map[string]string{"X-Auburnstep-Class": "booking", "Idempotency-Key": key}
+	open := false
+	for range tries {
+		in := c.instances[r.IntN(len(c.instances))]
+		ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+		a := in.send(ctx, "/services/rota-app/bookings", "statue "+key, header)
+		cancel()
+		if a.err == nil && a.status < 300 {
+			out.confirmed, out.notRun = a.body, false
+			return out
+		}
+		// A refused connection sent nothing, but a broken one leaves the
+		// outcome open, as may-have-run does.
+		if a.err != nil || a.verdict != "not-run" {
+			open = true
+		}
+		out.notRun = !open && a.err == nil && a.verdict == "not-run"
+		time.Sleep(time.Duration(50+r.IntN(100)) * time.Millisecond)
+	}
+	return out
+}
+
+// TestBookingsThroughKills guards against a booking that runs twice, is lost
+// after its confirmation, or ran although its caller was told that it did not,
+// while instances are killed, frozen and restarted, the leader and the
+// scheduler among them.
+func TestBookingsThroughKills(t *testing.T) {
+	c := startCluster(t, 4, 0)
+	plain := c.endpoint(fakeengine.Config{Kind: fakeengine.KindPlain, Service: "rota-app", Slots: 16}, "rota-app/0")
+	t.Logf("seed %d", bookingSeed)
+
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	var history []attempt
+	for w := range 8 {
+		r := rand.New(rand.NewPCG(bookingSeed, uint64(w)))
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				a := c.book(r, fmt.Sprintf("k-%d-%d", w, n), 6)
+				mu.Lock()
+				history = append(history, a)
+				mu.Unlock()
+			}
+		})
+	}
+	faults := []func(){
+		func() { in := c.holder("rota-app/0"); in.kill(); time.Sleep(300 * time.Millisecond); in.start(t) },
+		func() { in := c.leader(); in.kill(); time.Sleep(300 * time.Millisecond); in.start(t) },
+		func() {
+			in := c.leader()
+			in.signal(syscall.SIGSTOP)
+			time.Sleep(4 * time.Second)
+			in.signal(syscall.SIGCONT)
+		},
+		func() { in := c.instances[3]; in.kill(); time.Sleep(300 * time.Millisecond); in.start(t) },
+	}
+	for _, fault := range faults {
+		time.Sleep(time.Second)
+		fault()
+		time.Sleep(2 * time.Second)
+	}
+	close(stop)
+	callers.Wait()
+	checkBookings(t, history, plain.Ledger())
+}
+
+// checkBookings compares what callers were told with what the endpoint ran.
+func checkBookings(t *testing.T, history []attempt, ledger []fakeengine.Booking) {
+	t.Helper()
+	runs := make(map[string]int)
+	for _, b := range ledger {
+		runs[b.Body]++
+	}
+	confirmed, refused, open := 0, 0, 0
+	for _, a := range history {
+		n := runs["statue "+a.key]
+		qt.Check(t, n <= 1, qt.IsTrue, qt.Commentf("%s ran %d times", a.key, n))
+		switch {
+		case a.confirmed != "":
+			confirmed++
+			qt.Check(t, n, qt.Equals, 1, qt.Commentf("%s was confirmed and is lost", a.key))
+		case a.notRun:
+			refused++
+			qt.Check(t, n, qt.Equals, 0, qt.Commentf("%s ran against a not-run verdict", a.key))
+		default:
+			open++
+		}
+	}
+	t.Logf("%d bookings: %d confirmed, %d not run, %d open; %d runs", len(history), confirmed, refused, open, len(ledger))
+	qt.Check(t, confirmed > 0, qt.IsTrue)
+}
