scheduler: refuse when the first token can no longer come in time

Cause: requests of plain services were granted until their deadline itself, so that callers left in the middle of the work: wasted, and unknown for a booking. A request now leaves the queue one expected first-token time before the deadline, at half of it at the earliest.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -122,8 +122,8 @@
 	return out
 }
 
-// predict returns the expected time until the first token of a request that is
-// last in its tier, over the ordinary slots only. It counts waiting work of its
+// predict returns the expected time until the start of a request that is last
+// in its tier, over the ordinary slots only. It counts waiting work of its
 // own and higher tiers, and what higher tiers have been adding lately; work of
 // lower tiers never counts, since it would be shed first. It returns false
 // while nothing is known about capacity.
@@ -151,7 +151,7 @@
 	if most := w.customer.concurrency(); most > 0 {
 		seconds = math.Max(seconds, w.customer.work[t]/float64(most))
 	}
-	return time.Duration(seconds*float64(time.Second)) + c.firstToken(w.request.Class), true
+	return time.Duration(seconds * float64(time.Second)), true
 }
 
 // retryAfter returns when the request would have a chance again.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -170,10 +170,14 @@
 	if target <= 0 {
 		target = DefaultTarget
 	}
-	w.due = w.arrived.Add(target - c.firstToken(r.Class))
+	first := c.firstToken(r.Class)
+	w.due = w.arrived.Add(target - first)
 	w.deadline = now.Add(policy.QueueWait)
-	if r.Deadline > 0 && w.arrived.Add(r.Deadline).Before(w.deadline) {
-		w.deadline = w.arrived.Add(r.Deadline)
+	if r.Deadline > 0 {
+		margin := min(first, r.Deadline/2)
+		if last := w.arrived.Add(r.Deadline - margin); last.Before(w.deadline) {
+			w.deadline = last
+		}
 	}
 	w.expires = w.expiresAt()
 	return w
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -10,11 +10,14 @@
 
 // waiter is a waiting request.
 type waiter struct {
-	request  Request
-	arrived  time.Time
-	seen     time.Time // last Enqueue
-	due      time.Time // latest start that meets the target
-	deadline time.Time // zero: none
+	request Request
+	arrived time.Time
+	seen    time.Time // last Enqueue
+	due     time.Time // latest start that meets the target
+	// deadline is the latest start that meets the request's deadline, short of
+	// half the deadline at most, so that a wrong estimate can not refuse all
+	// requests and with them the samples that would correct it.
+	deadline time.Time
 	sequence uint64
 	work     float64 // expected seconds of one slot
 	cost     float64 // expected tokens, or calls for plain services
