scheduler: keep all slots of slow endpoints of plain services

Cause: a slow engine gets fewer slots because a smaller batch runs faster. Calls of plain services share no batch, so that fewer slots only lose capacity.

--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -90,7 +90,7 @@
 		return 0
 	}
 	slots := ep.spec.Slots
-	if slow := ep.pace.Slowness(now); slow > slowFrom {
+	if slow := ep.pace.Slowness(now); slow > slowFrom && c.config.Kind == Engine {
 		slots = max(1, int(math.Ceil(float64(slots)*slowFrom/slow)))
 	}
 	return slots
