scheduler: leave requests that wait for a customer's limit out of predictions

They delay nobody else, but lower tiers were refused because of them. A successor now also learns lengths and durations from adopted grants; only their pace is left out, since the load at their start is unknown.

--- a/internal/scheduler/grants.go
+++ b/internal/scheduler/grants.go
@@ -31,8 +31,7 @@
 	until     time.Time
 	expiry    int
 	work      float64
-	cost      float64
-	charged   float64 // taken from the customer's token rate
+	cost      float64 // charged to the customer
 	uncached  int
 	load      int // requests in flight at the endpoint, this one included
 	reserved  bool
@@ -61,7 +60,7 @@
 	g := &grant{
 		id: id, requestID: w.request.ID, entry: w.request.Entry, endpoint: ep, class: w.class,
 		customer: w.customer, tier: w.request.Tier, epoch: c.config.Epoch, granted: now,
-		until: now.Add(grantUnused), work: w.work, cost: w.cost, charged: w.cost,
+		until: now.Add(grantUnused), work: w.work, cost: w.cost,
 		uncached: c.uncached(w, ep), load: ep.inFlight + 1, reserved: reserved,
 	}
 	if ep.health.ejected {
@@ -160,21 +159,17 @@
 	if o.Unused {
 		actual = 0
 	}
-	if !g.adopted {
-		c.tiers[g.tier].fair.Correct(&cu.flows[g.tier], g.cost, actual)
-		cu.rate.Charge(now, cu.tokensPerSecond(), actual-g.charged)
-		c.touch(cu)
-	}
+	c.tiers[g.tier].fair.Correct(&cu.flows[g.tier], g.cost, actual)
+	cu.rate.Charge(now, cu.tokensPerSecond(), actual-g.cost)
+	c.touch(cu)
 	if o.Unused || o.Failed {
 		return
 	}
 	cu.retry.Success(cu.limits.RetryBudget)
 	c.retry.Success(c.policy.RetryBudget)
-	if g.adopted {
-		return
+	if !g.adopted { // the load at the start of an adopted grant is unknown
+		c.learnPace(now, g, o)
 	}
-	// Pace first: durations include this sample afterwards.
-	c.learnPace(now, g, o)
 	c.durations.Add(now, cu.name, g.class.name, o.Duration.Seconds())
 	if c.config.Kind == Engine && o.Tokens > 0 {
 		c.tokens.Add(now, cu.name, g.class.name, actual)
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -83,6 +83,60 @@
 	c.Assert(out[0].(Refused).Err.RetryAfter >= 10*time.Second, qt.IsTrue)
 }
 
+// Guards against refusals because of requests that wait for a customer's own
+// limit and so do not delay others.
+func TestLimitedCustomerDoesNotDelayOthers(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(Config{}, Policy{Customer: func(name string) limit.Policy {
+		return limit.Policy{Concurrency: map[string]int{"k": 1}[name]}
+	}}, engine("a", 2))
+	for i := range 30 {
+		b.ask(request(fmt.Sprint("limited", i), 0))
+	}
+	for i := range 3 {
+		r := request(fmt.Sprint("r", i), 1)
+		r.Customer, r.Deadline = "other", 10*time.Second
+		out := b.ask(r)
+		c.Assert(refusalsOf(out), qt.HasLen, 0)
+		c.Assert(len(grantsOf(out)) == 1, qt.Equals, i == 0)
+	}
+}
+
+// Guards against a class of a tier that is crowded out by another class of the
+// same tier in spite of its share.min.
+func TestShareMin(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(Config{}, Policy{Classes: map[string]ClassPolicy{"rare": {ShareMin: 0.25}}}, engine("a", 1))
+	g := one(c, b.ask(request("first", 1)))
+	for i := range 40 {
+		r := request(fmt.Sprint("many", i), 1)
+		r.Target, r.Deadline = time.Second*5, time.Hour
+		b.ask(r)
+		r.ID, r.Class, r.Target = fmt.Sprint("rare", i), "rare", time.Hour
+		b.ask(r)
+	}
+	count := map[string]int{}
+	for range 20 {
+		g = one(c, b.Release(b.now, g.GrantID, Outcome{Tokens: 200, Duration: time.Second}))
+		count[g.RequestID[:4]]++
+	}
+	c.Assert(count["rare"] >= 5 && count["rare"] <= 7, qt.IsTrue, qt.Commentf("%v", count))
+}
+
+// Guards against a class that fills the whole queue, and against losing the one
+// request of a class that must stay.
+func TestClassQueueMax(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(Config{}, Policy{Classes: map[string]ClassPolicy{"class2": {QueueMax: 2}}}, engine("a", 1))
+	b.ask(request("running", 0))
+	var refused []string
+	for i := range 5 {
+		refused = append(refused, refusalsOf(b.ask(request(fmt.Sprint("r", i), 2)))...)
+	}
+	c.Assert(refused, qt.DeepEquals, []string{"r3 queue_full", "r4 queue_full"})
+	c.Assert(b.ask(request("other", 1)), qt.HasLen, 0)
+}
+
 // Guards against groups that together exceed a customer's limit: without a
 // share nothing is granted, and a share ends.
 func TestSharedLimits(t *testing.T) {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -97,11 +97,16 @@
 
 // account holds the waiting requests of one customer in one tier of one pool.
 type account struct {
-	customer  *customer
-	pool      *pool
-	tier      int
-	onTime    heap[*waiter]
-	late      heap[*waiter]
+	customer *customer
+	pool     *pool
+	tier     int
+	onTime   heap[*waiter]
+	late     heap[*waiter]
+	// work is the expected seconds of the on-time requests. It counts in the
+	// pool's demand while the customer is below its concurrency limit: what
+	// waits for a limit does not delay others.
+	work      float64
+	counted   bool
 	place     place
 	index     int // in the heap that place names
 	lateIndex int // in poolTier.late, -1 if not there
@@ -239,8 +244,7 @@
 		c.tiers[t].fair.Activate(&w.customer.flows[t], w.customer.limits.Weight)
 	}
 	p.tiers[t].waiting++
-	p.demand.work[t] += w.work
-	w.customer.work[t] += w.work
+	c.addWork(w.account, w.work)
 	w.account.onTime.push(w)
 	c.arrange(w.account)
 }
@@ -257,10 +261,11 @@
 		a.late.remove(w.index)
 	} else {
 		a.onTime.remove(w.index)
-		c.uncount(w)
+		c.addWork(a, -w.work)
 	}
 	p.tiers[t].waiting--
 	if a.onTime.len()+a.late.len() == 0 {
+		c.count(a, false)
 		delete(p.accounts, accountKey{a.customer, t})
 		a.customer.drop(a)
 	} else {
@@ -285,12 +290,28 @@
 	return true
 }
 
-// uncount takes a waiter out of the sums of on-time work.
-func (c *Core) uncount(w *waiter) {
-	t := w.request.Tier
-	d := w.account.pool.demand
-	d.work[t] = max(0, d.work[t]-w.work)
-	w.customer.work[t] = max(0, w.customer.work[t]-w.work)
+// addWork adds on-time work of an account to the sums that predictions use.
+func (c *Core) addWork(a *account, work float64) {
+	a.work = max(0, a.work+work)
+	a.customer.work[a.tier] = max(0, a.customer.work[a.tier]+work)
+	if a.counted {
+		d := a.pool.demand
+		d.work[a.tier] = max(0, d.work[a.tier]+work)
+	}
+}
+
+// count includes or excludes an account in the demand of its pool.
+func (c *Core) count(a *account, counted bool) {
+	if a.counted == counted {
+		return
+	}
+	a.counted = counted
+	work := a.work
+	if !counted {
+		work = -work
+	}
+	d := a.pool.demand
+	d.work[a.tier] = max(0, d.work[a.tier]+work)
 }
 
 // takeOut removes an account from the orders of its pool.
@@ -311,7 +332,9 @@
 // arrange puts an account where it belongs in the orders of its pool.
 func (c *Core) arrange(a *account) {
 	c.takeOut(a)
-	if a.customer.full() {
+	full := a.customer.full()
+	c.count(a, !full)
+	if full {
 		return
 	}
 	t := &a.pool.tiers[a.tier]
@@ -336,7 +359,7 @@
 	for a.onTime.len() > 0 && a.onTime.top().due.Before(now) {
 		w := a.onTime.top()
 		a.onTime.remove(0)
-		c.uncount(w)
+		c.addWork(a, -w.work)
 		w.late = true
 		a.late.push(w)
 	}
