--- a/internal/policy/engine.go
+++ b/internal/policy/engine.go
@@ -7,20 +7,17 @@
 
 // engine models one endpoint. Running streams get tokens at one pace, which
 // falls with the size of the batch; requests beyond the slots wait in the engine
-// by tier. Endpoints of plain services have a pace that does not depend on the
-// batch.
+// by tier. The pace of plain endpoints does not depend on the batch.
 type engine struct {
-	id          string
-	sim         *sim
-	slow        float64
-	down        bool
-	incarnation uint64
-	tokens      float64 // tokens that each stream got since the start
-	at          float64 // time up to which tokens is computed
-	running     []*request
-	queue       []*request
-	cached      []uint64 // prefixes, least recently used first
-	version     int      // voids planned completions
+	id             string
+	sim            *sim
+	slow           float64
+	down           bool
+	incarnation    uint64
+	tokens, at     float64 // tokens that each stream got since the start, up to time at
+	running, queue []*request
+	cached         []uint64 // prefixes, least recently used first
+	version        int      // voids planned completions
 }
 
 const cachedPrefixes = 100
@@ -86,14 +83,12 @@
 // prefill returns the seconds for the part of the prompt that is not cached.
 func (e *engine) prefill(r *request) float64 {
 	whole := e.sim.service.prefillTime * float64(r.class.prompt)
-	i := slices.Index(e.cached, r.prefix)
-	if i >= 0 {
+	if i := slices.Index(e.cached, r.prefix); i >= 0 {
 		e.cached = slices.Delete(e.cached, i, i+1)
 		whole *= 1 - cachedPart
-	} else if len(e.cached) >= cachedPrefixes {
-		e.cached = e.cached[1:]
 	}
 	e.cached = append(e.cached, r.prefix)
+	e.cached = e.cached[max(0, len(e.cached)-cachedPrefixes):]
 	return whole
 }
 
@@ -109,16 +104,14 @@
 func (e *engine) complete() {
 	e.advance()
 	var done []*request
-	for _, r := range e.running {
+	for _, r := range slices.Clone(e.running) {
 		if r.decoding && r.ends-e.tokens < 1e-6 {
 			done = append(done, r)
-		}
-	}
-	for _, r := range done {
-		e.take(r)
-		r.done = r.tokens
-		if r.first == 0 {
-			r.first = e.sim.now // a plain response comes whole
+			e.take(r)
+			r.done = r.tokens
+			if r.first == 0 {
+				r.first = e.sim.now // a plain response comes whole
+			}
 		}
 	}
 	e.fill()
@@ -129,24 +122,27 @@
 
 // take removes a request and keeps its progress.
 func (e *engine) take(r *request) {
-	same := func(q *request) bool { return q == r }
-	e.running, e.queue = slices.DeleteFunc(e.running, same), slices.DeleteFunc(e.queue, same)
+	e.running, e.queue = without(e.running, r), without(e.queue, r)
 	if r.decoding {
 		r.done = r.tokens - int(math.Ceil(max(0, r.ends-e.tokens)))
 	}
 	r.engine, r.running, r.decoding = nil, false, false
 }
 
+func without(list []*request, r *request) []*request {
+	return slices.DeleteFunc(list, func(q *request) bool { return q == r })
+}
+
 // crash loses all streams.
 func (e *engine) crash() {
 	e.advance()
-	lost := append(slices.Clone(e.running), e.queue...)
+	lost := slices.Concat(e.running, e.queue)
 	e.down, e.cached = true, nil
 	e.incarnation++
+	e.version++
 	for _, r := range lost {
 		e.take(r)
 	}
-	e.version++
 	for _, r := range lost {
 		e.sim.finished(r, false)
 	}
--- a/internal/policy/routers.go
+++ b/internal/policy/routers.go
@@ -9,11 +9,8 @@
 // Routers lists what is measured, the core first.
 var Routers = []string{"core", "random", "round robin", "least outstanding", "two choices", "oracle"}
 
-const (
-	// reportEvery is the interval of load reports, reportLag their usual age.
-	reportEvery = 1.0
-	reportLag   = 0.25
-)
+// reportEvery is the interval of load reports, reportLag their usual age.
+const reportEvery, reportLag = 1.0, 0.25
 
 func newRouter(s *sim, name string) router {
 	switch name {
@@ -119,9 +116,8 @@
 func (o *oracle) ended(*request, *engine, bool) { o.dispatch() }
 
 func (o *oracle) left(r *request) {
-	for _, q := range []*[]*request{&o.onTime[r.class.tier], &o.late[r.class.tier]} {
-		*q = slices.DeleteFunc(*q, func(q *request) bool { return q == r })
-	}
+	t := r.class.tier
+	o.onTime[t], o.late[t] = without(o.onTime[t], r), without(o.late[t], r)
 }
 
 func (o *oracle) waits(tier int) bool {
--- a/internal/policy/sim.go
+++ b/internal/policy/sim.go
@@ -1,9 +1,10 @@
 package policy
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+
+	"github.com/google/btree"
 )
 
 // hop is the one-way time between an entry and the scheduler or an engine.
@@ -23,24 +24,10 @@
 	run func()
 }
 
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // sim is one run.
 type sim struct {
 	now      float64
-	events   events
+	events   *btree.BTreeG[event]
 	seq      int
 	service  *service
 	scenario scenario
@@ -54,12 +41,13 @@
 
 func (s *sim) after(d float64, run func()) {
 	s.seq++
-	heap.Push(&s.events, event{s.now + d, s.seq, run})
+	s.events.ReplaceOrInsert(event{s.now + d, s.seq, run})
 }
 
 // run measures one router.
 func run(sv *service, sc scenario, routerName string, seed uint64) Result {
 	s := &sim{service: sv, scenario: sc, rnd: rand.New(rand.NewPCG(seed, 11))}
+	s.events = btree.NewG(32, func(a, b event) bool { return a.at < b.at || a.at == b.at && a.seq < b.seq })
 	s.waiting, s.unserved = make([]int, len(sv.classes)), make([]float64, len(sv.classes))
 	s.result = Result{Service: sv.name, Scenario: sc.name, Router: routerName}
 	for _, c := range sv.classes {
@@ -74,8 +62,7 @@
 		s.after(r.arrive, func() { s.arrive(r) })
 	}
 	s.planFaults()
-	for len(s.events) > 0 && s.events[0].at < drainUntil {
-		e := heap.Pop(&s.events).(event)
+	for e, ok := s.events.DeleteMin(); ok && e.at < drainUntil; e, ok = s.events.DeleteMin() {
 		s.now = e.at
 		e.run()
 	}
@@ -85,16 +72,14 @@
 
 func (s *sim) planFaults() {
 	e := s.engines[0]
-	slow := func(factor float64) func() {
-		return func() {
-			e.advance()
-			e.slow = factor
-			e.fill()
-		}
+	slow := func(factor float64) {
+		e.advance()
+		e.slow = factor
+		e.fill()
 	}
 	if s.scenario.slowed {
-		s.after(30, slow(5))
-		s.after(90, slow(1))
+		s.after(30, func() { slow(5) })
+		s.after(90, func() { slow(1) })
 	}
 	if s.scenario.crashed {
 		s.after(30, e.crash)
--- a/internal/policy/workload.go
+++ b/internal/policy/workload.go
@@ -11,15 +11,18 @@
 	"slices"
 )
 
-// class is one request class. Output lengths are log-normal.
+// class is one request class: its tier, its share of the service's requests, the
+// tokens of its prompts, the median and sigma of its log-normal output lengths,
+// the targets for the first token and the mean between tokens, the time after
+// which callers leave, and whether it may not be repeated.
 type class struct {
 	name                      string
 	tier                      int
-	share                     float64 // of the service's requests
+	share                     float64
 	prompt                    int
-	median, sigma             float64 // output tokens
-	target, between, deadline float64 // first token, mean between tokens, caller leaves
-	once                      bool    // may not be repeated
+	median, sigma             float64
+	target, between, deadline float64
+	once                      bool
 	index                     int
 }
 
@@ -67,16 +70,16 @@
 	}},
 }
 
-// scenario is one situation that all routers meet.
+// scenario is one situation that all routers meet: a load in times capacity, a
+// burst of one class from 40 s to 70 s, an engine that runs 5 times slower from
+// 30 s to 90 s or is down from 30 s to 50 s, and a scheduler that is lost at 40 s
+// and replaced at 43 s.
 type scenario struct {
-	name       string
-	load       float64 // times capacity
-	burst      float64 // multiplies the rate of burstClass from 40 s to 70 s
-	burstClass int
-	slowed     bool // one engine runs 5 times slower from 30 s to 90 s
-	crashed    bool // one engine is down from 30 s to 50 s
-	reportLag  float64
-	takeover   bool // the scheduler is lost at 40 s, its successor starts at 43 s
+	name                      string
+	load, burst               float64
+	burstClass                int
+	slowed, crashed, takeover bool
+	reportLag                 float64
 }
 
 var scenarios = []scenario{
@@ -95,14 +98,10 @@
 
 const (
 	arrivalsUntil = 120.0
-	// countedFrom leaves the time in which estimates are learned out of the
-	// figures.
-	countedFrom = 20.0
-	drainUntil  = 200.0
-	entries     = 8
-	// cachedPart is the part of a prompt that requests about the same file
-	// share; each customer has 20 files.
-	cachedPart = 0.5
+	countedFrom   = 20.0 // estimates are learned before
+	drainUntil    = 200.0
+	entries       = 8
+	cachedPart    = 0.5 // of a prompt is the file; each customer has 20 files
 )
 
 // request is one request of a workload and its fate.
