--- a/internal/policy/core.go
+++ b/internal/policy/core.go
@@ -90,20 +90,27 @@
 }
 
 // check counts grants to a lower tier while a higher one waits that may use the
-// same endpoint. The reserved lane is meant to do that.
+// same endpoint. The reserved lane is meant to do that, and an ejected endpoint
+// takes repeatable requests only, as probes.
 func (c *coreRouter) check(g scheduler.Granted) {
 	if g.Reserved {
 		c.sim.result.reserved++
 		return
 	}
 	for w := range c.waiting {
-		if w.class.tier < g.Priority && !slices.Contains(w.avoid, g.Endpoint) {
+		if w.class.tier < g.Priority && !slices.Contains(w.avoid, g.Endpoint) && !(w.class.once && c.ejected(g.Endpoint)) {
 			c.sim.result.violations++
 			return
 		}
 	}
 }
 
+func (c *coreRouter) ejected(id string) bool {
+	return slices.ContainsFunc(c.core.Status(c.clock()).Endpoints, func(e scheduler.EndpointStatus) bool {
+		return e.Endpoint.ID == id && e.Ejected
+	})
+}
+
 // use is the entry that got a grant.
 func (c *coreRouter) use(r *request, g scheduler.Granted) {
 	e := c.sim.engines[slices.IndexFunc(c.sim.engines, func(e *engine) bool { return e.id == g.Endpoint })]
