--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -107,3 +107,28 @@
 		})
 	}
 }
+
+// BenchmarkKnownCustomers gives the memory for customers that were served in
+// the last minute and have nothing waiting.
+func BenchmarkKnownCustomers(b *testing.B) {
+	for _, n := range []int{330, 3300, 33_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				core := newBench(Config{}, Policy{}, engine("a", 8))
+				for i := range n {
+					for _, d := range core.ask(loadedRequest(i, n)) {
+						core.Release(core.now, d.(Granted).GrantID, Outcome{Tokens: 200, Duration: time.Second})
+					}
+				}
+				core.Tick(core.now.Add(10 * time.Second))
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(core)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-bytes")
+		})
+	}
+}
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -33,6 +33,9 @@
 	endpoints map[string]Endpoint
 	policy    Policy
 	overlap   map[string]int // grants adopted beyond the slots, by endpoint
+	kind      Kind
+	limit     int // of customer k0
+	sequence  uint64
 }
 
 var machineEntries = []string{"e0", "e1", "e2"}
@@ -40,19 +43,20 @@
 func newMachine(t *rapid.T) *machine {
 	m := &machine{
 		now: epoch, epoch: 1, requests: map[string]Request{}, held: map[string]*held{},
-		endpoints: map[string]Endpoint{}, overlap: map[string]int{},
+		endpoints: map[string]Endpoint{}, overlap: map[string]int{}, limit: 2,
+		kind: rapid.SampledFrom([]Kind{Engine, Plain}).Draw(t, "kind"),
 	}
 	m.policy = Policy{
 		QueueMax: rapid.IntRange(3, 30).Draw(t, "queueMax"),
 		Classes:  map[string]ClassPolicy{"class2": {StarvationBound: 2 * time.Second}, "class1": {ShareMin: 0.3}},
 		Customer: func(name string) limit.Policy {
 			if name == "k0" {
-				return limit.Policy{Concurrency: 2}
+				return limit.Policy{Concurrency: m.limit, Weight: 2}
 			}
 			return limit.Policy{}
 		},
 	}
-	m.core = New(m.now, Config{Epoch: 1, Entries: machineEntries}, m.policy)
+	m.core = New(m.now, Config{Epoch: 1, Kind: m.kind, Entries: machineEntries}, m.policy)
 	for i := range rapid.IntRange(1, 4).Draw(t, "endpoints") {
 		e := Endpoint{ID: fmt.Sprint("n", i), Incarnation: 1, Slots: rapid.IntRange(1, 6).Draw(t, "slots"), Models: []string{"m"}}
 		if i%2 == 1 {
@@ -178,6 +182,13 @@
 	if reserved != m.core.reservedInFlight || len(m.core.grants) != m.core.inFlight {
 		t.Fatalf("reserved %d, in flight %d do not match the grants", m.core.reservedInFlight, m.core.inFlight)
 	}
+	for prefix, holders := range m.core.prefixes {
+		for _, e := range holders {
+			if m.core.endpoints[e.endpoint.spec.ID] != e.endpoint || e.endpoint.cache.entries[prefix] != e {
+				t.Fatalf("prefix %d is indexed at %s, which does not hold it", prefix, e.endpoint.spec.ID)
+			}
+		}
+	}
 	for _, p := range m.core.poolOrder {
 		for i := range p.tiers {
 			n := 0
@@ -205,6 +216,9 @@
 	if rapid.IntRange(0, 3).Draw(t, "model") == 0 {
 		r.Model = "other"
 	}
+	for i := range uint64(rapid.IntRange(0, 3).Draw(t, "prefixes")) {
+		r.Prefixes = append(r.Prefixes, i*2+uint64(tier%2))
+	}
 	if rapid.IntRange(0, 5).Draw(t, "avoid") == 0 {
 		r.Avoid = []string{fmt.Sprint("n", rapid.IntRange(0, 3).Draw(t, "avoided"))}
 	}
@@ -299,23 +313,33 @@
 func (m *machine) changeEndpoint(t *rapid.T) {
 	id := rapid.SampledFrom(slices.Sorted(maps.Keys(m.endpoints))).Draw(t, "endpoint")
 	e := m.endpoints[id]
-	switch rapid.IntRange(0, 2).Draw(t, "change") {
+	switch rapid.IntRange(0, 3).Draw(t, "change") {
 	case 0:
 		e.Leaving = !e.Leaving
 	case 1:
 		e.Slots = rapid.IntRange(1, 6).Draw(t, "slots")
 	case 2:
 		e.Incarnation++
+	case 3:
+		m.sequence += rapid.Uint64Range(1, 2).Draw(t, "sequence")
+		prefix := rapid.Uint64Range(0, 6).Draw(t, "prefix")
+		m.check(t, m.core.Announce(m.now, withEvents(e, CacheEvent{Sequence: m.sequence, Stored: prefix%2 == 0, Prefix: prefix})))
 	}
 	m.endpoints[id] = e
 	m.check(t, m.core.Announce(m.now, e))
 }
 
+// configure changes the limit of a customer.
+func (m *machine) configure(t *rapid.T) {
+	m.limit = rapid.IntRange(1, 4).Draw(t, "limit")
+	m.check(t, m.core.Configure(m.now, m.policy))
+}
+
 // takeover replaces the core. Each entry adopts at once, within the warm-up or
 // after it; what is told too late may overlap.
 func (m *machine) takeover(t *rapid.T) {
 	m.epoch++
-	m.core = New(m.now, Config{Epoch: m.epoch, Successor: true, Entries: machineEntries}, m.policy)
+	m.core = New(m.now, Config{Epoch: m.epoch, Kind: m.kind, Successor: true, Entries: machineEntries}, m.policy)
 	m.overlap = map[string]int{}
 	silent := rapid.SampledFrom(append([]string{""}, machineEntries...)).Draw(t, "silent")
 	for _, h := range m.held {
@@ -360,6 +384,7 @@
 			"repeat":   m.repeat,
 			"pass":     m.pass,
 			"endpoint": m.changeEndpoint,
+			"policy":   m.configure,
 			"takeover": m.takeover,
 		})
 	})
