Carry cache events from engines to the scheduler in announcements

Engines publish changes of their prefix cache late and with gaps. They now ride on the announcements that are renewed each second, so they cost no message of their own; a scheduler that misses numbers asks for the whole list in the reply. Polling each engine from the scheduler was ruled out: 600 replicas would mean 600 further requests a second.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -55,12 +56,27 @@
 		KVUsed       float32 `json:"kv_used"`
 		MeasuredAtMS int64   `json:"measured_at_ms"`
 	} `json:"load"`
+	// CacheEvents are the changes of the prefix cache since the announcement
+	// that was last confirmed. They may be late and have gaps.
+	CacheEvents []CacheEvent `json:"cache_events"`
+}
+
+// CacheEvent is one change of an engine's prefix cache. A prefix is the hash of
+// the model and the text up to it, as openai.ChatRequest.Prefixes makes it.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	// Kind is stored, removed, or cleared, after which all earlier events are void.
+	Kind   string `json:"kind"`
+	Prefix string `json:"prefix"`
 }
 
 // AnnounceReply tells an endpoint when to announce itself again, and where.
 type AnnounceReply struct {
 	RenewAfterMS int64     `json:"renew_after_ms"`
 	Entries      []Address `json:"entries"`
+	// Resync asks for all cached prefixes in the next announcement, after an
+	// event of kind cleared, because events are missing.
+	Resync bool `json:"resync"`
 }
 
 // announce serves POST /endpoints/v1/announce. It passes the announcement on
@@ -81,13 +97,14 @@
 		writeError(w, verdict.Refused(http.StatusBadRequest, "invalid_announcement", "the body is not an announcement: "+err.Error()))
 		return
 	}
-	if refusal := s.forward(r.Context(), &a); refusal != nil {
+	resync, refusal := s.forward(r.Context(), &a)
+	if refusal != nil {
 		s.o.Events.Emit(eventRejected, event.F("endpoint", quote(a.ID)), event.F("service", quote(a.Service)), event.F("error", refusal.Message))
 		writeError(w, refusal)
 		return
 	}
 	s.o.Events.Emit(eventAnnounced, event.F("endpoint", a.ID), event.F("service", a.Service), event.F("leaving", a.Leaving))
-	writeJSON(w, AnnounceReply{RenewAfterMS: renewAfter.Milliseconds(), Entries: s.addresses().Entries})
+	writeJSON(w, AnnounceReply{RenewAfterMS: renewAfter.Milliseconds(), Entries: s.addresses().Entries, Resync: resync})
 }
 
 // endpointAllowed checks the endpoint's token. Without configured tokens only
@@ -106,28 +123,30 @@
 	return valid == 1
 }
 
-func (s *Server) forward(ctx context.Context, a *Announcement) *verdict.Error {
+// forward passes an announcement to the scheduler of its group and reports
+// whether the scheduler asks for the whole list of cached prefixes.
+func (s *Server) forward(ctx context.Context, a *Announcement) (resync bool, refusal *verdict.Error) {
 	service, ok := s.o.View.Index().Service(a.Service)
 	if !ok {
-		return verdict.Refused(http.StatusNotFound, "unknown_service", "service "+quote(a.Service)+" does not exist in the settings")
+		return false, verdict.Refused(http.StatusNotFound, "unknown_service", "service "+quote(a.Service)+" does not exist in the settings")
 	}
 	if refusal := a.check(service); refusal != nil {
-		return refusal
+		return false, refusal
 	}
 	group := GroupOf(service, a.ID)
 	holder, _, ok := s.o.Directory.Holder(group)
 	if !ok {
-		return verdict.Overloaded("no_scheduler", "no scheduler is assigned to group "+group, time.Second)
+		return false, verdict.Overloaded("no_scheduler", "no scheduler is assigned to group "+group, time.Second)
 	}
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	_, err := s.o.Dial(holder).Announce(ctx, connect.NewRequest(&schedulerv1.AnnounceRequest{
+	res, err := s.o.Dial(holder).Announce(ctx, connect.NewRequest(&schedulerv1.AnnounceRequest{
 		Group: group, Endpoints: []*schedulerv1.Endpoint{a.endpoint()},
 	}))
 	if err != nil {
-		return verdict.Overloaded("no_scheduler", "the scheduler of group "+group+" did not take the announcement", time.Second).WithCause(err)
+		return false, verdict.Overloaded("no_scheduler", "the scheduler of group "+group+" did not take the announcement", time.Second).WithCause(err)
 	}
-	return nil
+	return slices.Contains(res.Msg.Resync, a.ID), nil
 }
 
 // GroupOf returns the group that an endpoint belongs to.
@@ -180,5 +199,12 @@
 			Running: a.Load.Running, Waiting: a.Load.Waiting, KvUsed: a.Load.KVUsed, MeasuredAtMs: a.Load.MeasuredAtMS,
 		}
 	}
+	for _, c := range a.CacheEvents {
+		// An unreadable prefix matches nothing; its number still counts.
+		prefix, _ := strconv.ParseUint(c.Prefix, 16, 64)
+		e.CacheEvents = append(e.CacheEvents, &schedulerv1.CacheEvent{
+			Sequence: c.Sequence, Prefix: prefix, Stored: c.Kind == "stored", Cleared: c.Kind == "cleared",
+		})
+	}
 	return e
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -305,3 +305,25 @@
 	_, err := http.Get(b.URL + "/v1/entries")
 	qt.Check(t, err, qt.IsNotNil)
 }
+
+// TestCacheEvents guards against cache events that are lost on the way from an
+// engine to the choice of an endpoint: only the engine itself knows of a prefix
+// that another system put into its cache.
+func TestCacheEvents(t *testing.T) {
+	b := testkit.Start(t, strings.Replace(declarations, "body.max: 4KiB", "body.max: 1MiB", 1))
+	b.Engine(t, engine())
+	cached := b.Engine(t, engine())
+	b.Engine(t, engine())
+	prompt := strings.Repeat("conservation file ", 2000)
+	direct := call{path: "", body: chatBody(prompt, `,"max_tokens":1`)}
+	res, err := http.Post(cached.URL()+"/v1/chat/completions", "application/json", strings.NewReader(direct.body))
+	qt.Assert(t, err, qt.IsNil)
+	res.Body.Close()
+	time.Sleep(2 * time.Second) // two renewals of the announcement carry the events
+	before := cached.Stats().Received
+	for range 5 {
+		res, text := call{path: "/v1/chat/completions", body: chatBody(prompt+"next", `,"max_tokens":1`)}.send(t, b)
+		qt.Assert(t, res.StatusCode, qt.Equals, 200, qt.Commentf("%s", text))
+	}
+	qt.Check(t, cached.Stats().Received-before, qt.Equals, int64(5))
+}
--- a/internal/fakeengine/announce.go
+++ b/internal/fakeengine/announce.go
@@ -65,6 +65,9 @@
 	mu      sync.Mutex
 	entries []string
 	next    int
+	// sequence is the last event that an entry has confirmed.
+	sequence uint64
+	resync   bool
 }
 
 func newAnnouncer(s *Server) *announcer {
@@ -161,7 +164,9 @@
 
 func (a *announcer) send(entry string) (AnnounceReply, error) {
 	var reply AnnounceReply
-	body, err := json.Marshal(a.announcement())
+	announcement := a.announcement()
+	announcement.CacheEvents = a.cacheEvents()
+	body, err := json.Marshal(announcement)
 	if err != nil {
 		return reply, err
 	}
@@ -180,7 +185,30 @@
 	if resp.StatusCode != http.StatusOK {
 		return reply, Error.New("entry %s answered %s", entry, resp.Status)
 	}
-	return reply, json.NewDecoder(resp.Body).Decode(&reply)
+	err = json.NewDecoder(resp.Body).Decode(&reply)
+	a.confirm(announcement.CacheEvents, reply.Resync)
+	return reply, err
+}
+
+// cacheEvents returns the events since the last confirmed announcement, or the
+// whole list if it was asked for.
+func (a *announcer) cacheEvents() []CacheEvent {
+	a.mu.Lock()
+	resync, after := a.resync, a.sequence
+	a.mu.Unlock()
+	if resync {
+		return a.server.cache.all()
+	}
+	return a.server.cache.after(after).Events
+}
+
+func (a *announcer) confirm(events []CacheEvent, resync bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.resync = resync
+	for _, e := range events {
+		a.sequence = max(a.sequence, e.Sequence)
+	}
 }
 
 func (a *announcer) announcement() Announcement {
--- a/internal/fakeengine/api.go
+++ b/internal/fakeengine/api.go
@@ -136,6 +136,9 @@
 	LeaseMS           int64    `json:"lease_ms"`
 	Leaving           bool     `json:"leaving"`
 	Load              Load     `json:"load"`
+	// CacheEvents are the published changes of the prefix cache since the last
+	// confirmed announcement.
+	CacheEvents []CacheEvent `json:"cache_events,omitempty"`
 }
 
 // EntryAddress is one entry of the list in an AnnounceReply.
@@ -148,6 +151,7 @@
 // AnnounceReply is the answer to an Announcement.
 type AnnounceReply struct {
 	RenewAfterMS int64          `json:"renew_after_ms"`
+	Resync       bool           `json:"resync"`
 	Entries      []EntryAddress `json:"entries"`
 }
 
--- a/internal/fakeengine/cache.go
+++ b/internal/fakeengine/cache.go
@@ -5,19 +5,21 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
+
+	"auburnstep.example/auburnstep/internal/openai"
 )
 
-// blockTokens is the number of prompt tokens in one block of the prefix cache.
-const blockTokens = 16
+// blockTokens is the estimated number of prompt tokens in one block of the
+// prefix cache, for which openai.ChatRequest.Prefixes has one hash.
+const blockTokens = 256
 
 // CacheEvent says that a block was stored in the prefix cache or removed from it.
 type CacheEvent struct {
 	Sequence uint64 `json:"sequence"`
 	Kind     string `json:"kind"`
-	Block    string `json:"block"`
+	Prefix   string `json:"prefix"`
 }
 
 // CacheEvents is the answer to a poll of cache events.
@@ -55,23 +57,19 @@
 	return &prefixCache{cfg: cfg, order: list.New(), blocks: make(map[string]*list.Element)}
 }
 
-// BlocksOf returns the hashes of the full blocks of a prompt.
-func BlocksOf(prompt string) []string {
-	words := strings.Fields(prompt)
-	var out []string
-	var chain uint64
-	for len(words) >= blockTokens {
-		chain = mix(chain ^ uint64(ScriptOf(strings.Join(words[:blockTokens], " "))))
-		out = append(out, strconv.FormatUint(chain, 16))
-		words = words[blockTokens:]
+// BlocksOf returns the names of the full blocks of a prompt.
+func BlocksOf(r *openai.ChatRequest) []string {
+	hashes := r.Prefixes()
+	out := make([]string, len(hashes))
+	for i, h := range hashes {
+		out[i] = strconv.FormatUint(h, 16)
 	}
 	return out
 }
 
-// touch stores the blocks of prompt and returns the number of its tokens that
+// touch stores the blocks of a prompt and returns the number of its tokens that
 // were in the cache from the start on.
-func (c *prefixCache) touch(prompt string) int {
-	blocks := BlocksOf(prompt)
+func (c *prefixCache) touch(blocks []string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hit := 0
@@ -84,6 +82,18 @@
 	return hit * blockTokens
 }
 
+// all returns the whole content as events: cleared, then one for each block.
+func (c *prefixCache) all() []CacheEvent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := []CacheEvent{{Sequence: c.last, Kind: "cleared"}}
+	for e := c.order.Front(); e != nil; e = e.Next() {
+		c.last++
+		out = append(out, CacheEvent{c.last, "stored", e.Value.(string)})
+	}
+	return out
+}
+
 func (c *prefixCache) store(block string) {
 	if e, ok := c.blocks[block]; ok {
 		c.order.MoveToFront(e)
--- a/internal/fakeengine/chat.go
+++ b/internal/fakeengine/chat.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/google/uuid"
+
+	"auburnstep.example/auburnstep/internal/openai"
 )
 
 // maxChatBody bounds the body of a chat request.
@@ -27,7 +30,11 @@
 func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
 	s.arrive()
 	var req ChatRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChatBody)).Decode(&req); err != nil {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxChatBody))
+	if err == nil {
+		err = json.Unmarshal(body, &req)
+	}
+	if err != nil {
 		s.refuse(w, http.StatusBadRequest, "invalid_body", err.Error())
 		return
 	}
@@ -39,7 +46,7 @@
 		s.refuse(w, http.StatusServiceUnavailable, "overloaded", "the engine is overloaded")
 		return
 	}
-	job := s.newRun(r, req)
+	job := s.newRun(r, req, body)
 	if !s.batch.submit(job.sequence) {
 		s.refuse(w, http.StatusServiceUnavailable, "overloaded", "the waiting queue is full")
 		return
@@ -51,7 +58,7 @@
 		return
 	}
 	w.Header().Set(HeaderRequestID, job.id)
-	err := s.answer(r.Context(), w, job, req.Stream)
+	err = s.answer(r.Context(), w, job, req.Stream)
 	if err == nil {
 		s.completed.Add(1)
 		s.tokensCompleted.Add(int64(job.total - job.from))
@@ -63,7 +70,7 @@
 	}
 }
 
-func (s *Server) newRun(r *http.Request, req ChatRequest) *run {
+func (s *Server) newRun(r *http.Request, req ChatRequest, body []byte) *run {
 	id := r.Header.Get(HeaderRequestID)
 	if id == "" {
 		id = uuid.NewString()
@@ -81,11 +88,14 @@
 		model:        req.Model,
 		promptTokens: CountTokens(prompt),
 	}
+	cached := 0
+	// A body that only the stand-in accepts has no cached prefix.
+	if parsed, err := openai.ParseChat(body); err == nil {
+		cached = s.cache.touch(BlocksOf(parsed))
+	}
 	if rate := s.cfg.PrefillRate; rate > 0 {
-		missing := job.promptTokens + offset - s.cache.touch(prompt)
+		missing := job.promptTokens + offset - cached
 		job.prefill = time.Duration(float64(max(missing, 0)) / rate * s.faults.slowdown() * float64(time.Second))
-	} else {
-		s.cache.touch(prompt)
 	}
 	_, job.crossed = s.faults.draw(FaultCrossed)
 	_, job.truncated = s.faults.draw(FaultTruncated)
--- a/internal/fakeengine/server_test.go
+++ b/internal/fakeengine/server_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	chatapi "auburnstep.example/auburnstep/internal/openai"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"go.uber.org/goleak"
@@ -193,13 +195,19 @@
 	c.Check([]int64{stats.Received, stats.Refused, stats.Completed, stats.Resumed}, qt.DeepEquals, []int64{2, 1, 1, 1})
 }
 
+func blocks(c *qt.C, prompt string) []string {
+	r, err := chatapi.ParseChat([]byte(`{"model":"m","messages":[{"role":"user","content":"` + prompt + `"}]}`))
+	c.Assert(err, qt.IsNil)
+	return BlocksOf(r)
+}
+
 func TestCacheAndEvents(t *testing.T) {
 	c := qt.New(t)
 	cache := newPrefixCache(Config{CacheBlocks: 3, CacheEventGap: 4})
-	prompt := strings.Repeat("word ", 2*blockTokens)
-	c.Check(cache.touch(prompt+"tail"), qt.Equals, 0)
-	c.Check(cache.touch(prompt+"other tail"), qt.Equals, 2*blockTokens)
-	c.Check(cache.touch("x "+prompt), qt.Equals, 0, qt.Commentf("blocks cover all that is before them"))
+	prompt := strings.Repeat("word", 2*blockTokens)
+	c.Check(cache.touch(blocks(c, prompt+"tail")), qt.Equals, 0)
+	c.Check(cache.touch(blocks(c, prompt+"other tail")), qt.Equals, 2*blockTokens)
+	c.Check(cache.touch(blocks(c, "x "+prompt)), qt.Equals, 0, qt.Commentf("blocks cover all that is before them"))
 	c.Check(cache.used(), qt.Equals, 1.0)
 	events := cache.after(0)
 	c.Check(len(events.Events), qt.Equals, 4, qt.Commentf("five events, the fourth is lost"))
@@ -207,8 +215,8 @@
 	c.Check(cache.after(events.Next).Events, qt.HasLen, 0)
 
 	other := newPrefixCache(Config{CacheBlocks: 8, CacheEventLag: time.Hour})
-	other.load(cache.export(BlocksOf("x " + prompt)))
-	c.Check(other.touch("x "+prompt), qt.Equals, 2*blockTokens)
+	other.load(cache.export(blocks(c, "x "+prompt)))
+	c.Check(other.touch(blocks(c, "x "+prompt)), qt.Equals, 2*blockTokens)
 	c.Check(other.after(0).Events, qt.HasLen, 0, qt.Commentf("events are published late"))
 }
 
--- a/internal/schedulerhost/handler.go
+++ b/internal/schedulerhost/handler.go
@@ -123,7 +123,13 @@
 	err := h.call(ctx, req.Msg.Group, func(g *group, now time.Time) {
 		res.Epoch = g.epoch
 		for _, e := range req.Msg.Endpoints {
-			g.deliver(g.core.Announce(now, endpoint(e)))
+			decisions := g.core.Announce(now, endpoint(e))
+			for _, d := range decisions {
+				if r, ok := d.(scheduler.Resync); ok {
+					res.Resync = append(res.Resync, r.Endpoint)
+				}
+			}
+			g.deliver(decisions)
 		}
 	})
 	if err != nil {
