--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -13,11 +13,16 @@
 
 var update = flag.Bool("update", false, "rewrite docs/settings.md")
 
-// TestMain fixes the seed of the property tests, unless a run asks for another.
+// TestMain fixes the seed and the number of the property tests, unless a run
+// asks for others.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		if err := seed.Value.Set("1"); err != nil {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500"} {
+		f := flag.Lookup(name)
+		if f.Value.String() != f.DefValue {
+			continue
+		}
+		if err := f.Value.Set(value); err != nil {
 			panic(err)
 		}
 	}
@@ -212,19 +217,42 @@
 func TestLaterVersion(t *testing.T) {
 	c := qt.New(t)
 	in := &controlv1.Settings{Nodes: []*controlv1.Node{
-		{Path: "/g", Kind: "group", Values: map[string]string{"later.key": "x", "tier": "9"}}}}
+		{Path: "/g", Kind: "group", Values: map[string]string{"later.key": "x", "tier": "9"}},
+		{Path: "/r", Kind: "later"}}}
 	tree, err := FromProto(in)
 	c.Assert(err, qt.IsNil)
 	c.Assert(proto.Equal(tree.Export(), in), qt.IsTrue)
 	v, origin, ok := tree.Lookup("/g", KeyTier)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(v.String()+origin, qt.Equals, "1default")
-	c.Assert(tree.Validate(), qt.ErrorMatches, quote("/g later.key: the key is unknown; /g tier: 9 is outside 0 to 2"))
+	c.Assert(tree.Validate(), qt.ErrorMatches, quote("/g later.key: the key is unknown; /g tier: 9 is outside 0 to 2; /r: kind later is not one of group, service, class, customer"))
 	replayed := New().Replay([]*controlv1.Operation{
 		{Kind: controlv1.Operation_NODE_PUT, Path: "/g", NodeKind: "group"},
-		setOp("/g", "later.key", "x"), setOp("/g", "tier", "9")})
+		setOp("/g", "later.key", "x"), setOp("/g", "tier", "9"),
+		{Kind: controlv1.Operation_NODE_PUT, Path: "/r", NodeKind: "later"}, {Kind: 99, Path: "/g"}})
 	c.Assert(proto.Equal(replayed.Export(), in), qt.IsTrue)
 	// A change elsewhere is not held up by them.
 	_, err = tree.Apply([]*controlv1.Operation{setOp("/", "tier", "2")})
 	c.Assert(err, qt.IsNil)
 }
+
+// Guards the lines of a dry run and their order.
+func TestDescribe(t *testing.T) {
+	tree := mustTree(t, sample)
+	d := mustParse(t, `
+nodes:
+  - {path: /services, kind: group, set: {deadline: null, tier: 2}}
+  - {path: /customers, kind: group, set: {limit.weight: 3}}
+  - {path: /customers/new, kind: customer}
+  - {path: /customers/torino, remove: true}
+  - {path: /customers/torino/chat, remove: true}
+`)
+	qt.Assert(t, Describe(tree, Diff(tree, d, false)), qt.DeepEquals, []string{
+		"~ /customers limit.weight: 2 -> 3",
+		"+ /customers/new (customer)",
+		"~ /services deadline: 30s -> unset",
+		"~ /services tier: unset -> 2",
+		"- /customers/torino/chat",
+		"- /customers/torino",
+	})
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -113,17 +113,29 @@
 		c.classes[n.Name()] = true
 		c.services[parentOf(n.path)] = true
 	case Service:
-		c.services[n.path] = true
+		c.markService(n)
 	case Group:
 		for _, s := range c.tree.names.prefixed(entryService) {
 			if strings.HasPrefix(s.path, below(n.path)) {
-				c.services[s.path] = true
+				c.markService(s)
 			}
 		}
 	}
 }
 
+// markService notes a service and its classes, since their overrides inherit from it.
+func (c *checker) markService(s *Node) {
+	c.services[s.path] = true
+	for class := range c.tree.classesOf(s) {
+		c.classes[class.Name()] = true
+	}
+}
+
 func (c *checker) checkNode(n *Node) {
+	if !n.kind.valid() {
+		c.add(n.path, "", "kind %s is not one of %s", n.kind, kindNames())
+		return
+	}
 	c.checkParent(n)
 	for _, s := range n.settings {
 		c.checkSetting(n, s)
@@ -210,7 +222,7 @@
 	chain := c.tree.chain(s, nil)
 	var names []string
 	var share float64
-	for _, class := range c.tree.nodes.prefixed(below(s.path)) {
+	for class := range c.tree.classesOf(s) {
 		names = append(names, class.Name())
 		classChain := c.tree.chain(class, nil)
 		c.checkTargets(class, classChain, "")
