--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"fmt"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+)
+
+// report adds percentiles of durations to the results of a benchmark.
+func report(b *testing.B, name string, d []time.Duration) {
+	slices.Sort(d)
+	for _, p := range []int{50, 99, 100} {
+		at := d[min(len(d)-1, len(d)*p/100)]
+		b.ReportMetric(float64(at.Microseconds())/1000, fmt.Sprintf("%s-p%d-ms", name, p))
+	}
+}
+
+// size returns the bytes of all files below a folder.
+func size(t testing.TB, dir string) (n int64) {
+	err := filepath.WalkDir(dir, func(_ string, d fs.DirEntry, err error) error {
+		if err == nil && !d.IsDir() {
+			info, err := d.Info()
+			if err == nil {
+				n += info.Size()
+			}
+		}
+		return err
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return n
+}
+
+// BenchmarkInForce measures, for each change, the time to acceptance and from
+// there until it is in force on 8 feeds. Run it with -benchtime 100x.
+func BenchmarkInForce(b *testing.B) {
+	l := newLoopback(b, 3)
+	defer l.stop()
+	feeds, stop := l.feeds(8)
+	defer stop()
+	l.accept("first", 0, put("/services", "group"))
+	inForce(feeds, 1)
+	var accepted, forced []time.Duration
+	for i := uint64(1); b.Loop(); i++ {
+		start := time.Now()
+		l.accept(fmt.Sprint("c", i), i, set("/", "tier", fmt.Sprint(i%3)))
+		done := time.Now()
+		accepted = append(accepted, done.Sub(start))
+		forced = append(forced, inForce(feeds, i+1).Sub(done))
+	}
+	report(b, "accept", accepted)
+	report(b, "inforce", forced)
+}
+
+// BenchmarkLeaderKilled measures the same for a change that is sent at the
+// moment the leader is killed. Run it with -benchtime 20x.
+func BenchmarkLeaderKilled(b *testing.B) {
+	l := newLoopback(b, 3)
+	defer l.stop()
+	feeds, stop := l.feeds(8)
+	defer stop()
+	var accepted, total []time.Duration
+	l.accept("first", 0, put("/services", "group"))
+	for i := uint64(1); b.Loop(); i++ {
+		inForce(feeds, i)
+		victim := l.leader()
+		start := time.Now()
+		victim.kill()
+		l.accept(fmt.Sprint("c", i), i, set("/", "tier", fmt.Sprint(i%3)))
+		accepted = append(accepted, time.Since(start))
+		total = append(total, inForce(feeds, i+1).Sub(start))
+		l.start(victim, nil)
+		time.Sleep(time.Second)
+	}
+	report(b, "kill-to-accept", accepted)
+	report(b, "kill-to-inforce", total)
+}
+
+// BenchmarkRestart measures the restart of all members after a number of
+// changes, and the bytes that one of them holds on disk.
+func BenchmarkRestart(b *testing.B) {
+	for _, n := range []int{100, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("changes=%d", n), func(b *testing.B) {
+			l := newLoopback(b, 3)
+			defer l.stop()
+			for i := range uint64(n) {
+				l.accept(fmt.Sprint("c", i), i, set("/", "tier", fmt.Sprint(i%3)))
+			}
+			var opened, ready []time.Duration
+			for b.Loop() {
+				for _, m := range l.members {
+					m.kill()
+				}
+				start := time.Now()
+				log, _, err := NewDirStorage(l.members[0].dir).Open("test")
+				qt.Assert(b, err, qt.IsNil)
+				opened = append(opened, time.Since(start))
+				qt.Assert(b, log.Close(), qt.IsNil)
+				start = time.Now()
+				for _, m := range l.members {
+					l.start(m, nil)
+				}
+				leader := l.leader()
+				ready = append(ready, time.Since(start))
+				r, err := leader.member.Settings()
+				qt.Assert(b, err, qt.IsNil)
+				qt.Assert(b, r.Settings.Version, qt.Equals, uint64(n))
+			}
+			report(b, "read-log", opened)
+			report(b, "leader-ready", ready)
+			b.ReportMetric(float64(size(b, l.members[0].dir)), "disk-bytes")
+		})
+	}
+}
+
+// BenchmarkFeed measures one poll at the leader with 390 instances, at the same
+// version and when nothing changed.
+func BenchmarkFeed(b *testing.B) {
+	m := NewMember(Options{})
+	m.opened = time.Now()
+	m.leads.update(1, 0, time.Hour)
+	polls := make([]*controlv1.FeedRequest, 390)
+	for i := range polls {
+		polls[i] = pollOf(fmt.Sprintf("nord-a-%03d", i), uint64(i))
+		_, err := m.Feed(polls[i])
+		qt.Assert(b, err, qt.IsNil)
+	}
+	m.live.began = m.live.began.Add(-directoryWarmup)
+	i := 0
+	for b.Loop() {
+		if _, err := m.Feed(polls[i%len(polls)]); err != nil {
+			b.Fatal(err)
+		}
+		i++
+	}
+}
--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -65,7 +65,7 @@
 			case err != nil || s.GetTerm() == 0:
 			case s.GetCommit() > 1 && s.GetLeaderAddress() != "":
 				return nil, nil
-			case s.GetCommit() == 1 && listed(s, m.identity.ID):
+			case s.GetCommit() == 1 && listed(s, m.id()):
 				return addresses(s), nil
 			}
 		}
@@ -113,7 +113,7 @@
 func (m *Member) askFounders(ctx context.Context, initial []string) (founders []*controlv1.MemberAddress, exists bool) {
 	for _, address := range initial {
 		if address == m.options.Address {
-			founders = append(founders, &controlv1.MemberAddress{Id: m.identity.ID, Address: address, Instance: m.options.Instance})
+			founders = append(founders, &controlv1.MemberAddress{Id: m.id(), Address: address, Instance: m.options.Instance})
 			continue
 		}
 		s, err := m.askStatus(ctx, address)
@@ -167,7 +167,7 @@
 // join finds the leader by any known member and sends it the own address. A
 // cluster without a leader, or one that is not formed, is asked again later.
 func (m *Member) join(ctx context.Context) {
-	own := &controlv1.MemberRequest{Id: m.identity.ID, Address: m.options.Address, Instance: m.options.Instance}
+	own := &controlv1.MemberRequest{Id: m.id(), Address: m.options.Address, Instance: m.options.Instance}
 	if _, ok := m.lease(); ok {
 		_, _ = m.addMember(ctx, own)
 		return
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -27,26 +27,21 @@
 // memDisk is the data folder of a member in memory.
 type memDisk struct {
 	mu       sync.Mutex
-	identity *Identity
+	id       uint64
 	restored consensus.Restored
 	err      error
 }
 
-func (d *memDisk) LoadIdentity() (Identity, bool, error) {
-	if d.identity == nil {
-		return Identity{}, false, nil
-	}
-	return *d.identity, true, nil
-}
-
-func (d *memDisk) SaveIdentity(id Identity) error { d.identity = &id; return nil }
-
-func (d *memDisk) OpenLog() (Log, consensus.Restored, error) {
+func (d *memDisk) Open(string) (Log, Opened, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.restored
-	r.Entries = slices.Clone(r.Entries)
-	return d, r, nil
+	o := Opened{ID: d.id, New: d.id == 0, Restored: d.restored}
+	if o.New {
+		d.id = rand.Uint64()
+		o.ID = d.id
+	}
+	o.Restored.Entries = slices.Clone(o.Restored.Entries)
+	return d, o, nil
 }
 
 func (d *memDisk) Save(hs *consensus.HardState, entries []consensus.Entry) error {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -32,8 +32,6 @@
 	node  *consensus.Node
 	log   Log
 	ticks int64
-	// vote is the stored term and vote.
-	vote [2]uint64
 }
 
 // loop owns the node and the log. Nothing is sent or handed to the apply loop
@@ -118,7 +116,7 @@
 			return m.storageFailed(err)
 		}
 	}
-	if d.mustSave(r) {
+	if r.HardState != nil || len(r.Entries) > 0 {
 		start := time.Now()
 		if err := d.log.Save(r.HardState, r.Entries); err != nil {
 			return m.storageFailed(err)
@@ -145,17 +143,6 @@
 	return nil
 }
 
-// mustSave reports whether a Ready has anything that must be durable. A commit
-// index alone need not be: a restarted member learns it again from the leader,
-// and it is stored with the next entries. This saves one fsync per commit.
-func (d *driver) mustSave(r consensus.Ready) bool {
-	vote := d.vote
-	if r.HardState != nil {
-		d.vote = [2]uint64{r.HardState.Term, r.HardState.Vote}
-	}
-	return len(r.Entries) > 0 || d.vote != vote
-}
-
 // storeSnapshot makes a snapshot of the state durable and cuts the log.
 func (d *driver) storeSnapshot(s stateSnapshot) error {
 	snapshot, err := d.node.MakeSnapshot(s.index, s.data)
@@ -172,7 +159,7 @@
 
 func (m *Member) leaderChanged(s consensus.SoftState) {
 	if s.Role == consensus.Leader {
-		m.options.Events.Emit(eventLeader, event.F("member", m.identity.ID))
+		m.options.Events.Emit(eventLeader, event.F("member", m.id()))
 	} else if s.Leader != 0 {
 		m.options.Events.Emit(eventFollower, event.F("leader", s.Leader))
 	}
--- /dev/null
+++ b/internal/control/loopback_test.go
@@ -0,0 +1,186 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"auburnstep.example/auburnstep/internal/control/feed"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1/controlv1connect"
+	"auburnstep.example/auburnstep/internal/rpc/transport"
+)
+
+// loopbackMember is a member with its server and connections.
+type loopbackMember struct {
+	dir     string
+	address string
+	member  *Member
+	kill    func()
+}
+
+// loopback is a cluster over real sockets and real files.
+type loopback struct {
+	t       testing.TB
+	members []*loopbackMember
+	pool    *transport.Pool
+}
+
+func newLoopback(t testing.TB, n int) *loopback {
+	l := &loopback{t: t, pool: transport.NewPool(transport.Options{Token: "op"})}
+	listeners := make([]net.Listener, n)
+	for i := range n {
+		var err error
+		listeners[i], err = net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		l.members = append(l.members, &loopbackMember{dir: t.TempDir(), address: listeners[i].Addr().String()})
+	}
+	for i, m := range l.members {
+		l.start(m, listeners[i])
+	}
+	return l
+}
+
+func (l *loopback) addresses() (out []string) {
+	for _, m := range l.members {
+		out = append(out, m.address)
+	}
+	return out
+}
+
+func (l *loopback) start(m *loopbackMember, listener net.Listener) {
+	if listener == nil {
+		var err error
+		listener, err = net.Listen("tcp", m.address)
+		qt.Assert(l.t, err, qt.IsNil)
+	}
+	pool := transport.NewPool(transport.Options{Token: "peer", Sender: m.address})
+	m.member = NewMember(Options{
+		Cluster: "test", Instance: m.address, Address: m.address, InitialMembers: l.addresses(),
+		Storage: NewDirStorage(m.dir), Network: NewNetwork(pool), Events: recorder(m.address), Seed: time.Now().UnixNano(),
+	})
+	server := transport.NewServer(transport.ServerOptions{Listener: listener, Tokens: transport.Tokens{Peers: []string{"peer"}, Operators: []string{"op"}}})
+	NewService(m.member).Register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	go func() { ended <- m.member.Start(ctx) }()
+	go func() { ended <- server.Start(ctx) }()
+	m.kill = func() {
+		cancel()
+		for range 2 {
+			qt.Check(l.t, <-ended, qt.IsNil)
+		}
+		pool.Close()
+		m.kill = nil
+	}
+}
+
+func (l *loopback) stop() {
+	for _, m := range l.members {
+		if m.kill != nil {
+			m.kill()
+		}
+	}
+	l.pool.Close()
+}
+
+func (l *loopback) leader() *loopbackMember {
+	for range 5000 {
+		for _, m := range l.members {
+			if m.kill != nil {
+				if _, ok := m.member.lease(); ok {
+					return m
+				}
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	l.t.Fatal("no leader was elected")
+	return nil
+}
+
+// accept sends a change until it is accepted, as an operator's tool does.
+func (l *loopback) accept(id string, base uint64, ops ...*controlv1.Operation) {
+	l.t.Helper()
+	for range 1000 {
+		ctx, cancel := context.WithTimeout(transport.Idempotent(context.Background()), time.Second)
+		client := controlv1connect.NewControlClient(l.pool.Peer(l.leader().address).Client())
+		r, err := client.Change(ctx, connect.NewRequest(request(id, base, ops...)))
+		cancel()
+		if err == nil && r.Msg.Result != nil {
+			qt.Assert(l.t, r.Msg.Result.Outcome, qt.Equals, controlv1.ChangeResult_ACCEPTED, qt.Commentf("%v", r.Msg.Result))
+			return
+		}
+	}
+	l.t.Fatal("the change was not accepted")
+}
+
+func (l *loopback) feeds(n int) (out []*feed.Client, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, n)
+	var pools []*transport.Pool
+	for i := range n {
+		pool := transport.NewPool(transport.Options{Token: "peer"})
+		pools = append(pools, pool)
+		name := fmt.Sprintf("e%d", i)
+		f := feed.NewClient(feed.Options{Members: l.addresses(), Caller: feed.NewCaller(pool),
+			Self: func() *controlv1.EntryInfo {
+				return &controlv1.EntryInfo{Instance: name, Address: name, PeerAddress: name}
+			}})
+		go func() { ended <- f.Start(ctx) }()
+		out = append(out, f)
+	}
+	return out, func() {
+		cancel()
+		for range n {
+			<-ended
+		}
+		for _, p := range pools {
+			p.Close()
+		}
+	}
+}
+
+// inForce waits until all feeds have a version and returns when.
+func inForce(feeds []*feed.Client, version uint64) time.Time {
+	for _, f := range feeds {
+		for f.View().Version < version || !f.View().Fresh(time.Now()) {
+			select {
+			case <-f.Changed():
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	return time.Now()
+}
+
+// Guards the whole path over sockets and files: founding, changes, feeds,
+// restart from disk, and goroutines that outlive their service.
+func TestLoopbackCluster(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l := newLoopback(t, 3)
+	defer l.stop()
+	feeds, stop := l.feeds(2)
+	defer stop()
+	l.accept("c1", 0, put("/services", "group"))
+	inForce(feeds, 1)
+	l.leader().kill()
+	l.accept("c2", 1, put("/customers", "group"))
+	inForce(feeds, 2)
+	for _, m := range l.members {
+		if m.kill != nil {
+			m.kill()
+		}
+	}
+	for _, m := range l.members {
+		l.start(m, nil)
+	}
+	l.accept("c3", 2, put("/more", "group"))
+	inForce(feeds, 3)
+}
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,9 +18,8 @@
 // Member is one control member. It is a kernel.Service; Service serves its calls.
 type Member struct {
 	kernel.Base
-	options  Options
-	identity Identity
-	metrics  memberMetrics
+	options Options
+	metrics memberMetrics
 
 	inbox     *ring.Ring[consensus.Message]
 	proposals *ring.Ring[proposal]
@@ -133,15 +131,17 @@
 }
 
 func (m *Member) run(ctx context.Context) error {
-	if err := m.loadIdentity(); err != nil {
-		return err
-	}
-	log, restored, err := m.options.Storage.OpenLog()
+	log, opened, err := m.options.Storage.Open(m.options.Cluster)
 	if err != nil {
 		return m.storageFailed(err)
 	}
 	defer log.Close()
-	if restored, err = m.found(ctx, log, restored); err != nil {
+	if opened.New {
+		m.options.Events.Emit(eventNewIdentity, event.F("member", opened.ID))
+	}
+	m.status.Store(&consensus.Status{ID: opened.ID})
+	restored, err := m.found(ctx, log, opened.Restored)
+	if err != nil {
 		return err
 	}
 	if data := restored.Snapshot.Data; len(data) > 0 {
@@ -154,11 +154,11 @@
 		m.mu.Unlock()
 	}
 	m.applied.Store(restored.Snapshot.Index)
-	node, err := consensus.New(consensus.Config{ID: m.identity.ID, ElectionTicks: m.options.ElectionTicks, HeartbeatTicks: 2, Seed: m.options.Seed}, restored)
+	node, err := consensus.New(consensus.Config{ID: opened.ID, ElectionTicks: m.options.ElectionTicks, HeartbeatTicks: 2, Seed: m.options.Seed}, restored)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	m.options.Events.Emit(eventRestored, event.F("snapshot", restored.Snapshot.Index), event.F("entries", len(restored.Entries)))
+	m.options.Events.Emit(eventRestored, event.F("snapshot", restored.Snapshot.Index), event.F("entries", len(restored.Entries)), event.F("torn_bytes", opened.TornBytes))
 	return m.duties(ctx, node, log, restored.Snapshot.Index)
 }
 
@@ -205,25 +205,8 @@
 	m.leads.until.Store(0)
 }
 
-func (m *Member) loadIdentity() error {
-	id, ok, err := m.options.Storage.LoadIdentity()
-	if err != nil {
-		return err
-	}
-	if ok && id.Cluster != m.options.Cluster {
-		return Error.Wrap(fmt.Errorf("%w: the data folder belongs to %q, not %q", ErrClusterMismatch, id.Cluster, m.options.Cluster))
-	}
-	if !ok {
-		id = Identity{ID: drawID(), Cluster: m.options.Cluster, Instance: m.options.Instance}
-		if err := m.options.Storage.SaveIdentity(id); err != nil {
-			return m.storageFailed(err)
-		}
-		m.options.Events.Emit(eventNewIdentity, event.F("member", id.ID))
-	}
-	m.identity = id
-	m.status.Store(&consensus.Status{ID: id.ID})
-	return nil
-}
+// id returns the ID of this member, or 0 before its folder is open.
+func (m *Member) id() uint64 { return m.status.Load().ID }
 
 func (m *Member) storageFailed(err error) error {
 	m.options.Events.Emit(eventStorageFailed, event.F("error", err))
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -49,7 +49,7 @@
 // removeMember removes a member for good. The leader hands over before it is
 // removed, so that the caller must ask the next one.
 func (m *Member) removeMember(ctx context.Context, id uint64) (string, error) {
-	if id == m.identity.ID {
+	if id == m.id() {
 		m.handOver(ctx)
 		return "", fmt.Errorf("%w: the leader has handed over and can be removed by the next one", ErrNotLeader)
 	}
@@ -129,7 +129,7 @@
 	}
 	var best consensus.Progress
 	for _, p := range m.status.Load().Progress {
-		if p.ID != m.identity.ID && !p.Learner && p.Active && p.Match >= best.Match {
+		if p.ID != m.id() && !p.Learner && p.Active && p.Match >= best.Match {
 			best = p
 		}
 	}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -32,9 +32,8 @@
 	ErrSuperseded = errors.New("the operation was superseded by a new leader")
 	// ErrUnknown means that the operation may still take effect.
 	ErrUnknown = errors.New("the outcome is unknown")
-	// ErrClusterMismatch means that the data folder or a message belongs to
-	// another cluster.
-	ErrClusterMismatch = errors.New("cluster name differs")
+	// ErrClusterMismatch means that a message belongs to another cluster.
+	ErrClusterMismatch = errors.New("the message belongs to another cluster")
 	// ErrStopped means that the member has stopped.
 	ErrStopped = errors.New("control member has stopped")
 )
