--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -163,7 +163,7 @@
 	_, _ = seed.Write([]byte(d.config.Instance))
 	m := control.NewMember(control.Options{
 		Cluster: d.config.Cluster, Instance: d.config.Instance, Address: d.config.PeerAdvertise,
-		InitialMembers: d.config.InitialMembers, Peers: d.config.Peers, Storage: &memoryStorage{},
+		InitialMembers: d.config.InitialMembers, Peers: d.config.Peers, Storage: control.NewDirStorage(d.config.Data),
 		Network: control.NewNetwork(d.pool), Events: d.events, Scope: d.metrics.Scope, Seed: int64(seed.Sum64()),
 	})
 	control.NewService(m).Register(d.peers)
