--- a/internal/proof/bookings_test.go
+++ b/internal/proof/bookings_test.go
@@ -90,13 +90,18 @@
 		},
 		func() { in := c.instances[3]; in.kill(); time.Sleep(300 * time.Millisecond); in.start(t) },
 	}
-	for _, fault := range faults {
+	start := time.Now()
+	for i, fault := range faults {
 		time.Sleep(time.Second)
 		fault()
 		time.Sleep(2 * time.Second)
+		mu.Lock()
+		t.Logf("%v after the start: fault %d is over, %d bookings", time.Since(start).Round(time.Millisecond), i, len(history))
+		mu.Unlock()
 	}
 	close(stop)
 	callers.Wait()
+	t.Logf("%v after the start: all callers are done", time.Since(start).Round(time.Millisecond))
 	checkBookings(t, history, plain.Ledger())
 }
 
