Divide customers' limits among the groups of a service

A service with several scheduler groups gave each customer its limit once per group. The scheduler of group 0 now owns the budgets and leases shares of them by demand for 2 s. TestLimitOverGroups with shares switched off in a scratch copy saw 6 requests of a customer with limit 3; with shares never above 3. Ruled out: a fixed part for each group, which leaves most of a limit unused when a customer's requests share one prefix and so one group.

--- a/internal/rpc/schedulerv1/schedulerv1connect/scheduler.connect.go
+++ b/internal/rpc/schedulerv1/schedulerv1connect/scheduler.connect.go
@@ -34,6 +34,8 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
+	// SchedulerSharesProcedure is the fully-qualified name of the Scheduler's Shares RPC.
+	SchedulerSharesProcedure = "/auburnstep.scheduler.v1.Scheduler/Shares"
 	// SchedulerAcquireProcedure is the fully-qualified name of the Scheduler's Acquire RPC.
 	SchedulerAcquireProcedure = "/auburnstep.scheduler.v1.Scheduler/Acquire"
 	// SchedulerCancelProcedure is the fully-qualified name of the Scheduler's Cancel RPC.
@@ -48,6 +50,7 @@
 
 // SchedulerClient is a client for the auburnstep.scheduler.v1.Scheduler service.
 type SchedulerClient interface {
+	Shares(context.Context, *connect.Request[schedulerv1.SharesRequest]) (*connect.Response[schedulerv1.SharesResponse], error)
 	Acquire(context.Context, *connect.Request[schedulerv1.AcquireRequest]) (*connect.Response[schedulerv1.AcquireResponse], error)
 	Cancel(context.Context, *connect.Request[schedulerv1.CancelRequest]) (*connect.Response[schedulerv1.CancelResponse], error)
 	Renew(context.Context, *connect.Request[schedulerv1.RenewRequest]) (*connect.Response[schedulerv1.RenewResponse], error)
@@ -66,6 +69,12 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	schedulerMethods := schedulerv1.File_scheduler_proto.Services().ByName("Scheduler").Methods()
 	return &schedulerClient{
+		shares: connect.NewClient[schedulerv1.SharesRequest, schedulerv1.SharesResponse](
+			httpClient,
+			baseURL+SchedulerSharesProcedure,
+			connect.WithSchema(schedulerMethods.ByName("Shares")),
+			connect.WithClientOptions(opts...),
+		),
 		acquire: connect.NewClient[schedulerv1.AcquireRequest, schedulerv1.AcquireResponse](
 			httpClient,
 			baseURL+SchedulerAcquireProcedure,
@@ -101,6 +110,7 @@
 
 // schedulerClient implements SchedulerClient.
 type schedulerClient struct {
+	shares   *connect.Client[schedulerv1.SharesRequest, schedulerv1.SharesResponse]
 	acquire  *connect.Client[schedulerv1.AcquireRequest, schedulerv1.AcquireResponse]
 	cancel   *connect.Client[schedulerv1.CancelRequest, schedulerv1.CancelResponse]
 	renew    *connect.Client[schedulerv1.RenewRequest, schedulerv1.RenewResponse]
@@ -108,6 +118,11 @@
 	status   *connect.Client[schedulerv1.StatusRequest, schedulerv1.StatusResponse]
 }
 
+// Shares calls auburnstep.scheduler.v1.Scheduler.Shares.
+func (c *schedulerClient) Shares(ctx context.Context, req *connect.Request[schedulerv1.SharesRequest]) (*connect.Response[schedulerv1.SharesResponse], error) {
+	return c.shares.CallUnary(ctx, req)
+}
+
 // Acquire calls auburnstep.scheduler.v1.Scheduler.Acquire.
 func (c *schedulerClient) Acquire(ctx context.Context, req *connect.Request[schedulerv1.AcquireRequest]) (*connect.Response[schedulerv1.AcquireResponse], error) {
 	return c.acquire.CallUnary(ctx, req)
@@ -135,6 +150,7 @@
 
 // SchedulerHandler is an implementation of the auburnstep.scheduler.v1.Scheduler service.
 type SchedulerHandler interface {
+	Shares(context.Context, *connect.Request[schedulerv1.SharesRequest]) (*connect.Response[schedulerv1.SharesResponse], error)
 	Acquire(context.Context, *connect.Request[schedulerv1.AcquireRequest]) (*connect.Response[schedulerv1.AcquireResponse], error)
 	Cancel(context.Context, *connect.Request[schedulerv1.CancelRequest]) (*connect.Response[schedulerv1.CancelResponse], error)
 	Renew(context.Context, *connect.Request[schedulerv1.RenewRequest]) (*connect.Response[schedulerv1.RenewResponse], error)
@@ -149,6 +165,12 @@
 // and JSON codecs. They also support gzip compression.
 func NewSchedulerHandler(svc SchedulerHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	schedulerMethods := schedulerv1.File_scheduler_proto.Services().ByName("Scheduler").Methods()
+	schedulerSharesHandler := connect.NewUnaryHandler(
+		SchedulerSharesProcedure,
+		svc.Shares,
+		connect.WithSchema(schedulerMethods.ByName("Shares")),
+		connect.WithHandlerOptions(opts...),
+	)
 	schedulerAcquireHandler := connect.NewUnaryHandler(
 		SchedulerAcquireProcedure,
 		svc.Acquire,
@@ -181,6 +203,8 @@
 	)
 	return "/auburnstep.scheduler.v1.Scheduler/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case SchedulerSharesProcedure:
+			schedulerSharesHandler.ServeHTTP(w, r)
 		case SchedulerAcquireProcedure:
 			schedulerAcquireHandler.ServeHTTP(w, r)
 		case SchedulerCancelProcedure:
@@ -200,6 +224,10 @@
 // UnimplementedSchedulerHandler returns CodeUnimplemented from all methods.
 type UnimplementedSchedulerHandler struct{}
 
+func (UnimplementedSchedulerHandler) Shares(context.Context, *connect.Request[schedulerv1.SharesRequest]) (*connect.Response[schedulerv1.SharesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.scheduler.v1.Scheduler.Shares is not implemented"))
+}
+
 func (UnimplementedSchedulerHandler) Acquire(context.Context, *connect.Request[schedulerv1.AcquireRequest]) (*connect.Response[schedulerv1.AcquireResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.scheduler.v1.Scheduler.Acquire is not implemented"))
 }
--- a/internal/schedulerhost/group.go
+++ b/internal/schedulerhost/group.go
@@ -34,7 +34,11 @@
 	ring    *ring.Ring[func(now time.Time)]
 	report  atomic.Pointer[controlv1.GroupReport]
 
-	core     *scheduler.Core
+	core *scheduler.Core
+	// shared says that the limits of customers are divided among the groups of
+	// the service. The budget is set in the group that owns them.
+	shared   bool
+	budget   *limit.Budget
 	index    *settings.Index
 	waiters  map[string]*waiter
 	reported time.Time
@@ -49,7 +53,7 @@
 	reply chan scheduler.Decision
 }
 
-func newGroup(h *Host, l Lease) (*group, bool) {
+func newGroup(h *Host, l Lease, restarted bool) (*group, bool) {
 	service, _, _ := strings.Cut(l.Group, "/")
 	index := h.source.Index()
 	policy, ok := index.Service(service)
@@ -68,8 +72,17 @@
 		granted: scope.Counter("granted"), refused: scope.Counter("refused"), rejected: scope.Counter("calls_rejected"),
 		waiting: scope.Gauge("waiting"), inFlight: scope.Gauge("in_flight"),
 	}
-	config := scheduler.Config{Group: l.Group, Kind: kind, Epoch: l.Epoch, Successor: l.Epoch > 1, Entries: h.source.Entries()}
-	g.core = scheduler.New(time.Now(), config, groupPolicy(index, service))
+	now := time.Now()
+	g.shared = sharesLimits(index, service)
+	// A group whose number of siblings changed starts again under its epoch.
+	// Entries then hold grants of the earlier core, as after a take-over.
+	successor := l.Epoch > 1 || restarted
+	if g.shared && l.Group == ownerOf(service) {
+		g.budget = limit.NewBudget(now, shareLease, successor)
+	}
+	g.core = scheduler.New(now, scheduler.Config{
+		Group: l.Group, Kind: kind, Epoch: l.Epoch, Successor: successor, Entries: h.source.Entries(), SharedLimits: g.shared,
+	}, groupPolicy(index, service))
 	return g, true
 }
 
@@ -156,6 +169,9 @@
 		g.core.Configure(now, groupPolicy(index, g.service))
 	}
 	g.deliver(g.core.Tick(now))
+	if g.budget != nil {
+		g.budget.Expire(now)
+	}
 	if now.Sub(g.reported) >= reportInterval {
 		g.reported = now
 		g.publish(now)
--- a/internal/schedulerhost/host.go
+++ b/internal/schedulerhost/host.go
@@ -13,6 +13,7 @@
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/kernel"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/rpc/schedulerv1/schedulerv1connect"
 	"auburnstep.example/auburnstep/internal/settings"
 )
 
@@ -58,6 +59,14 @@
 	Entries() []string
 }
 
+// Peers tells which instance schedules a group.
+type Peers interface {
+	Holder(group string) (address string, epoch uint64, ok bool)
+}
+
+// Dialer returns the scheduler client for a peer address.
+type Dialer func(address string) schedulerv1connect.SchedulerClient
+
 // Host runs the groups of one instance. It is a kernel.Service and a connect
 // handler of scheduler.v1.Scheduler.
 type Host struct {
@@ -66,16 +75,26 @@
 	events *event.Recorder
 	scope  tally.Scope
 
+	// peers and dial reach the owners of shared budgets.
+	peers Peers
+	dial  Dialer
+
 	mu      sync.Mutex
 	groups  map[string]*group
 	stopped bool
+	// epochs holds the last epoch under which a group was started here.
+	epochs map[string]uint64
 }
 
 // New returns a host without groups.
 func New(source Source, events *event.Recorder, scope tally.Scope) *Host {
-	return &Host{source: source, events: events, scope: scope.SubScope("scheduler"), groups: make(map[string]*group)}
+	return &Host{source: source, events: events, scope: scope.SubScope("scheduler"), groups: make(map[string]*group), epochs: make(map[string]uint64)}
 }
 
+// Connect sets how the host reaches the schedulers of other groups. Without it
+// every service can have one group only.
+func (h *Host) Connect(peers Peers, dial Dialer) { h.peers, h.dial = peers, dial }
+
 // Start runs the groups whose lease this instance holds until ctx ends.
 func (h *Host) Start(ctx context.Context) error {
 	ticker := time.NewTicker(reconcileInterval)
@@ -115,7 +134,7 @@
 		held[l.Group] = l.Epoch
 	}
 	for name, g := range h.groups {
-		if epoch, ok := held[name]; !ok || epoch != g.epoch {
+		if epoch, ok := held[name]; !ok || epoch != g.epoch || g.shared != sharesLimits(h.source.Index(), g.service) {
 			h.stop(name, g)
 		}
 	}
@@ -127,14 +146,17 @@
 }
 
 func (h *Host) start(ctx context.Context, l Lease) {
-	g, ok := newGroup(h, l)
+	g, ok := newGroup(h, l, h.epochs[l.Group] == l.Epoch)
 	if !ok {
 		return
 	}
-	h.groups[l.Group] = g
+	h.groups[l.Group], h.epochs[l.Group] = g, l.Epoch
 	h.events.Emit(eventStarted, event.F("group", l.Group), event.F("epoch", l.Epoch))
 	go g.run(ctx)
 	go g.tick(ctx)
+	if g.shared {
+		go g.renewShares(ctx)
+	}
 }
 
 func (h *Host) stop(name string, g *group) {
