--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -243,6 +243,7 @@
 			return
 		}
 		persist(&h.disk, r)
+		s.checkCommit(h)
 		if h.crash == beforeSend {
 			s.stop(h)
 			return
@@ -252,7 +253,6 @@
 		}
 		s.apply(h, r)
 		h.node.Advance()
-		s.checkCommit(h)
 	}
 }
 
