consensus: report flush work only for a leader

A mutated copy in which a leader could commit its own removal looped for ever in HasReady: the leader stepped down inside the commit and left a flag set that only a leader clears. The membership rules exclude this case; the flag no longer depends on them.

--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -8,6 +8,9 @@
 }
 
 func (n *Node) flushDue() bool {
+	if n.role != Leader {
+		return false
+	}
 	reads := n.lead.reads
 	return n.lead.appendDue || n.lead.commitDue || len(reads) > 0 && reads[len(reads)-1].round == 0
 }
