--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -1,15 +1,20 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"io/fs"
 	"path/filepath"
+	"runtime"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"auburnstep.example/auburnstep/internal/control/feed"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
@@ -140,3 +145,41 @@
 		i++
 	}
 }
+
+// BenchmarkBookings measures begin and finish of bookings by 64 callers at once
+// over sockets and files.
+func BenchmarkBookings(b *testing.B) {
+	l := newLoopback(b, 3)
+	defer l.stop()
+	feeds, stop := l.feeds(1)
+	defer stop()
+	l.accept("first", 0, put("/services", "group"))
+	inForce(feeds, 1)
+	bookings := feed.NewBookings(feeds[0])
+	var mu sync.Mutex
+	var begins []time.Duration
+	var failures, next atomic.Int64
+	b.SetParallelism(64 / runtime.GOMAXPROCS(0))
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			id := fmt.Sprintf("k%d-%d", b.N, next.Add(1))
+			key := &controlv1.BookingKey{Customer: "torino", Key: id}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			start := time.Now()
+			r, err := bookings.Begin(ctx, key, []byte("hash"), id)
+			took := time.Since(start)
+			if err == nil && r.State == controlv1.BookingResponse_BEGUN {
+				_, err = bookings.Finish(ctx, key, id, &controlv1.BookingOutcome{Status: 201, Body: make([]byte, 512)})
+			}
+			cancel()
+			if err != nil {
+				failures.Add(1)
+			}
+			mu.Lock()
+			begins = append(begins, took)
+			mu.Unlock()
+		}
+	})
+	report(b, "begin", begins)
+	b.ReportMetric(float64(failures.Load()), "failures")
+}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -68,7 +68,7 @@
 	defaultElectionTicks  = 10
 	defaultSnapshotEvery  = 4096
 	defaultCallTimeout    = time.Second
-	snapshotSendTimeout   = 10 * time.Second
+	largeStepTimeout      = 10 * time.Second
 	stepTimeout           = 500 * time.Millisecond
 	maxProposalsPerRound  = 256
 	maxInboundPerRound    = 512
@@ -83,7 +83,7 @@
 	expireInterval        = 10 * time.Second
 	expireBatch           = 1000
 	maxOutcomeBytes       = 256 << 10
-	maxCommandBytes       = 4 << 20
+	maxCommandBytes       = 16 << 20
 	maxKeyBytes           = 512
 	maxAttemptBytes       = 128
 	instanceLiveFor       = 1500 * time.Millisecond
--- a/internal/control/sender.go
+++ b/internal/control/sender.go
@@ -13,8 +13,12 @@
 	"auburnstep.example/auburnstep/internal/rpc/consensusv1"
 )
 
-// maxStepBytes bounds the entries of one call; a larger message travels alone.
-const maxStepBytes = 4 << 20
+const (
+	// maxStepBytes bounds the entries of one call; a larger message travels alone.
+	maxStepBytes = 4 << 20
+	// largeStepBytes is the size from which on a call gets more time.
+	largeStepBytes = 1 << 20
+)
 
 // sender sends the messages for one member, one call at a time and in order.
 type sender struct {
@@ -75,7 +79,7 @@
 	var held *consensus.Message
 	for {
 		batch := make([]*consensusv1.Message, 0, maxMessagesPerStep)
-		size, large := 0, false
+		size := 0
 		for len(batch) < maxMessagesPerStep && size < maxStepBytes {
 			msg, ok := m.next(ctx, s, &held, len(batch) == 0)
 			if !ok {
@@ -88,13 +92,12 @@
 				break
 			}
 			size += n
-			large = large || msg.Snapshot != nil
 			batch = append(batch, p)
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		m.step(ctx, s.id, batch, large)
+		m.step(ctx, s.id, batch, size >= largeStepBytes)
 	}
 }
 
@@ -122,7 +125,7 @@
 	}
 	timeout := stepTimeout
 	if large {
-		timeout = snapshotSendTimeout
+		timeout = largeStepTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
