--- a/internal/control/member_test.go
+++ b/internal/control/member_test.go
@@ -12,6 +12,7 @@
 
 	"auburnstep.example/auburnstep/internal/consensus"
 
+	"auburnstep.example/auburnstep/internal/rpc/consensusv1"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
@@ -222,3 +223,30 @@
 		qt.Assert(t, c.member(c.leader()).status.Load().Members.Has(id), qt.IsFalse)
 	})
 }
+
+// Guards against a planned stop of the leader that costs an election timeout.
+func TestStopHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 8, 3)
+		defer c.stop()
+		accept(c, "c1", 0, put("/services", "group"))
+		old := c.leader()
+		m := c.member(old)
+		start := time.Now()
+		qt.Assert(t, m.Stop(context.Background()), qt.IsNil)
+		c.waitFor("the next leader", func() bool { return c.leader() != old })
+		qt.Assert(t, time.Since(start) < time.Duration(m.options.ElectionTicks)*m.options.Tick, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+		accept(c, "c2", 1, put("/customers", "group"))
+	})
+}
+
+// Guards against messages of another cluster that reach the log.
+func TestForeignMessageIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 9, 3)
+		defer c.stop()
+		accept(c, "c1", 0, put("/services", "group"))
+		err := c.member("m0").HandleStep(context.Background(), "x", &consensusv1.StepRequest{Cluster: "other"})
+		qt.Assert(t, err, qt.ErrorIs, ErrClusterMismatch)
+	})
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -108,8 +108,11 @@
 	return slices.ContainsFunc(m.status.Load().Progress, func(p consensus.Progress) bool { return p.ID == id && p.Active })
 }
 
-// promote makes voters of learners that have caught up.
+// promote makes voters of learners that have caught up, up to maxVoters.
 func (m *Member) promote(ctx context.Context) {
+	if len(m.status.Load().Members.Voters) >= maxVoters {
+		return
+	}
 	for _, p := range m.status.Load().Progress {
 		if !p.Learner || !p.Active || p.Match == 0 {
 			continue
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -64,32 +64,34 @@
 )
 
 const (
-	defaultTick           = 50 * time.Millisecond
-	defaultElectionTicks  = 10
-	defaultSnapshotEvery  = 4096
-	defaultCallTimeout    = time.Second
-	largeStepTimeout      = 10 * time.Second
-	stepTimeout           = 500 * time.Millisecond
-	maxProposalsPerRound  = 256
-	maxInboundPerRound    = 512
-	inboxCapacity         = 4096
-	proposalCapacity      = 4096
-	applyCapacity         = 64
-	peerCapacity          = 512
-	maxMessagesPerStep    = 64
-	maxTicksCaughtUp      = 64
-	choresInterval        = 100 * time.Millisecond
-	gaugeInterval         = time.Second
-	expireInterval        = 10 * time.Second
-	expireBatch           = 1000
-	maxOutcomeBytes       = 256 << 10
-	maxCommandBytes       = 16 << 20
-	maxKeyBytes           = 512
-	maxAttemptBytes       = 128
-	instanceLiveFor       = 1500 * time.Millisecond
-	entriesAge            = 100 * time.Millisecond
-	groupLeaseMargin      = 200 * time.Millisecond
-	directoryWarmup       = time.Second
+	defaultTick          = 50 * time.Millisecond
+	defaultElectionTicks = 10
+	defaultSnapshotEvery = 4096
+	defaultCallTimeout   = time.Second
+	largeStepTimeout     = 10 * time.Second
+	stepTimeout          = 500 * time.Millisecond
+	maxProposalsPerRound = 256
+	maxInboundPerRound   = 512
+	inboxCapacity        = 4096
+	proposalCapacity     = 4096
+	applyCapacity        = 64
+	peerCapacity         = 512
+	maxMessagesPerStep   = 64
+	maxTicksCaughtUp     = 64
+	choresInterval       = 100 * time.Millisecond
+	gaugeInterval        = time.Second
+	expireInterval       = 10 * time.Second
+	expireBatch          = 1000
+	maxOutcomeBytes      = 256 << 10
+	maxCommandBytes      = 16 << 20
+	maxKeyBytes          = 512
+	maxAttemptBytes      = 128
+	instanceLiveFor      = 1500 * time.Millisecond
+	entriesAge           = 100 * time.Millisecond
+	groupLeaseMargin     = 200 * time.Millisecond
+	directoryWarmup      = time.Second
+	// maxVoters bounds the members that must agree; further ones stay learners.
+	maxVoters             = 7
 	joinInterval          = 500 * time.Millisecond
 	membershipWaitTimeout = 5 * time.Second
 )
--- a/internal/rpc/transport/server.go
+++ b/internal/rpc/transport/server.go
@@ -115,7 +115,10 @@
 
 // HandlerOptions are passed to connect handler constructors.
 func (s *Server) HandlerOptions() connect.HandlerOption {
-	return connect.WithHandlerOptions(connect.WithReadMaxBytes(s.options.MaxMessage))
+	return connect.WithHandlerOptions(
+		connect.WithReadMaxBytes(s.options.MaxMessage),
+		connect.WithCompressMinBytes(compressMinBytes),
+	)
 }
 
 // Handle serves the handler of a connect service to callers of a role. Roles
--- a/internal/rpc/transport/transport.go
+++ b/internal/rpc/transport/transport.go
@@ -34,6 +34,9 @@
 	// DefaultMaxMessage bounds requests and responses. A settings snapshot of
 	// 33,000 customers takes some 10 MB.
 	DefaultMaxMessage = 64 << 20
+	// compressMinBytes is the size from which on responses are compressed. Below
+	// it, setting up the compressor costs more processor time than the rest of a call.
+	compressMinBytes = 4 << 10
 )
 
 // SenderHeader carries the address under which the sending process is reached.
