control: take messages before delivering ticks

A member paused between delivering ticks and taking messages could acknowledge a heartbeat at an old tick and vote at once after the missed ticks, within the lease that the heartbeat had renewed.

--- a/internal/control/liveness.go
+++ b/internal/control/liveness.go
@@ -50,9 +50,9 @@
 	return &liveness{instances: make(map[string]*instance), revoking: make(map[string]uint64)}
 }
 
-// enter forgets everything if the term is a new one. Callers hold the mutex.
+// enter forgets everything if the term is a later one. Callers hold the mutex.
 func (l *liveness) enter(term uint64, now time.Time) {
-	if l.term != term {
+	if term > l.term {
 		l.term, l.began = term, now
 		clear(l.instances)
 		clear(l.revoking)
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -48,8 +48,13 @@
 		case <-ticker.C:
 		case <-m.wake:
 		}
+		// The messages are taken first, so that each of them was sent before the
+		// time up to which ticks are delivered. Otherwise a member that is paused
+		// between the two could acknowledge a heartbeat at its old tick, and by
+		// the next ticks be ready to vote while that heartbeat carries a lease.
+		inbound := m.inbox.Drain(maxInboundPerRound)
 		d.tick()
-		d.input()
+		d.input(inbound)
 		for _, s := range m.snapshots.Drain(1) {
 			if err := d.storeSnapshot(s); err != nil {
 				return err
@@ -77,9 +82,8 @@
 	}
 }
 
-func (d *driver) input() {
+func (d *driver) input(inbound []consensus.Message) {
 	m := d.m
-	inbound := m.inbox.Drain(maxInboundPerRound)
 	for _, msg := range inbound {
 		// A message that does not fit is ignored; its sender repeats it.
 		_ = d.node.Step(msg)
