scheduler: serve the least late requests first

Cause: requests that missed their due time were served oldest first. Slots that a short gap in the on-time queue left went to requests that were late by half a minute, while those that had just fallen behind, and often could still meet the target, waited until they were hopeless too. Ruled out: slow detection of the slowed engine.

--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -156,7 +156,9 @@
 	return a.sequence < b.sequence
 }
 
-func byArrival(a, b *waiter) bool { return a.sequence < b.sequence }
+// byLateness puts the latest due time first: it missed the target by the least,
+// and may still meet it if the margin in due times was not needed.
+func byLateness(a, b *waiter) bool { return byDue(b, a) }
 
 func placeWaiter(w *waiter, i int) { w.index = i }
 
@@ -173,7 +175,7 @@
 	return a.customer.name < b.customer.name
 }
 
-func accountByLate(a, b *account) bool { return byArrival(a.late.top(), b.late.top()) }
+func accountByLate(a, b *account) bool { return byLateness(a.late.top(), b.late.top()) }
 
 func keyOf(r *Request) poolKey {
 	k := poolKey{model: r.Model, adapter: r.Adapter, mayRepeat: r.MayRepeat}
@@ -224,7 +226,7 @@
 	if a == nil {
 		a = &account{customer: cu, pool: p, tier: tier, lateIndex: -1}
 		a.onTime = heap[*waiter]{less: byDue, place: placeWaiter}
-		a.late = heap[*waiter]{less: byArrival, place: placeWaiter}
+		a.late = heap[*waiter]{less: byLateness, place: placeWaiter}
 		p.accounts[k] = a
 		cu.accounts = append(cu.accounts, a)
 	}
@@ -401,5 +403,5 @@
 	case ra == placeAhead:
 		return accountByStart(a.account, b.account)
 	}
-	return byArrival(a, b)
+	return byLateness(a, b)
 }
