--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -41,7 +41,8 @@
 	expiring  heap[*waiter]
 
 	customers     map[string]*customer
-	customerOrder customer // sentinel
+	customerOrder customer  // sentinel
+	sharesEnd     time.Time // when the next share may end
 	classes       map[string]*class
 	classOrder    []*class
 	retry         limit.Retry
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -163,6 +163,8 @@
 	late.Target = 30 * time.Second
 	b.ask(late)
 	b.ask(request("urgent", 0))
+	c.Assert(b.Position("urgent"), qt.Equals, 2) // of its class
+	c.Assert(b.Position("unknown"), qt.Equals, 0)
 	var order []string
 	for range 4 {
 		g = one(c, b.Release(b.now, g.GrantID, Outcome{Tokens: 10, Duration: time.Second}))
--- a/internal/scheduler/customer.go
+++ b/internal/scheduler/customer.go
@@ -114,6 +114,7 @@
 	for _, s := range shares {
 		cu := c.customerOf(now, s.Customer)
 		cu.share = s
+		c.shareEnds(s.Ends)
 		c.touch(cu)
 	}
 	return c.dispatch(now, nil)
@@ -143,14 +144,28 @@
 	return demands
 }
 
+// expireShares takes back shares that have ended. It looks at the customers only
+// when the share that ends first may have ended.
 func (c *Core) expireShares(now time.Time) {
-	if !c.config.SharedLimits {
+	if c.sharesEnd.IsZero() || now.Before(c.sharesEnd) {
 		return
 	}
+	c.sharesEnd = time.Time{}
 	for _, cu := range c.customers {
-		if !cu.share.Ends.IsZero() && !now.Before(cu.share.Ends) {
-			cu.share = limit.Share{Customer: cu.name}
-			c.touch(cu)
+		if cu.share.Ends.IsZero() {
+			continue
+		}
+		if now.Before(cu.share.Ends) {
+			c.shareEnds(cu.share.Ends)
+			continue
 		}
+		cu.share = limit.Share{Customer: cu.name}
+		c.touch(cu)
+	}
+}
+
+func (c *Core) shareEnds(at time.Time) {
+	if c.sharesEnd.IsZero() || at.Before(c.sharesEnd) {
+		c.sharesEnd = at
 	}
 }
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -149,9 +149,12 @@
 	c.Assert(b.Demands()[0].Concurrency, qt.Equals, 1)
 	out := b.SetShares(b.now, []limit.Share{{Customer: "k", Concurrency: 1, Ends: at(1000)}})
 	g := one(c, out)
-	b.pass(time.Second)
+	b.pass(900 * time.Millisecond)
 	b.Release(b.now, g.GrantID, Outcome{Tokens: 1})
-	c.Assert(b.ask(request("r2", 0)), qt.HasLen, 0)
+	g = one(c, b.ask(request("r2", 0)))
+	b.pass(100 * time.Millisecond)
+	b.Release(b.now, g.GrantID, Outcome{Tokens: 1})
+	c.Assert(b.ask(request("r3", 0)), qt.HasLen, 0)
 }
 
 // Guards against retries that multiply the load while everything fails.
