--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"auburnstep.example/auburnstep/internal/estimate"
@@ -116,7 +117,7 @@
 		return nil
 	}
 	if g := c.byRequest[r.ID]; g != nil {
-		if !contains(r.Avoid, g.endpoint.spec.ID) {
+		if !slices.Contains(r.Avoid, g.endpoint.spec.ID) {
 			return []Decision{c.granted(now, g)}
 		}
 		c.drop(now, g, ended{})
@@ -140,15 +141,6 @@
 	return out
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *Core) newWaiter(now time.Time, r Request) *waiter {
 	w := &waiter{request: r, arrived: now.Add(-r.Waited), seen: now}
 	c.sequence++
