scheduler: reuse a failed endpoint when no other one serves the request

Cause: Request.Avoid was strict.

Rule: an endpoint in Avoid is not used while another one serves the request (lease valid, not leaving, not ejected, model and adapter match, busy or not) that is not in Avoid. The search for another endpoint runs only for endpoints in Avoid.

A grant at such an endpoint is marked, so that a repeated Enqueue returns it in place of taking the grant for the failed attempt. Ruled out: forgetting Avoid in the entry, which does not know which endpoints are alive.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -40,7 +40,7 @@
 // serveable reports whether any known endpoint could serve the request, now or
 // after recovery.
 func (c *Core) serveable(w *waiter) bool {
-	p := pool{key: keyOf(&w.request), avoid: w.request.Avoid}
+	p := pool{key: keyOf(&w.request)}
 	for _, ep := range c.endpointOrder {
 		if ep.known && !ep.spec.Leaving && ep.serves(&p) {
 			return true
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -108,7 +108,8 @@
 
 // Enqueue adds a request, or keeps a known one in the queue. A request that
 // holds a grant gets the same grant again, unless it asks to avoid the endpoint
-// of that grant: then its attempt there has failed, and it is a new attempt.
+// of that grant: then its attempt there has failed, and it is a new attempt. A
+// grant at an endpoint that the request had asked to avoid before stays.
 func (c *Core) Enqueue(now time.Time, r Request) []Decision {
 	if w := c.waiting[r.ID]; w != nil {
 		w.seen = now
@@ -117,7 +118,7 @@
 		return nil
 	}
 	if g := c.byRequest[r.ID]; g != nil {
-		if !slices.Contains(r.Avoid, g.endpoint.spec.ID) {
+		if g.again || !slices.Contains(r.Avoid, g.endpoint.spec.ID) {
 			return []Decision{c.granted(now, g)}
 		}
 		c.drop(now, g, ended{})
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -36,7 +36,7 @@
 func (c *Core) slots(now time.Time, p *pool) int {
 	n := 0
 	for _, ep := range c.endpointOrder {
-		if !ep.health.ejected && (p == nil || ep.serves(p)) {
+		if !ep.health.ejected && (p == nil || ep.serves(p) && !c.avoided(now, ep, p)) {
 			n += c.capacity(now, ep)
 		}
 	}
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -123,7 +123,7 @@
 }
 
 // serves reports whether requests with the key may run on the endpoint, apart
-// from capacity, lease and health.
+// from capacity, lease, health and earlier failures of the request.
 func (ep *endpoint) serves(p *pool) bool {
 	if p.key.model != "" && len(ep.spec.Models) > 0 && !slices.Contains(ep.spec.Models, p.key.model) {
 		return false
@@ -131,10 +131,25 @@
 	if p.key.adapter != "" && !slices.Contains(ep.spec.Adapters, p.key.adapter) {
 		return false
 	}
-	return !slices.Contains(p.avoid, ep.spec.ID)
+	return true
+}
+
+// avoided reports whether requests of the pool must not use the endpoint because
+// it failed them before. That holds while another endpoint serves them, busy or
+// not; where all have failed, waiting for the deadline would help nobody.
+func (c *Core) avoided(now time.Time, ep *endpoint, p *pool) bool {
+	if len(p.avoid) == 0 || !slices.Contains(p.avoid, ep.spec.ID) {
+		return false
+	}
+	for _, other := range c.endpointOrder {
+		if other.live(now) && !other.health.ejected && other.serves(p) && !slices.Contains(p.avoid, other.spec.ID) {
+			return true
+		}
+	}
+	return false
 }
 
 // admits reports whether a request of the pool may be granted the endpoint now.
 func (c *Core) admits(now time.Time, ep *endpoint, p *pool) bool {
-	return ep.health.admits(now, p.key.mayRepeat) && ep.serves(p) && c.free(now, ep) > 0
+	return ep.health.admits(now, p.key.mayRepeat) && ep.serves(p) && !c.avoided(now, ep, p) && c.free(now, ep) > 0
 }
--- a/internal/scheduler/grants.go
+++ b/internal/scheduler/grants.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"strconv"
 	"time"
 )
@@ -37,6 +38,8 @@
 	reserved  bool
 	probe     bool
 	adopted   bool
+	// again says that the endpoint was in Avoid when the grant was given.
+	again bool
 }
 
 // ended remembers a grant that is over.
@@ -62,6 +65,7 @@
 		customer: w.customer, tier: w.request.Tier, epoch: c.config.Epoch, granted: now,
 		until: now.Add(grantUnused), work: w.work, cost: w.cost,
 		uncached: c.uncached(w, ep), load: ep.inFlight + 1, reserved: reserved,
+		again: slices.Contains(w.request.Avoid, ep.spec.ID),
 	}
 	if ep.health.ejected {
 		g.probe, ep.health.probing = true, true
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -94,8 +94,9 @@
 	Adapter string
 	// MayRepeat says that the request may be sent a second time.
 	MayRepeat bool
-	// Avoid lists endpoints that failed this request before. A request with
-	// such a list counts against the retry budgets.
+	// Avoid lists endpoints that failed this request before. They are not used
+	// while another endpoint serves the request. A request with such a list
+	// counts against the retry budgets.
 	Avoid []string
 }
 
