limit: take turns where a limit is smaller than the number of groups

Cause: shares came from rounding the fair parts in a fixed order, so that with fewer slots than groups the same groups got nothing for ever (TestEveryGroupGetsATurn with the former Budget: nothing started in 7.45 s, limit 1, 2 groups).

Change: a group reports what it has in flight (Demand.in_flight), and the Budget counts the larger of that and of the shares that may have been used since the report. Where fewer slots than groups with demand exist, a free slot goes to the group that has gone unserved for longest, for a turn of one lease; its share ends with the turn. Elsewhere one slot is kept for each group with demand: the slot that rounding leaves over moved from group to group past one that had none (4.25 s and more, limit 5, 4 groups). A group counts as idle after two leases of silence in place of one, since it may start a request at the end of its last share, and one call may be lost.

Ruled out: turns by the clock (requests of 30 s could meet the same turn each time); shares that follow demand alone (equal demands stay tied); half-slot shares in the scheduler core.

A group waits for the turns of the others at most, with their requests and the calls that pass a turn on.

--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -21,12 +21,16 @@
 	Customer        string
 	Concurrency     int
 	TokensPerSecond float64
+	// InFlight is the part of Concurrency that is running already.
+	InFlight int
 }
 
 // Budget owns the limits of customers and hands out shares of them to several
 // holders. The shares that are in force never exceed the limit in total, also
 // after a limit is lowered: a holder that asks again gets less, and nobody gets
-// more before enough shares have run out. A Budget that takes over from another
+// more before enough shares have run out and what was started under them has
+// ended. Where fewer slots than holders with demand exist, holders take turns. A
+// holder that is not heard of for two leases counts as idle. A Budget that takes over from another
 // one waits out the lease of the old shares before it hands out new ones.
 type Budget struct {
 	lease     time.Duration
@@ -38,15 +42,31 @@
 	holders map[string]*holding
 }
 
-// holding keeps all shares of one holder that have not ended: the answer that
+// holding keeps the shares of one holder that may be in use: the answer that
 // carried a smaller one may be lost, so the larger one counts until its end.
 type holding struct {
 	shares []Share
 	demand Demand
+	heard  time.Time
+	// turnEnds and served are used where holders take turns. served is when the
+	// holder last had a turn or a request in flight.
+	turnEnds, served time.Time
 }
 
-// inForce returns the largest share that the holder may believe to have.
-func (h *holding) inForce() (slots int, rate float64) {
+// hear takes over a report. It was made after the previous one arrived, so that
+// it covers what was started under shares that had ended by then; later ones may
+// have been used after it was made.
+func (h *holding) hear(now time.Time, d Demand) {
+	h.shares = slices.DeleteFunc(h.shares, func(s Share) bool { return !h.heard.Before(s.Ends) })
+	h.heard, h.demand = now, d
+	if d.InFlight > 0 {
+		h.served = now
+	}
+}
+
+// inUse returns the most that the holder may be using.
+func (h *holding) inUse() (slots int, rate float64) {
+	slots = h.demand.InFlight
 	for _, s := range h.shares {
 		slots, rate = max(slots, s.Concurrency), max(rate, s.TokensPerSecond)
 	}
@@ -71,24 +91,36 @@
 		a = &account{holders: map[string]*holding{}}
 		b.customers[d.Customer] = a
 	}
-	a.expire(now)
+	a.expire(now, b.lease)
 	h := a.holders[holder]
 	if h == nil {
 		h = &holding{}
 		a.holders[holder] = h
 	}
-	h.demand = d
+	h.hear(now, d)
 	share := Share{Customer: d.Customer, Ends: now.Add(b.lease)}
 	if !now.Before(b.readyAt) {
+		scarce := a.scarce(p)
 		freeSlots, freeRate := p.Concurrency, p.TokensPerSecond
 		for name, other := range a.holders {
 			if name != holder {
-				slots, rate := other.inForce()
+				slots, rate := other.inUse()
+				if !scarce && other.demand.Concurrency > 0 {
+					// The slot that rounding leaves over moves with the demands. It
+					// must not pass from one to the next past a holder without any.
+					slots = max(slots, 1)
+				}
 				freeSlots -= slots
 				freeRate -= rate
 			}
 		}
 		slots, rate := a.fair(holder, p)
+		if scarce {
+			slots = a.turn(now, b.lease, holder, freeSlots)
+			if slots > 0 && h.turnEnds.Before(share.Ends) {
+				share.Ends = h.turnEnds
+			}
+		}
 		share.Concurrency = max(0, min(slots, freeSlots))
 		share.TokensPerSecond = max(0, min(rate, freeRate))
 	}
@@ -109,20 +141,60 @@
 // Expire forgets customers without shares in force.
 func (b *Budget) Expire(now time.Time) {
 	for name, a := range b.customers {
-		a.expire(now)
+		a.expire(now, b.lease)
 		if len(a.holders) == 0 {
 			delete(b.customers, name)
 		}
 	}
 }
 
-func (a *account) expire(now time.Time) {
-	for name, h := range a.holders {
-		h.shares = slices.DeleteFunc(h.shares, func(s Share) bool { return !now.Before(s.Ends) })
-		if len(h.shares) == 0 {
-			delete(a.holders, name)
+// forgetLeases is how many leases after its last report a holder counts as idle.
+// It may start a request at the end of its last share; the rest is for the report
+// of that request, and for one lost call.
+const forgetLeases = 2
+
+// expire forgets idle holders.
+func (a *account) expire(now time.Time, lease time.Duration) {
+	maps.DeleteFunc(a.holders, func(_ string, h *holding) bool { return now.Sub(h.heard) >= forgetLeases*lease })
+}
+
+// scarce reports whether there are fewer slots than holders that want one.
+func (a *account) scarce(p Policy) bool {
+	n := 0
+	for _, h := range a.holders {
+		if h.demand.Concurrency > 0 {
+			n++
 		}
 	}
+	return n > p.Concurrency
+}
+
+// turn returns 1 while the holder has a turn, else 0. A turn lasts for one lease.
+// Free slots go to the holders that have gone unserved for longest, so that each
+// gets one after all others had theirs. Shares end with the turn, so that the next
+// holder need not wait for a lease.
+func (a *account) turn(now time.Time, lease time.Duration, holder string, free int) int {
+	h := a.holders[holder]
+	if now.Before(h.turnEnds) {
+		return 1
+	}
+	if h.demand.Concurrency == 0 {
+		return 0
+	}
+	for name, other := range a.holders {
+		slots, _ := other.inUse()
+		if name == holder || other.demand.Concurrency == 0 || slots > 0 {
+			continue
+		}
+		if cmp.Or(other.served.Compare(h.served), cmp.Compare(name, holder)) < 0 {
+			free--
+		}
+	}
+	if free <= 0 {
+		return 0
+	}
+	h.turnEnds, h.served = now.Add(lease), now
+	return 1
 }
 
 // fair returns the max-min fair parts of the limits for the holder by the latest
--- a/internal/scheduler/customer.go
+++ b/internal/scheduler/customer.go
@@ -128,7 +128,7 @@
 		if cu.idle() || cu.limits.Concurrency <= 0 && cu.limits.TokensPerSecond <= 0 {
 			continue
 		}
-		d := limit.Demand{Customer: cu.name, Concurrency: cu.inFlight}
+		d := limit.Demand{Customer: cu.name, Concurrency: cu.inFlight, InFlight: cu.inFlight}
 		for _, n := range cu.waiting {
 			d.Concurrency += n
 		}
--- a/internal/schedulerhost/shares.go
+++ b/internal/schedulerhost/shares.go
@@ -70,6 +70,7 @@
 	for _, d := range demands {
 		req.Demands = append(req.Demands, &schedulerv1.Demand{
 			Customer: d.Customer, Concurrency: uint32(d.Concurrency), TokensPerSecond: float32(d.TokensPerSecond),
+			InFlight: uint32(d.InFlight),
 		})
 	}
 	sent := time.Now()
@@ -101,6 +102,7 @@
 		for _, d := range m.Demands {
 			s := g.budget.Lease(now, m.Holder, limit.Demand{
 				Customer: d.Customer, Concurrency: int(d.Concurrency), TokensPerSecond: float64(d.TokensPerSecond),
+				InFlight: int(d.InFlight),
 			}, policy(d.Customer))
 			res.Shares = append(res.Shares, &schedulerv1.Share{
 				Customer: s.Customer, Concurrency: uint32(s.Concurrency), TokensPerSecond: float32(s.TokensPerSecond),
