grants: end calls to a scheduler when another one has taken over

Cause: an entry that had a call open to a scheduler that was cut off without a trace waited for the timeout of that call, after its directory already named the next one: 1.5 s for Acquire and 1 s for Renew. The next scheduler waits for the reports of all entries, so that one such Renew also kept it in its warm-up.

A grant in an answer that is dropped by that is unused and runs out, as with a lost answer.

Ruled out: shorter timeouts, which would cut calls over a connection that is just being replaced; granting by load reports from before the takeover, since a request that was granted by the former scheduler may arrive up to 1 s later.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -92,7 +92,7 @@
 	defer ticker.Stop()
 	for {
 		for _, group := range c.directory.AllGroups() {
-			c.holding(group)
+			c.holding(group).follow()
 		}
 		select {
 		case <-ctx.Done():
@@ -185,7 +185,7 @@
 			}
 			return nil, verdict.Overloaded("settings_stale", "this entry can not reach the control members; use another entry", time.Second)
 		}
-		address, _, ok := c.directory.Holder(group)
+		address, epoch, ok := c.directory.Holder(group)
 		if !ok {
 			pause(ctx, retryPause)
 			continue
@@ -193,7 +193,7 @@
 		r.WaitedMs = uint32(time.Since(start).Milliseconds())
 		asked = true
 		sent := time.Now()
-		res, err := c.ask(ctx, address, group, r)
+		res, err := c.ask(ctx, address, epoch, group, r)
 		switch {
 		case err != nil:
 			c.failed.Inc(1)
@@ -208,9 +208,12 @@
 	}
 }
 
-func (c *Client) ask(ctx context.Context, address, group string, r *schedulerv1.Request) (*schedulerv1.AcquireResponse, error) {
+// ask sends one Acquire call to the holder of an epoch. The call ends with the
+// epoch: a grant that is lost by that is unused, and runs out.
+func (c *Client) ask(ctx context.Context, address string, epoch uint64, group string, r *schedulerv1.Request) (*schedulerv1.AcquireResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	defer context.AfterFunc(c.holding(group).term(epoch), cancel)()
 	res, err := c.dial(address).Acquire(ctx, connect.NewRequest(&schedulerv1.AcquireRequest{
 		Group: group, Entry: c.entry, Request: r, HoldMs: uint32(holdTime.Milliseconds()),
 	}))
--- a/internal/grants/holding.go
+++ b/internal/grants/holding.go
@@ -23,6 +23,10 @@
 	mu       sync.Mutex
 	held     map[string]*Lease
 	released []pendingRelease
+	// epoch is the latest that was seen; current ends when a later one is seen.
+	epoch      uint64
+	current    context.Context
+	endCurrent context.CancelFunc
 }
 
 type pendingRelease struct {
@@ -36,13 +40,43 @@
 	defer c.mu.Unlock()
 	h, ok := c.groups[group]
 	if !ok {
-		h = &holding{client: c, group: group, wake: make(chan struct{}, 1), held: make(map[string]*Lease)}
+		h = newHolding(c, group)
 		c.groups[group] = h
 		go h.run()
 	}
 	return h
 }
 
+func newHolding(c *Client, group string) *holding {
+	h := &holding{client: c, group: group, wake: make(chan struct{}, 1), held: make(map[string]*Lease)}
+	h.current, h.endCurrent = context.WithCancel(context.Background())
+	return h
+}
+
+// term returns a context that ends when a later epoch of the group is seen. Calls
+// to a scheduler that is lost without a trace would else hold up requests, and
+// the adoption by the next one, until their timeout.
+func (h *holding) term(epoch uint64) context.Context {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if epoch > h.epoch {
+		h.endCurrent()
+		h.epoch = epoch
+		h.current, h.endCurrent = context.WithCancel(context.Background())
+	}
+	if epoch < h.epoch {
+		return context.Background() // read just before the later one was seen
+	}
+	return h.current
+}
+
+// follow ends the calls to the former scheduler when there is a new one.
+func (h *holding) follow() {
+	if _, epoch, ok := h.client.directory.Holder(h.group); ok {
+		h.term(epoch)
+	}
+}
+
 func (h *holding) hold(l *Lease) {
 	h.mu.Lock()
 	h.held[l.Grant.Id] = l
@@ -126,6 +160,7 @@
 	req.Epoch = epoch
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
+	defer context.AfterFunc(h.term(epoch), cancel)()
 	_, err := h.client.dial(address).Renew(ctx, connect.NewRequest(req))
 	return err
 }
