--- a/internal/consensus/property_test.go
+++ b/internal/consensus/property_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -11,27 +10,14 @@
 
 	"auburnstep.example/auburnstep/internal/consensus"
 	"pgregory.net/rapid"
+
+	"auburnstep.example/auburnstep/internal/testkit/properties"
 )
 
 // schedulesPerTest is the number of schedules of each parallel property test.
-const schedulesPerTest = "600"
-
-// propertySeed makes the schedules the same in every run.
-const propertySeed = "20261204"
+const schedulesPerTest = 600
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{
-		"rapid.checks": schedulesPerTest, "rapid.seed": propertySeed, "rapid.nofailfile": "true",
-	} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(properties.Run(m, schedulesPerTest)) }
 
 // action is one step of a schedule; it concerns one or two hosts.
 type action func(s *sim, h, o *host, r *rand.Rand)
--- /dev/null
+++ b/internal/control/state/main_test.go
@@ -0,0 +1,13 @@
+package state
+
+import (
+	"os"
+	"testing"
+
+	"auburnstep.example/auburnstep/internal/testkit/properties"
+)
+
+// drawnRuns is the number of drawn sequences of commands.
+const drawnRuns = 200
+
+func TestMain(m *testing.M) { os.Exit(properties.Run(m, drawnRuns)) }
--- a/internal/scheduler/main_test.go
+++ b/internal/scheduler/main_test.go
@@ -1,20 +1,13 @@
 package scheduler
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"auburnstep.example/auburnstep/internal/testkit/properties"
 )
 
-// TestMain fixes the seed of the property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+// drawnHistories is the number of drawn histories of each property test.
+const drawnHistories = 1000
+
+func TestMain(m *testing.M) { os.Exit(properties.Run(m, drawnHistories)) }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,25 +9,16 @@
 	"google.golang.org/protobuf/proto"
 
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+
+	"auburnstep.example/auburnstep/internal/testkit/properties"
 )
 
 var update = flag.Bool("update", false, "rewrite docs/settings.md")
 
-// TestMain fixes the seed and the number of the property tests, unless a run
-// asks for others.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500"} {
-		f := flag.Lookup(name)
-		if f.Value.String() != f.DefValue {
-			continue
-		}
-		if err := f.Value.Set(value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+// drawnTrees is the number of cases of each property test.
+const drawnTrees = 500
+
+func TestMain(m *testing.M) { os.Exit(properties.Run(m, drawnTrees)) }
 
 const sample = `
 nodes:
--- /dev/null
+++ b/internal/testkit/properties/properties.go
@@ -0,0 +1,29 @@
+// Package properties makes property tests draw the same cases in every run.
+package properties
+
+import (
+	"flag"
+	"strconv"
+	"testing"
+)
+
+// Seed is the seed of all property tests that are given no other one.
+const Seed = 20261204
+
+// Run runs the tests of a package with a fixed seed and number of checks.
+// Flags of the command line, such as -rapid.seed, go before.
+func Run(m *testing.M, checks int) int {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{
+		"rapid.checks": strconv.Itoa(checks), "rapid.seed": strconv.Itoa(Seed), "rapid.nofailfile": "true",
+	} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	return m.Run()
+}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -14,6 +13,8 @@
 	"auburnstep.example/auburnstep/internal/wal"
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"auburnstep.example/auburnstep/internal/testkit/properties"
 )
 
 const dir = "data"
@@ -37,18 +38,10 @@
 	}
 }
 
-// TestMain makes the drawn operations the same in every run.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.checks": "3000", "rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+// drawnRuns is the number of drawn sequences of operations.
+const drawnRuns = 3000
+
+func TestMain(m *testing.M) { os.Exit(properties.Run(m, drawnRuns)) }
 
 // model is what a log must hold.
 type model struct {
