--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,8 +26,6 @@
 const (
 	// KeepSeconds is how long callers may keep the list of entries.
 	KeepSeconds = 10
-	// drainMargin covers the time an answer travels and a caller needs to act on it.
-	drainMargin = 2 * time.Second
 
 	readHeaderTimeout = 5 * time.Second
 	// bodyTimeout bounds the reading of one request body.
@@ -77,8 +75,8 @@
 	Scope          tally.Scope
 	// Draining is set when the instance leaves the list of entries.
 	Draining *atomic.Bool
-	// DrainWait overrides the time between leaving the list of entries and
-	// closing the listener; zero means KeepSeconds and a margin.
+	// DrainWait is the time between leaving the list of entries and closing the
+	// listener. It should exceed KeepSeconds.
 	DrainWait time.Duration
 }
 
@@ -98,9 +96,6 @@
 	if o.Draining == nil {
 		o.Draining = new(atomic.Bool)
 	}
-	if o.DrainWait == 0 {
-		o.DrainWait = KeepSeconds*time.Second + drainMargin
-	}
 	s := &Server{o: o, metrics: newRequestMetrics(o.Scope)}
 	s.http = &http.Server{
 		Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
