Record endpoints that come and go instead of every announcement

Each renewal wrote an event, 32 a second for a group of 32 endpoints, which would turn over the 8,192 events of the time line in some 4 minutes. The scheduler now records endpoints that join and leave. Bookings record their answer.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -103,7 +103,9 @@
 		writeError(w, refusal)
 		return
 	}
-	s.o.Events.Emit(eventAnnounced, event.F("endpoint", a.ID), event.F("service", a.Service), event.F("leaving", a.Leaving))
+	if a.Leaving {
+		s.o.Events.Emit(eventLeaving, event.F("endpoint", a.ID), event.F("service", a.Service))
+	}
 	writeJSON(w, AnnounceReply{RenewAfterMS: renewAfter.Milliseconds(), Entries: s.addresses().Entries, Resync: resync})
 }
 
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -53,6 +53,7 @@
 	}
 	s.finish(q, &controlv1.FinishBooking{Key: key, AttemptId: q.id, Outcome: outcome})
 	s.metrics.finished(q, time.Since(q.start), 0)
+	s.o.Events.Emit(eventAnswered, q.fields(event.F("key", q.key), event.F("status", outcome.Status))...)
 	writeOutcome(w, outcome, false)
 	return nil
 }
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -23,7 +23,7 @@
 	eventBooking   = event.Define(5020, "booking-begun", event.Debug, "recorded a request that runs at most once")
 	eventDuplicate = event.Define(5021, "booking-duplicate", event.Info, "answered a duplicate of a recorded request without running it")
 	eventUnstored  = event.Define(5022, "booking-outcome-unstored", event.Warn, "could not store the outcome of a request in time; storing goes on")
-	eventAnnounced = event.Define(6001, "endpoint-announced", event.Debug, "passed an endpoint's announcement to its scheduler")
+	eventLeaving   = event.Define(6001, "endpoint-leaving", event.Info, "an endpoint announced that it is leaving")
 	eventRejected  = event.Define(6002, "announcement-rejected", event.Warn, "rejected an endpoint's announcement")
 )
 
--- a/internal/schedulerhost/group.go
+++ b/internal/schedulerhost/group.go
@@ -41,6 +41,7 @@
 	budget   *limit.Budget
 	index    *settings.Index
 	waiters  map[string]*waiter
+	known    map[string]bool // endpoints at the last report
 	reported time.Time
 
 	granted, refused, rejected tally.Counter
@@ -227,7 +228,26 @@
 			}
 		}
 	}
+	g.noteEndpoints(s.Endpoints)
 	g.report.Store(r)
 	g.waiting.Update(float64(r.Waiting))
 	g.inFlight.Update(float64(r.InFlight))
 }
+
+// noteEndpoints records which endpoints came and went since the last report.
+func (g *group) noteEndpoints(endpoints []scheduler.EndpointStatus) {
+	now := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		now[e.Endpoint.ID] = true
+		if !g.known[e.Endpoint.ID] {
+			g.host.events.Emit(eventJoined, event.F("group", g.name), event.F("endpoint", e.Endpoint.ID),
+				event.F("address", e.Endpoint.Address), event.F("failure_domain", e.Endpoint.FailureDomain))
+		}
+	}
+	for id := range g.known {
+		if !now[id] {
+			g.host.events.Emit(eventLeft, event.F("group", g.name), event.F("endpoint", id))
+		}
+	}
+	g.known = now
+}
--- a/internal/schedulerhost/host.go
+++ b/internal/schedulerhost/host.go
@@ -36,6 +36,8 @@
 	eventStopped = event.Define(4002, "group-stopped", event.Info, "stopped scheduling a group of endpoints")
 	eventGranted = event.Define(4010, "request-granted", event.Debug, "granted a request an endpoint")
 	eventRefused = event.Define(4011, "request-refused", event.Info, "refused a request before it reached an endpoint")
+	eventJoined  = event.Define(4020, "endpoint-joined", event.Info, "a scheduler learned of an endpoint")
+	eventLeft    = event.Define(4021, "endpoint-left", event.Info, "a scheduler has no lease of an endpoint any more")
 	eventResync  = event.Define(4012, "cache-resync", event.Debug, "asked an endpoint for its whole list of cached prefixes")
 )
 
