--- a/internal/control/loopback_test.go
+++ b/internal/control/loopback_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +19,63 @@
 	"auburnstep.example/auburnstep/internal/rpc/transport"
 )
 
+// silencer opens connections that it can mute later: bytes are dropped in both
+// directions without an error, as on a path that lost their state.
+type silencer struct {
+	mu    sync.Mutex
+	conns []*mutedConn
+}
+
+type mutedConn struct {
+	net.Conn
+	muted  atomic.Bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (s *silencer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &mutedConn{Conn: conn, closed: make(chan struct{})}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns = append(s.conns, c)
+	return c, nil
+}
+
+// silence mutes all present connections and returns their number.
+func (s *silencer) silence() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.muted.Store(true)
+	}
+	return len(s.conns)
+}
+
+func (c *mutedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.muted.Load() {
+		return n, err
+	}
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+func (c *mutedConn) Write(p []byte) (int, error) {
+	if c.muted.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *mutedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // loopbackMember is a member with its server and connections.
 type loopbackMember struct {
 	dir     string
@@ -30,10 +89,12 @@
 	t       testing.TB
 	members []*loopbackMember
 	pool    *transport.Pool
+	silencer
 }
 
 func newLoopback(t testing.TB, n int) *loopback {
-	l := &loopback{t: t, pool: transport.NewPool(transport.Options{Token: "op"})}
+	l := &loopback{t: t}
+	l.pool = transport.NewPool(transport.Options{Token: "op", Dial: l.dial})
 	listeners := make([]net.Listener, n)
 	for i := range n {
 		var err error
@@ -60,7 +121,7 @@
 		listener, err = net.Listen("tcp", m.address)
 		qt.Assert(l.t, err, qt.IsNil)
 	}
-	pool := transport.NewPool(transport.Options{Token: "peer", Sender: m.address})
+	pool := transport.NewPool(transport.Options{Token: "peer", Sender: m.address, Dial: l.dial})
 	m.member = NewMember(Options{
 		Cluster: "test", Instance: m.address, Address: m.address, InitialMembers: l.addresses(),
 		Storage: NewDirStorage(m.dir), Network: NewNetwork(pool), Events: recorder(m.address), Seed: time.Now().UnixNano(),
@@ -126,7 +187,7 @@
 	ended := make(chan error, n)
 	var pools []*transport.Pool
 	for i := range n {
-		pool := transport.NewPool(transport.Options{Token: "peer"})
+		pool := transport.NewPool(transport.Options{Token: "peer", Dial: l.dial})
 		pools = append(pools, pool)
 		name := fmt.Sprintf("e%d", i)
 		f := feed.NewClient(feed.Options{Members: l.addresses(), Caller: feed.NewCaller(pool),
@@ -184,3 +245,22 @@
 	l.accept("c3", 2, put("/more", "group"))
 	inForce(feeds, 3)
 }
+
+// Guards against members and feeds that stay cut off because their open
+// connections went silent, all at once, while new ones work.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	l := newLoopback(t, 3)
+	defer l.stop()
+	feeds, stop := l.feeds(2)
+	defer stop()
+	l.accept("c1", 0, put("/services", "group"))
+	inForce(feeds, 1)
+	start := time.Now()
+	n := l.silence()
+	fresh := feeds[0].View().FreshUntil
+	l.accept("c2", 1, put("/customers", "group"))
+	accepted := time.Since(start)
+	inForce(feeds, 2)
+	t.Logf("%d connections silenced; next change accepted after %v and in force after %v; the feed had been fresh for %v more",
+		n, accepted, time.Since(start), fresh.Sub(start))
+}
