Give a new holder of a group time to hear of it

Each epoch restarts the scheduler's warm-up. A holder that never reported the epoch now has the time of a lease to do so; one that reported it and then resigns is still replaced at once. TestNewHolderIsGivenTime fails without the new condition.

--- a/internal/control/chores.go
+++ b/internal/control/chores.go
@@ -113,7 +113,7 @@
 		if errors.Is(err, ErrUnknown) {
 			return // The group stays revoked and is assigned again.
 		}
-		m.live.settle(group)
+		m.live.settle(group, r.Assignment.GetEpoch(), time.Now())
 		if err == nil {
 			m.options.Events.Emit(eventAssigned, event.F("group", group), event.F("holder", next.Instance), event.F("epoch", r.Assignment.Epoch))
 		}
--- a/internal/control/liveness.go
+++ b/internal/control/liveness.go
@@ -39,6 +39,8 @@
 	// revoking holds the epoch of each group that is being taken from its
 	// holder. Polls answered meanwhile must not renew the holder's lease.
 	revoking map[string]uint64
+	// assigned holds the epoch and time of the assignments of this term.
+	assigned map[string]assignment
 
 	// listed is the entry list made at listedAt.
 	listed        []*controlv1.EntryInfo
@@ -46,8 +48,16 @@
 	listedAt      time.Time
 }
 
+// assignment is an epoch that this leader gave out.
+type assignment struct {
+	epoch uint64
+	at    time.Time
+}
+
 func newLiveness() *liveness {
-	return &liveness{instances: make(map[string]*instance), revoking: make(map[string]uint64)}
+	return &liveness{
+		instances: make(map[string]*instance), revoking: make(map[string]uint64), assigned: make(map[string]assignment),
+	}
 }
 
 // enter forgets everything if the term is a later one. Callers hold the mutex.
@@ -56,6 +66,7 @@
 		l.term, l.began = term, now
 		clear(l.instances)
 		clear(l.revoking)
+		clear(l.assigned)
 		l.listed = nil
 	}
 }
@@ -147,11 +158,15 @@
 	return next
 }
 
-// settle ends the revocation of a group.
-func (l *liveness) settle(group string) {
+// settle ends the revocation of a group. The epoch is that of its new holder,
+// or 0 if the group keeps the former one.
+func (l *liveness) settle(group string, epoch uint64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.revoking, group)
+	if epoch != 0 {
+		l.assigned[group] = assignment{epoch, now}
+	}
 }
 
 // replaceable reports whether the holder of a group cannot act as such any
@@ -168,8 +183,13 @@
 	if r := i.reports[group]; r != nil && r.GetEpoch() == 0 {
 		// The instance says that it does not hold the group and will not under
 		// this epoch. If this very process held it before, that is enough; if it
-		// is a new process, the former one is waited for.
-		return i.held[group] == a.Epoch || now.Sub(i.since) >= holdTime
+		// is a new process, the former one is waited for. A holder that never
+		// reported the epoch may just not have heard of it yet.
+		if i.held[group] == a.Epoch {
+			return true
+		}
+		unheard := l.assigned[group].epoch == a.Epoch && now.Sub(l.assigned[group].at) < holdTime
+		return !unheard && now.Sub(i.since) >= holdTime
 	}
 	return now.Sub(i.last) >= holdTime
 }
--- a/internal/control/liveness_test.go
+++ b/internal/control/liveness_test.go
@@ -81,10 +81,36 @@
 	a := &controlv1.Assignment{Group: "g/0", Instance: "a", Epoch: 3}
 	qt.Assert(t, l.choose("g/0", a, start.Add(holdTime)).GetInstance(), qt.Equals, "b")
 	qt.Assert(t, l.poll(1, start.Add(holdTime), pollOf("a", 1))["g/0"], qt.Equals, uint64(3))
-	l.settle("g/0")
+	l.settle("g/0", 0, start.Add(holdTime))
 	qt.Assert(t, l.poll(1, start.Add(holdTime), pollOf("a", 1)), qt.HasLen, 0)
 }
 
+// Guards against a group that gets one epoch after the other while its new
+// holder has not polled yet: a restarted instance reports until then that it
+// does not hold the group.
+func TestNewHolderIsGivenTime(t *testing.T) {
+	l := newLiveness()
+	start := time.Now()
+	released := &controlv1.GroupReport{Group: "g/0"}
+	poll := func(at time.Duration) {
+		r := pollOf("a", 1)
+		r.Groups = append(r.Groups, released)
+		l.poll(1, start.Add(at), r)
+	}
+	poll(0)
+	poll(holdTime)
+	former := &controlv1.Assignment{Group: "g/0", Instance: "a", Epoch: 3}
+	now := start.Add(holdTime)
+	qt.Assert(t, l.choose("g/0", former, now).GetInstance(), qt.Equals, "a")
+	l.settle("g/0", 4, now)
+	next := &controlv1.Assignment{Group: "g/0", Instance: "a", Epoch: 4}
+	for later := 100 * time.Millisecond; later < holdTime; later += 100 * time.Millisecond {
+		poll(holdTime + later)
+		qt.Assert(t, l.choose("g/0", next, now.Add(later)), qt.IsNil)
+	}
+	qt.Assert(t, l.choose("g/0", next, now.Add(holdTime)), qt.IsNotNil)
+}
+
 // Guards the lease outside the consensus loop: it ends by time alone, and it
 // does not begin before the entries of earlier leaders are applied.
 func TestLeaseNeedsAppliedEntries(t *testing.T) {
