--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -45,6 +45,9 @@
   - path: /customers/torino
     kind: customer
     set: {key.sha256: [` + hexHash(key) + `]}
+  - path: /customers/asti
+    kind: customer
+    set: {key.sha256: [` + hexHash("other-key") + `]}
 `
 
 func hexHash(k string) string {
@@ -248,6 +251,21 @@
 	qt.Check(t, len(p.Ledger()), qt.Equals, 1)
 }
 
+// TestRecordsOfCustomers guards against a customer that reads or blocks the
+// record of another one by using its idempotency key.
+func TestRecordsOfCustomers(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	p := b.Engine(t, plainService())
+	_, first := booking("shared", "statue of torino").send(t, b)
+	other := booking("shared", "statue of asti")
+	other.header["Authorization"] = "Bearer other-key"
+	res, second := other.send(t, b)
+	qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%s", second))
+	qt.Check(t, res.Header.Get("X-Auburnstep-Replayed"), qt.Equals, "")
+	qt.Check(t, second, qt.Not(qt.Equals), first)
+	qt.Check(t, len(p.Ledger()), qt.Equals, 2)
+}
+
 // TestBookingUnknownOutcome guards against running a booking again, or calling
 // it not run, after its endpoint broke off.
 func TestBookingUnknownOutcome(t *testing.T) {
