--- a/internal/consensus/property_test.go
+++ b/internal/consensus/property_test.go
@@ -87,15 +87,19 @@
 	panic("unreachable")
 }
 
-// doRemove removes a member that is alive, as in a planned replacement.
-func doRemove(s *sim, h, _ *host, _ *rand.Rand) {
+// doRemove removes members that are alive, as in a planned replacement. It
+// tries several at once; all but the first must be refused.
+func doRemove(s *sim, h, o *host, _ *rand.Rand) {
 	if s.initial < 3 || !s.repaired() {
 		return
 	}
 	s.eachLeader(func(l *host) {
-		if l.node.ProposeMembership(consensus.MembershipChange{Kind: consensus.RemoveMember, ID: h.id}) == nil {
-			h.retired = true
-			s.start(s.addHost())
+		for _, h := range []*host{h, o, s.hosts[int(l.id)%s.initial]} {
+			c := consensus.MembershipChange{Kind: consensus.RemoveMember, ID: h.id}
+			if !h.retired && l.node.ProposeMembership(c) == nil {
+				h.retired = true
+				s.start(s.addHost())
+			}
 		}
 	})
 }
--- a/internal/wal/memfs_test.go
+++ b/internal/wal/memfs_test.go
@@ -43,7 +43,12 @@
 			m.durable[name] = m.names[name]
 		}
 	}
-	m.names, m.durable = map[string]*inode{}, maps.Clone(m.durable)
+	for _, name := range slices.Sorted(maps.Keys(m.durable)) {
+		if m.names[name] == nil && keep(1) == 0 {
+			delete(m.durable, name)
+		}
+	}
+	m.names = map[string]*inode{}
 	for _, name := range slices.Sorted(maps.Keys(m.durable)) {
 		f := m.durable[name]
 		unsynced := len(f.data) - len(f.durable)
@@ -52,6 +57,11 @@
 		m.names[name] = f
 	}
 	m.durable = maps.Clone(m.names)
+	m.restart()
+}
+
+// restart ends the process only; unsynced data stays readable and unsynced.
+func (m *memFS) restart() {
 	m.locked = map[string]bool{}
 	m.writesLeft, m.syncsLeft = -1, -1
 }
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -113,7 +113,10 @@
 					t.Fatalf("after a fault: %v, then %v", err, stopped)
 				}
 			}
-			fs.crash(func(n int) int { return rapid.IntRange(0, n).Draw(t, "kept") })
+			if rapid.Bool().Draw(t, "power loss") {
+				fs.crash(func(n int) int { return rapid.IntRange(0, n).Draw(t, "kept") })
+			}
+			fs.restart()
 			log, r, err = open(fs)
 			must(t, err)
 			switch {
@@ -183,6 +186,7 @@
 		{"cut in a closed segment", func(m *memFS) { cut(m, 0, 3) }, "0000000000000001.wal", false},
 		{"cut in the last record", func(m *memFS) { cut(m, -1, 3) }, "", true},
 		{"zeros after the last record", func(m *memFS) { zeros(m) }, "", true},
+		{"copy of the last record behind it", func(m *memFS) { repeat(m) }, "", true},
 		{"segment missing", func(m *memFS) { delete(m.names, dir+"/"+m.files(".wal")[1]) }, "0000000000000002.wal", false},
 		{"first segment missing", func(m *memFS) { delete(m.names, dir+"/"+m.files(".wal")[0]) }, "0000000000000001.wal", false},
 		{"all segments missing", func(m *memFS) {
@@ -224,6 +228,12 @@
 	f.data = f.data[:len(f.data)-n]
 }
 
+func repeat(m *memFS) {
+	names := m.files(".wal")
+	f := m.names[dir+"/"+names[len(names)-1]]
+	f.data = append(f.data, f.data[bytes.LastIndex(f.data, []byte("rec1")):]...)
+}
+
 func zeros(m *memFS) {
 	names := m.files(".wal")
 	f := m.names[dir+"/"+names[len(names)-1]]
