Check the history of bookings in real processes with porcupine

Callers now share keys and race for them. Ports come from below the kernel's range for outgoing connections: one run failed because such a connection had taken the port of an instance between its choice and its use.

--- a/internal/proof/bookings_test.go
+++ b/internal/proof/bookings_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	qt "github.com/frankban/quicktest"
 
 	"auburnstep.example/auburnstep/internal/fakeengine"
@@ -24,27 +27,65 @@
 	notRun    bool   // the last answer was not-run, and the caller gave up
 }
 
+// told is the outcome of one try: the body of a confirmation, a not-run
+// verdict, or neither, after which the booking may have run or may yet run.
+type told struct {
+	confirmed string
+	notRun    bool
+}
+
+// record is the sequential specification of one key: whether it ran, and the
+// confirmation that every caller must get from then on, once one is known.
+type record struct {
+	ran  bool
+	body string
+}
+
+var bookingModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			byKey[op.Input.(string)] = append(byKey[op.Input.(string)], op)
+		}
+		return slices.Collect(maps.Values(byKey))
+	},
+	Init: func() any { return record{} },
+	Step: func(s, _, out any) (bool, any) {
+		r, o := s.(record), out.(told)
+		switch {
+		case o.notRun:
+			return true, r
+		case o.confirmed == "":
+			return true, record{true, r.body}
+		default:
+			return r.body == "" || r.body == o.confirmed, record{true, o.confirmed}
+		}
+	},
+}
+
 // book sends a booking under one key to random instances until it is
 // confirmed or the caller gives up.
-func (c *cluster) book(r *rand.Rand, key string, tries int) attempt {
+func (c *cluster) book(r *rand.Rand, key string, tries int, note func(call time.Time, o told)) attempt {
 	out := attempt{key: key}
 	header := map[string]string{"X-Auburnstep-Class": "booking", "Idempotency-Key": key}
 	open := false
 	for range tries {
 		in := c.instances[r.IntN(len(c.instances))]
 		ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+		call := time.Now()
 		a := in.send(ctx, "/services/rota-app/bookings", "statue "+key, header)
 		cancel()
 		if a.err == nil && a.status < 300 {
+			note(call, told{confirmed: a.body})
 			out.confirmed, out.notRun = a.body, false
 			return out
 		}
 		// A refused connection sent nothing, but a broken one leaves the
 		// outcome open, as may-have-run does.
-		if a.err != nil || a.verdict != "not-run" {
-			open = true
-		}
-		out.notRun = !open && a.err == nil && a.verdict == "not-run"
+		notRun := a.err == nil && a.verdict == "not-run"
+		note(call, told{notRun: notRun})
+		open = open || !notRun
+		out.notRun = !open
 		time.Sleep(time.Duration(50+r.IntN(100)) * time.Millisecond)
 	}
 	return out
@@ -63,6 +104,8 @@
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	var history []attempt
+	var operations []porcupine.Operation
+	began := time.Now()
 	for w := range 8 {
 		r := rand.New(rand.NewPCG(bookingSeed, uint64(w)))
 		callers.Go(func() {
@@ -72,7 +115,19 @@
 					return
 				default:
 				}
-				a := c.book(r, fmt.Sprintf("k-%d-%d", w, n), 6)
+				// Neighbours share half of their keys, so that they race.
+				key := fmt.Sprintf("k-%d-%d", w-w%2*(n%2), n)
+				a := c.book(r, key, 6, func(call time.Time, o told) {
+					returned := time.Since(began)
+					if o == (told{}) {
+						returned = time.Hour
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					operations = append(operations, porcupine.Operation{
+						ClientId: w, Input: key, Call: call.Sub(began).Nanoseconds(), Output: o, Return: returned.Nanoseconds(),
+					})
+				})
 				mu.Lock()
 				history = append(history, a)
 				mu.Unlock()
@@ -102,6 +157,7 @@
 	close(stop)
 	callers.Wait()
 	t.Logf("%v after the start: all callers are done", time.Since(start).Round(time.Millisecond))
+	qt.Check(t, porcupine.CheckOperationsTimeout(bookingModel, operations, time.Minute), qt.Equals, porcupine.Ok)
 	checkBookings(t, history, plain.Ledger())
 }
 
@@ -112,21 +168,33 @@
 	for _, b := range ledger {
 		runs[b.Body]++
 	}
-	confirmed, refused, open := 0, 0, 0
+	byKey := make(map[string]attempt)
 	for _, a := range history {
-		n := runs["statue "+a.key]
-		qt.Check(t, n <= 1, qt.IsTrue, qt.Commentf("%s ran %d times", a.key, n))
+		merged, ok := byKey[a.key]
+		if !ok {
+			merged.notRun = true
+		}
+		merged.notRun = merged.notRun && a.notRun
+		if a.confirmed != "" {
+			merged.confirmed = a.confirmed
+		}
+		byKey[a.key] = merged
+	}
+	confirmed, refused, open := 0, 0, 0
+	for key, a := range byKey {
+		n := runs["statue "+key]
+		qt.Check(t, n <= 1, qt.IsTrue, qt.Commentf("%s ran %d times", key, n))
 		switch {
 		case a.confirmed != "":
 			confirmed++
-			qt.Check(t, n, qt.Equals, 1, qt.Commentf("%s was confirmed and is lost", a.key))
+			qt.Check(t, n, qt.Equals, 1, qt.Commentf("%s was confirmed and is lost", key))
 		case a.notRun:
 			refused++
-			qt.Check(t, n, qt.Equals, 0, qt.Commentf("%s ran against a not-run verdict", a.key))
+			qt.Check(t, n, qt.Equals, 0, qt.Commentf("%s ran against a not-run verdict", key))
 		default:
 			open++
 		}
 	}
-	t.Logf("%d bookings: %d confirmed, %d not run, %d open; %d runs", len(history), confirmed, refused, open, len(ledger))
+	t.Logf("%d attempts at %d keys: %d confirmed, %d not run, %d open; %d runs", len(history), len(byKey), confirmed, refused, open, len(ledger))
 	qt.Check(t, confirmed > 0, qt.IsTrue)
 }
--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -81,12 +81,23 @@
 	instances []*instance
 }
 
+// nextPort counts up from below the range from which the kernel draws ports for
+// outgoing connections. A port of that range could be taken by a connection
+// while the instance that listens on it is restarted.
+var nextPort = 21000
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
+	for nextPort < 30000 {
+		nextPort++
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // startCluster starts n instances, the first three of them control members, and
