proof: give the tests of leaving endpoints and rolling restarts teeth

Both passed with the rule they guard removed in a scratch copy. The endpoint stopped by itself within the bound, so late arrivals could not be seen; it now stays for twice the bound and the test fails with arrivals after 3.8 s when leaving is ignored. The answers were shorter than the drain wait, so a stop had none in flight; they are longer now and the test fails on a cut stream when the server is closed instead of shut down.

--- a/internal/proof/service_test.go
+++ b/internal/proof/service_test.go
@@ -22,8 +22,8 @@
 // flight: all instances are restarted one after the other under load, and
 // callers follow the list of entries as documented.
 func TestRollingRestart(t *testing.T) {
-	// Callers here ask for the list before each request, so the wait needs to
-	// cover only one request in between.
+	// Callers here ask for the list before each request, so the wait can be
+	// short. Answers take longer than it, so that a stop has some in flight.
 	c := startCluster(t, 3, time.Second)
 	c.endpoint(engine(32), "auburn-pool/0")
 	stop := make(chan struct{})
@@ -40,7 +40,7 @@
 				}
 				prompt := fmt.Sprintf("rolling %d %d", w, n)
 				in := c.listed(w + n)
-				a := in.send(context.Background(), "/v1/chat/completions", chatBody(prompt, 60, true), nil)
+				a := in.send(context.Background(), "/v1/chat/completions", chatBody(prompt, 200, true), nil)
 				whole := a.err == nil && a.status == 200 && strings.HasSuffix(a.body, "data: [DONE]\n\n")
 				mu.Lock()
 				sent++
@@ -133,7 +133,10 @@
 // its leaving, and against work of it that is cut.
 func TestEndpointLeaves(t *testing.T) {
 	c := startCluster(t, 3, 0)
-	first := c.endpoint(engine(8), "auburn-pool/0")
+	leaving := engine(8)
+	// Longer than the bound, so that late arrivals can be seen.
+	leaving.LeaveGrace = 2 * leaveBound
+	first := c.endpoint(leaving, "auburn-pool/0")
 	c.endpoint(engine(8), "auburn-pool/0")
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
