consensus: promote a learner only when its log names it

A member whose log does not name it does not vote, since its disk may be empty. A learner could be promoted while it lacked up to MaxPromoteLag entries, also the one that had added it. If another voter was then lost right away, the new voter was needed for a majority and could not vote: the group stood still for good.

--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -189,6 +189,8 @@
 	is(change(consensus.AddLearner, 5), consensus.ErrChangePending)
 	b.ack(2)
 	is(change(consensus.PromoteLearner, 4), consensus.ErrNotCaughtUp)
+	b.step(consensus.Message{Type: consensus.MsgAppendResponse, From: 4, Index: b.n.Status().Last - 1})
+	is(change(consensus.PromoteLearner, 4), consensus.ErrNotCaughtUp) // lacks the entry that added it
 	b.ack(4)
 	b.Assert(change(consensus.PromoteLearner, 4), qt.IsNil)
 	b.ack(2)
--- a/internal/consensus/propose.go
+++ b/internal/consensus/propose.go
@@ -52,7 +52,9 @@
 	if c.Kind == RemoveMember && c.ID == n.cfg.ID {
 		return ErrIsLeader
 	}
-	if c.Kind == PromoteLearner && !n.caughtUp(c.ID) {
+	// A member votes only if its log names it. A learner that lacks the entry
+	// which added it would be a voter that cannot vote.
+	if c.Kind == PromoteLearner && (!n.caughtUp(c.ID) || n.lead.progress[c.ID].match < n.members.latestIndex()) {
 		return ErrNotCaughtUp
 	}
 	index, err := n.propose(EntryConfig, EncodeChange(c))
