Report demand by model and withhold models from endpoints

Model placement needs the demand by model and tier, and a way to drain one model of an endpoint. Schedulers count both from grants and pools, so nothing is added to the path of a decision but the check of withheld models. Settings keys of placement, the reserved service name and the lease group are added; stand-in engines load models over time and announce what they load.

--- a/internal/control/chores.go
+++ b/internal/control/chores.go
@@ -37,14 +37,20 @@
 	}
 }
 
-// groupNames returns the names of all scheduler groups of the services.
+// groupNames returns the names of all scheduler groups of the services, and of
+// the group of model placement where a service uses it.
 func groupNames(x *settings.Index) []string {
 	var out []string
+	placement := false
 	for _, s := range x.Services() {
+		placement = placement || s.Engine && s.Placement.Enabled
 		for n := range s.Groups {
 			out = append(out, fmt.Sprintf("%s/%d", s.Name, n))
 		}
 	}
+	if placement {
+		out = append(out, settings.PlacementGroup)
+	}
 	return out
 }
 
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -57,6 +57,9 @@
 	held := v.feed.Held()
 	out := make([]schedulerhost.Lease, 0, len(held))
 	for group, l := range held {
+		if group == settings.PlacementGroup {
+			continue
+		}
 		out = append(out, schedulerhost.Lease{Group: group, Epoch: l.Epoch, Until: l.Until})
 	}
 	return out
@@ -84,9 +87,11 @@
 // AllGroups implements grants.Directory.
 func (v *view) AllGroups() []string {
 	assignments := v.feed.View().Assignments
-	out := make([]string, len(assignments))
-	for i, a := range assignments {
-		out[i] = a.Group
+	out := make([]string, 0, len(assignments))
+	for _, a := range assignments {
+		if a.Group != settings.PlacementGroup {
+			out = append(out, a.Group)
+		}
 	}
 	return out
 }
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -42,6 +42,7 @@
 	Address           string   `json:"address"`
 	Models            []string `json:"models"`
 	Adapters          []string `json:"adapters"`
+	Loading           []string `json:"loading"`
 	Slots             uint32   `json:"slots"`
 	TokensPerSecond   float32  `json:"tokens_per_second"`
 	FailureDomain     string   `json:"failure_domain"`
@@ -169,7 +170,7 @@
 func (a *Announcement) endpoint() *schedulerv1.Endpoint {
 	e := &schedulerv1.Endpoint{
 		Id: a.ID, Incarnation: a.Incarnation, Service: a.Service, Kind: a.Kind, Address: a.Address, Models: a.Models,
-		Adapters: a.Adapters, Slots: a.Slots, TokensPerSecond: a.TokensPerSecond, FailureDomain: a.FailureDomain,
+		Adapters: a.Adapters, Loading: a.Loading, Slots: a.Slots, TokensPerSecond: a.TokensPerSecond, FailureDomain: a.FailureDomain,
 		ChecksOrders: a.ChecksOrders, RefusesOldFencing: a.RefusesOldFencing, LeaseMs: a.LeaseMS, Leaving: a.Leaving,
 	}
 	if e.LeaseMs == 0 {
--- a/internal/fakeengine/announce.go
+++ b/internal/fakeengine/announce.go
@@ -183,11 +183,13 @@
 	return reply, json.NewDecoder(resp.Body).Decode(&reply)
 }
 
-func (a *announcer) announcement() Announcement {
-	s := a.server
+func (a *announcer) announcement() Announcement { return a.server.Announcement() }
+
+// Announcement returns what the endpoint announces at this moment.
+func (s *Server) Announcement() Announcement {
 	return Announcement{
-		ID: s.cfg.ID, Incarnation: a.incarnation, Service: s.cfg.Service, Kind: s.cfg.Kind, Address: s.cfg.Advertise,
-		Models: nonNil(s.orders.models()), Adapters: nonNil(s.orders.adapters()), Slots: s.cfg.Slots,
+		ID: s.cfg.ID, Incarnation: s.announce.incarnation, Service: s.cfg.Service, Kind: s.cfg.Kind, Address: s.cfg.Advertise,
+		Models: nonNil(s.orders.models()), Adapters: nonNil(s.orders.adapters()), Loading: s.orders.loading(), Slots: s.cfg.Slots,
 		TokensPerSecond: s.cfg.TokensPerSecond, FailureDomain: s.cfg.FailureDomain,
 		ChecksOrders: s.cfg.OrderToken != "", RefusesOldFencing: s.cfg.Fencing == FencingRefuse,
 		LeaseMS: s.cfg.Lease.Milliseconds(), Leaving: s.leavingSince.Load() != 0, Load: s.load(),
--- a/internal/fakeengine/api.go
+++ b/internal/fakeengine/api.go
@@ -128,6 +128,7 @@
 	Address           string   `json:"address"`
 	Models            []string `json:"models"`
 	Adapters          []string `json:"adapters"`
+	Loading           []string `json:"loading"`
 	Slots             int      `json:"slots"`
 	TokensPerSecond   float64  `json:"tokens_per_second"`
 	FailureDomain     string   `json:"failure_domain"`
--- a/internal/fakeengine/config.go
+++ b/internal/fakeengine/config.go
@@ -50,6 +50,10 @@
 	Fencing    string `help:"Orders with an old fencing number: refuse or ignore the number." enum:"refuse,ignore" default:"refuse" env:"AUBURNSTEP_FAKE_FENCING"`
 	OrderToken string `help:"Bearer token that orders must carry; none if empty." env:"AUBURNSTEP_FAKE_ORDER_TOKEN"`
 
+	LoadTime time.Duration `help:"Time that loading a model takes." default:"0s" env:"AUBURNSTEP_FAKE_LOAD_TIME"`
+	// Weights counts the loads of several stand-ins; nil for none.
+	Weights *WeightStore `kong:"-"`
+
 	PlainDelay time.Duration `help:"Time that one plain call takes." default:"5ms" env:"AUBURNSTEP_FAKE_PLAIN_DELAY"`
 
 	Faults []Fault `help:"Faults at the start, as kind[,key=value...], e.g. slow,factor=4 or crash,after=10s. Separated by ';'." sep:";" name:"fault" env:"AUBURNSTEP_FAKE_FAULT"`
--- a/internal/fakeengine/orders.go
+++ b/internal/fakeengine/orders.go
@@ -32,6 +32,8 @@
 	Adapters []string `json:"adapters"`
 	Role     string   `json:"role,omitempty"`
 	Fencing  uint64   `json:"fencing"`
+	// Loading lists models whose weights are being loaded.
+	Loading []string `json:"loading"`
 }
 
 // AppliedOrder is an order that was carried out, with its fencing number.
@@ -48,6 +50,8 @@
 	state   OrderReply
 	applied []AppliedOrder
 	any     bool
+	// loaded is called after a load that took time.
+	loaded func()
 }
 
 func newOrderBook(cfg Config) *orderBook {
@@ -90,9 +94,10 @@
 	o.applied = append(o.applied, AppliedOrder{order, fencing})
 	switch order.Kind {
 	case OrderLoadModel:
-		o.state.Models = with(o.state.Models, order.Model)
+		o.load(order.Model)
 	case OrderUnloadModel:
 		o.state.Models = without(o.state.Models, order.Model)
+		o.state.Loading = without(o.state.Loading, order.Model)
 		o.any = false
 	case OrderLoadAdapter:
 		o.state.Adapters = with(o.state.Adapters, order.Adapter)
@@ -102,7 +107,7 @@
 		o.state.Role = order.Role
 	}
 	reply := o.state
-	reply.Models, reply.Adapters = slices.Clone(reply.Models), slices.Clone(reply.Adapters)
+	reply.Models, reply.Adapters, reply.Loading = slices.Clone(reply.Models), slices.Clone(reply.Adapters), slices.Clone(reply.Loading)
 	return reply, true
 }
 
--- a/internal/fakeengine/server.go
+++ b/internal/fakeengine/server.go
@@ -68,6 +68,7 @@
 	s.orders = newOrderBook(cfg)
 	s.loads = newLagged(cfg.LoadLag)
 	s.announce = newAnnouncer(s)
+	s.orders.loaded = s.announce.soon
 	s.http = &http.Server{Handler: s.handler(), ReadHeaderTimeout: 10 * time.Second}
 	s.goRun(s.batch.run)
 	s.goRun(func() { _ = s.http.Serve(s.listener) })
--- a/internal/rpc/schedulerv1/schedulerv1connect/scheduler.connect.go
+++ b/internal/rpc/schedulerv1/schedulerv1connect/scheduler.connect.go
@@ -44,6 +44,8 @@
 	SchedulerAnnounceProcedure = "/auburnstep.scheduler.v1.Scheduler/Announce"
 	// SchedulerStatusProcedure is the fully-qualified name of the Scheduler's Status RPC.
 	SchedulerStatusProcedure = "/auburnstep.scheduler.v1.Scheduler/Status"
+	// SchedulerWithholdProcedure is the fully-qualified name of the Scheduler's Withhold RPC.
+	SchedulerWithholdProcedure = "/auburnstep.scheduler.v1.Scheduler/Withhold"
 )
 
 // SchedulerClient is a client for the auburnstep.scheduler.v1.Scheduler service.
@@ -53,6 +55,7 @@
 	Renew(context.Context, *connect.Request[schedulerv1.RenewRequest]) (*connect.Response[schedulerv1.RenewResponse], error)
 	Announce(context.Context, *connect.Request[schedulerv1.AnnounceRequest]) (*connect.Response[schedulerv1.AnnounceResponse], error)
 	Status(context.Context, *connect.Request[schedulerv1.StatusRequest]) (*connect.Response[schedulerv1.StatusResponse], error)
+	Withhold(context.Context, *connect.Request[schedulerv1.WithholdRequest]) (*connect.Response[schedulerv1.WithholdResponse], error)
 }
 
 // NewSchedulerClient constructs a client for the auburnstep.scheduler.v1.Scheduler service. By
@@ -96,6 +99,12 @@
 			connect.WithSchema(schedulerMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		withhold: connect.NewClient[schedulerv1.WithholdRequest, schedulerv1.WithholdResponse](
+			httpClient,
+			baseURL+SchedulerWithholdProcedure,
+			connect.WithSchema(schedulerMethods.ByName("Withhold")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -106,6 +115,7 @@
 	renew    *connect.Client[schedulerv1.RenewRequest, schedulerv1.RenewResponse]
 	announce *connect.Client[schedulerv1.AnnounceRequest, schedulerv1.AnnounceResponse]
 	status   *connect.Client[schedulerv1.StatusRequest, schedulerv1.StatusResponse]
+	withhold *connect.Client[schedulerv1.WithholdRequest, schedulerv1.WithholdResponse]
 }
 
 // Acquire calls auburnstep.scheduler.v1.Scheduler.Acquire.
@@ -133,6 +143,11 @@
 	return c.status.CallUnary(ctx, req)
 }
 
+// Withhold calls auburnstep.scheduler.v1.Scheduler.Withhold.
+func (c *schedulerClient) Withhold(ctx context.Context, req *connect.Request[schedulerv1.WithholdRequest]) (*connect.Response[schedulerv1.WithholdResponse], error) {
+	return c.withhold.CallUnary(ctx, req)
+}
+
 // SchedulerHandler is an implementation of the auburnstep.scheduler.v1.Scheduler service.
 type SchedulerHandler interface {
 	Acquire(context.Context, *connect.Request[schedulerv1.AcquireRequest]) (*connect.Response[schedulerv1.AcquireResponse], error)
@@ -140,6 +155,7 @@
 	Renew(context.Context, *connect.Request[schedulerv1.RenewRequest]) (*connect.Response[schedulerv1.RenewResponse], error)
 	Announce(context.Context, *connect.Request[schedulerv1.AnnounceRequest]) (*connect.Response[schedulerv1.AnnounceResponse], error)
 	Status(context.Context, *connect.Request[schedulerv1.StatusRequest]) (*connect.Response[schedulerv1.StatusResponse], error)
+	Withhold(context.Context, *connect.Request[schedulerv1.WithholdRequest]) (*connect.Response[schedulerv1.WithholdResponse], error)
 }
 
 // NewSchedulerHandler builds an HTTP handler from the service implementation. It returns the path
@@ -179,6 +195,12 @@
 		connect.WithSchema(schedulerMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	schedulerWithholdHandler := connect.NewUnaryHandler(
+		SchedulerWithholdProcedure,
+		svc.Withhold,
+		connect.WithSchema(schedulerMethods.ByName("Withhold")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/auburnstep.scheduler.v1.Scheduler/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case SchedulerAcquireProcedure:
@@ -191,6 +213,8 @@
 			schedulerAnnounceHandler.ServeHTTP(w, r)
 		case SchedulerStatusProcedure:
 			schedulerStatusHandler.ServeHTTP(w, r)
+		case SchedulerWithholdProcedure:
+			schedulerWithholdHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -219,3 +243,7 @@
 func (UnimplementedSchedulerHandler) Status(context.Context, *connect.Request[schedulerv1.StatusRequest]) (*connect.Response[schedulerv1.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.scheduler.v1.Scheduler.Status is not implemented"))
 }
+
+func (UnimplementedSchedulerHandler) Withhold(context.Context, *connect.Request[schedulerv1.WithholdRequest]) (*connect.Response[schedulerv1.WithholdResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.scheduler.v1.Scheduler.Withhold is not implemented"))
+}
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -102,7 +102,9 @@
 func (c *Core) shed(now time.Time, w *waiter, out []Decision, code, message string) []Decision {
 	after := c.retryAfter(now, w)
 	c.leave(now, w)
-	return c.refuse(w, out, verdict.Overloaded(code, message, after))
+	err := verdict.Overloaded(code, message, after)
+	c.unserved(now, w, err)
+	return c.refuse(w, out, err)
 }
 
 // shedHopeless refuses waiting requests of the lowest tier that can no longer
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -64,6 +64,7 @@
 	durations *estimate.Estimator
 	firsts    *estimate.Estimator
 	speeds    speeds
+	models    map[modelTier]*modelRates
 
 	candidates []*endpoint // scratch of dispatch
 }
@@ -76,7 +77,7 @@
 		customers: map[string]*customer{}, classes: map[string]*class{},
 		endpoints: map[string]*endpoint{}, prefixes: map[uint64][]*cached{},
 		grants: map[string]*grant{}, byRequest: map[string]*grant{}, ended: map[string]ended{},
-		silent: map[string]struct{}{},
+		silent: map[string]struct{}{}, models: map[modelTier]*modelRates{},
 	}
 	c.customerOrder.prev, c.customerOrder.next = &c.customerOrder, &c.customerOrder
 	for i := range c.tiers {
@@ -124,6 +125,7 @@
 	w := c.newWaiter(now, r)
 	if err := c.refuseAtOnce(now, w); err != nil {
 		w.class.refused++
+		c.unserved(now, w, err)
 		return c.dispatch(now, []Decision{Refused{RequestID: r.ID, Entry: r.Entry, Err: err}})
 	}
 	if len(r.Avoid) > 0 {
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -29,6 +29,8 @@
 	cache      cache
 	match      int    // longest prefix match of the request being placed
 	matchStamp uint64 // request that match belongs to
+	// withheld holds the models that get no new requests here, and until when.
+	withheld map[string]time.Time
 }
 
 // Announce renews the lease of an endpoint and takes over its load report and
@@ -74,6 +76,7 @@
 // expireEndpoints forgets endpoints without lease and grants.
 func (c *Core) expireEndpoints(now time.Time) {
 	c.endpointOrder = slices.DeleteFunc(c.endpointOrder, func(ep *endpoint) bool {
+		ep.endWithheld(now)
 		if ep.inFlight > 0 || ep.known && now.Before(ep.leaseUntil) {
 			return false
 		}
@@ -129,6 +132,9 @@
 	if p.key.adapter != "" && !slices.Contains(ep.spec.Adapters, p.key.adapter) {
 		return false
 	}
+	if _, ok := ep.withheld[p.key.model]; ok {
+		return false
+	}
 	return !slices.Contains(p.avoid, ep.spec.ID)
 }
 
--- a/internal/scheduler/grants.go
+++ b/internal/scheduler/grants.go
@@ -24,6 +24,7 @@
 	endpoint  *endpoint
 	class     *class
 	customer  *customer
+	model     string // empty if not known
 	tier      int
 	epoch     uint64
 	granted   time.Time
@@ -60,7 +61,7 @@
 	id := strconv.FormatUint(c.config.Epoch, 36) + "-" + strconv.FormatUint(c.sequence, 36)
 	g := &grant{
 		id: id, requestID: w.request.ID, entry: w.request.Entry, endpoint: ep, class: w.class,
-		customer: w.customer, tier: w.request.Tier, epoch: c.config.Epoch, granted: now,
+		customer: w.customer, model: w.request.Model, tier: w.request.Tier, epoch: c.config.Epoch, granted: now,
 		until: now.Add(grantUnused), work: w.work, cost: w.cost, charged: w.cost,
 		uncached: c.uncached(w, ep), load: ep.inFlight + 1, reserved: reserved,
 	}
@@ -165,6 +166,7 @@
 		cu.rate.Charge(now, cu.tokensPerSecond(), actual-g.charged)
 		c.touch(cu)
 	}
+	c.generated(now, g, o.Tokens)
 	if o.Unused || o.Failed {
 		return
 	}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -127,10 +127,15 @@
 	TokensPerSecond float64
 	FailureDomain   string
 	// Lease is how long the announcement counts; zero means DefaultLease.
-	Lease       time.Duration
-	Leaving     bool
-	Load        *Load
-	CacheEvents []CacheEvent
+	Lease   time.Duration
+	Leaving bool
+	// Loading lists models whose weights are being loaded.
+	Loading []string
+	// ChecksOrders and RefusesOldFencing say how the endpoint treats orders.
+	ChecksOrders      bool
+	RefusesOldFencing bool
+	Load              *Load
+	CacheEvents       []CacheEvent
 }
 
 // Outcome reports the end of a grant.
--- a/internal/schedulerhost/convert.go
+++ b/internal/schedulerhost/convert.go
@@ -1,6 +1,8 @@
 package schedulerhost
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
@@ -56,7 +58,8 @@
 	out := scheduler.Endpoint{
 		ID: e.Id, Incarnation: e.Incarnation, Address: e.Address, Models: e.Models, Adapters: e.Adapters,
 		Slots: int(e.Slots), TokensPerSecond: float64(e.TokensPerSecond), FailureDomain: e.FailureDomain,
-		Lease: time.Duration(e.LeaseMs) * time.Millisecond, Leaving: e.Leaving,
+		Lease: time.Duration(e.LeaseMs) * time.Millisecond, Leaving: e.Leaving, Loading: e.Loading,
+		ChecksOrders: e.ChecksOrders, RefusesOldFencing: e.RefusesOldFencing,
 	}
 	if l := e.Load; l != nil {
 		out.Load = &scheduler.Load{
@@ -72,17 +75,18 @@
 	return out
 }
 
-func statusMessage(s scheduler.Status) *schedulerv1.StatusResponse {
+func statusMessage(s scheduler.Status, d scheduler.Demand) *schedulerv1.StatusResponse {
 	res := &schedulerv1.StatusResponse{Group: s.Group, Epoch: s.Epoch}
 	for _, e := range s.Endpoints {
 		res.Endpoints = append(res.Endpoints, &schedulerv1.EndpointStatus{
 			Endpoint: &schedulerv1.Endpoint{
 				Id: e.Endpoint.ID, Incarnation: e.Endpoint.Incarnation, Address: e.Endpoint.Address, Models: e.Endpoint.Models,
 				Adapters: e.Endpoint.Adapters, Slots: uint32(e.Endpoint.Slots), FailureDomain: e.Endpoint.FailureDomain,
-				TokensPerSecond: float32(e.Endpoint.TokensPerSecond), Leaving: e.Endpoint.Leaving,
+				TokensPerSecond: float32(e.Endpoint.TokensPerSecond), Leaving: e.Endpoint.Leaving, Loading: e.Endpoint.Loading,
+				ChecksOrders: e.Endpoint.ChecksOrders, RefusesOldFencing: e.Endpoint.RefusesOldFencing,
 			},
 			InFlight: uint32(e.InFlight), Ejected: e.Ejected, LeaseLeftMs: uint32(e.LeaseLeft.Milliseconds()),
-			ObservedTokensPerSecond: float32(e.Pace),
+			ObservedTokensPerSecond: float32(e.Pace), ByModel: modelCounts(d.InFlight[e.Endpoint.ID]),
 		})
 	}
 	for _, c := range s.Classes {
@@ -91,5 +95,19 @@
 			Granted: c.Granted, Refused: c.Refused,
 		})
 	}
+	for _, m := range d.Models {
+		res.Demand = append(res.Demand, &schedulerv1.ModelDemand{
+			Model: m.Model, Tier: uint32(m.Tier), Waiting: uint32(m.Waiting), InFlight: uint32(m.InFlight),
+			TokensPerSecond: float32(m.TokensPerSecond), RefusedPerSecond: float32(m.RefusedPerSecond),
+		})
+	}
 	return res
 }
+
+func modelCounts(counts map[string]int) []*schedulerv1.ModelCount {
+	var out []*schedulerv1.ModelCount
+	for _, model := range slices.Sorted(maps.Keys(counts)) {
+		out = append(out, &schedulerv1.ModelCount{Model: model, InFlight: uint32(counts[model])})
+	}
+	return out
+}
--- a/internal/schedulerhost/handler.go
+++ b/internal/schedulerhost/handler.go
@@ -135,11 +135,24 @@
 // Status implements scheduler.v1.Scheduler.
 func (h *Host) Status(ctx context.Context, req *connect.Request[schedulerv1.StatusRequest]) (*connect.Response[schedulerv1.StatusResponse], error) {
 	var s scheduler.Status
-	err := h.call(ctx, req.Msg.Group, func(g *group, now time.Time) { s = g.core.Status(now) })
+	var d scheduler.Demand
+	err := h.call(ctx, req.Msg.Group, func(g *group, now time.Time) { s, d = g.core.Status(now), g.core.Demand(now) })
 	if err != nil {
 		return nil, rpcError(err)
 	}
-	return connect.NewResponse(statusMessage(s)), nil
+	return connect.NewResponse(statusMessage(s, d)), nil
+}
+
+// Withhold implements scheduler.v1.Scheduler.
+func (h *Host) Withhold(ctx context.Context, req *connect.Request[schedulerv1.WithholdRequest]) (*connect.Response[schedulerv1.WithholdResponse], error) {
+	m := req.Msg
+	err := h.call(ctx, m.Group, func(g *group, now time.Time) {
+		g.core.Withhold(now, m.Endpoint, m.Model, time.Duration(m.ForMs)*time.Millisecond)
+	})
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return connect.NewResponse(&schedulerv1.WithholdResponse{}), nil
 }
 
 // call runs f in the goroutine of the named group.
--- a/internal/settings/index.go
+++ b/internal/settings/index.go
@@ -64,6 +64,18 @@
 	RetryBudget       float64
 	IdleTimeout       time.Duration
 	FirstTokenTimeout time.Duration
+	Placement         PlacementPolicy
+}
+
+// PlacementPolicy holds the settings of model placement for a service.
+type PlacementPolicy struct {
+	Enabled          bool
+	Floor            int
+	Hold             time.Duration
+	Pause            time.Duration
+	PerEndpoint      int
+	WeightsAtOnce    int
+	WeightsPerMinute int
 }
 
 // ClassPolicy holds the effective settings of a class, for one customer where
@@ -202,6 +214,15 @@
 		RetryBudget:       value(chain, KeyRetryBudget).Ratio(),
 		IdleTimeout:       value(chain, KeyIdleTimeout).Duration(),
 		FirstTokenTimeout: value(chain, KeyFirstTokenTimeout).Duration(),
+		Placement: PlacementPolicy{
+			Enabled:          value(chain, KeyPlacement).Bool(),
+			Floor:            value(chain, KeyPlacementFloor).Int(),
+			Hold:             value(chain, KeyPlacementHold).Duration(),
+			Pause:            value(chain, KeyPlacementPause).Duration(),
+			PerEndpoint:      value(chain, KeyPlacementPerEndpoint).Int(),
+			WeightsAtOnce:    value(chain, KeyWeightsConcurrent).Int(),
+			WeightsPerMinute: value(chain, KeyWeightsPerMinute).Int(),
+		},
 	}
 }
 
--- a/internal/settings/registry.go
+++ b/internal/settings/registry.go
@@ -29,6 +29,14 @@
 	KeyWeight            = "limit.weight"
 	KeyBookingRetention  = "booking.retention"
 	KeyHashes            = "key.sha256"
+
+	KeyPlacement            = "placement.enabled"
+	KeyPlacementFloor       = "placement.floor"
+	KeyPlacementHold        = "placement.hold"
+	KeyPlacementPause       = "placement.pause"
+	KeyPlacementPerEndpoint = "placement.models_per_endpoint"
+	KeyWeightsConcurrent    = "weights.concurrent"
+	KeyWeightsPerMinute     = "weights.per_minute"
 )
 
 // Key describes one key of the settings.
@@ -60,7 +68,7 @@
 	customerKinds = []Kind{Group, Customer}
 )
 
-var registry = buildRegistry(classKeys(), serviceKeys(), customerKeys())
+var registry = buildRegistry(classKeys(), append(serviceKeys(), placementKeys()...), customerKeys())
 
 func classKeys() []*Key {
 	return []*Key{
@@ -106,6 +114,25 @@
 	}
 }
 
+func placementKeys() []*Key {
+	return []*Key{
+		{Name: KeyPlacement, Type: TypeBool, Default: "false",
+			Doc: "Whether models are loaded and unloaded at the engines of the service by demand."},
+		{Name: KeyPlacementFloor, Type: TypeInt, Min: "0", Max: "1000", Default: "1",
+			Doc: "Least number of endpoints that keep each model of the service loaded."},
+		{Name: KeyPlacementHold, Type: TypeDuration, Min: "10s", Max: "1h", Default: "30s",
+			Doc: "Time for which demand must ask for a change without a break before it is made."},
+		{Name: KeyPlacementPause, Type: TypeDuration, Min: "10s", Max: "24h", Default: "2m",
+			Doc: "Least time between two changes at one endpoint."},
+		{Name: KeyPlacementPerEndpoint, Type: TypeInt, Min: "2", Max: "64", Default: "2",
+			Doc: "Models that one endpoint may have loaded. At least 2, since an endpoint without a model counts as one that serves every model."},
+		{Name: KeyWeightsConcurrent, Type: TypeInt, Min: "1", Max: "1000", Default: "2",
+			Doc: "Loads from the weight store that may run at once in the whole cluster. The lowest value of all services with placement applies."},
+		{Name: KeyWeightsPerMinute, Type: TypeInt, Min: "1", Max: "10000", Default: "6",
+			Doc: "Loads from the weight store that may start within a minute in the whole cluster. The lowest value of all services with placement applies."},
+	}
+}
+
 func customerKeys() []*Key {
 	return []*Key{
 		{Name: KeyConcurrency, Type: TypeInt, Min: "0", Max: "1000000", Default: "0",
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -6,6 +6,14 @@
 	"strings"
 )
 
+const (
+	// ReservedService is a name that no service may have: the groups below it
+	// are leases of the system's own duties.
+	ReservedService = "placement"
+	// PlacementGroup is the group whose holder alone orders engines.
+	PlacementGroup = ReservedService + "/0"
+)
+
 func compare(a, b string) int { return strings.Compare(a, b) }
 
 func kindList() []string {
@@ -143,6 +151,9 @@
 	switch n.kind {
 	case Service:
 		c.checkUnique(n, entryService, n.Name(), "", "service name "+n.Name())
+		if n.Name() == ReservedService {
+			c.add(n.path, "", "the service name %s is reserved", n.Name())
+		}
 	case Customer:
 		// The name is the identity of a customer in records that outlive a move
 		// to another group, so it is unique in the whole tree.
