--- a/internal/cli/fanout.go
+++ b/internal/cli/fanout.go
@@ -13,6 +13,7 @@
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/rpc/eventsv1"
 	"auburnstep.example/auburnstep/internal/rpc/schedulerv1"
+	"auburnstep.example/auburnstep/internal/settings"
 )
 
 // maxParallel bounds the instances that are asked at once.
@@ -69,7 +70,9 @@
 	}
 	var targets []target
 	for _, a := range status.GetAssignments() {
-		targets = append(targets, target{a.GetGroup(), a.GetAddress()})
+		if a.GetGroup() != settings.PlacementGroup { // It has no endpoints.
+			targets = append(targets, target{a.GetGroup(), a.GetAddress()})
+		}
 	}
 	answers, unreachable := fanOut(targets, func(t target) (*schedulerv1.StatusResponse, error) {
 		ctx, cancel := s.callContext()
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -34,6 +34,8 @@
 	OperatorTokens []string `name:"operator-token" env:"AUBURNSTEP_OPERATOR_TOKENS" help:"Token of operators; all are accepted."`
 	EndpointTokens []string `name:"endpoint-token" env:"AUBURNSTEP_ENDPOINT_TOKENS" help:"Token of endpoints; without one, only loopback may announce."`
 
+	OrderTokens []string `name:"order-token" env:"AUBURNSTEP_ORDER_TOKENS" help:"Token of orders to engines that check them; the first is sent, the next after a refusal."`
+
 	TLSCert       string `name:"tls-cert" env:"AUBURNSTEP_TLS_CERT" help:"PEM certificate for mutual TLS between instances."`
 	TLSKey        string `name:"tls-key" env:"AUBURNSTEP_TLS_KEY" help:"PEM key for mutual TLS between instances."`
 	TLSCA         string `name:"tls-ca" env:"AUBURNSTEP_TLS_CA" help:"PEM certificate authorities of instances."`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"auburnstep.example/auburnstep/internal/hlc"
 	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/metrics"
+	"auburnstep.example/auburnstep/internal/placement"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/rpc/eventsv1/eventsv1connect"
 	"auburnstep.example/auburnstep/internal/rpc/schedulerv1/schedulerv1connect"
@@ -37,6 +38,7 @@
 	ServiceBookings  = "bookings"
 	ServiceScheduler = "scheduler-host"
 	ServiceGrants    = "grants"
+	ServicePlacement = "placement"
 	ServiceEntry     = "entry"
 )
 
@@ -89,7 +91,7 @@
 // reverse order: the entry drains first and the peer server goes last.
 func (d *Daemon) join() error {
 	for _, step := range []func() error{
-		d.joinMetrics, d.joinPeers, d.joinControl, d.joinFeed, d.joinScheduler, d.joinEntry,
+		d.joinMetrics, d.joinPeers, d.joinControl, d.joinFeed, d.joinScheduler, d.joinPlacement, d.joinEntry,
 	} {
 		if err := step(); err != nil {
 			return err
@@ -190,6 +192,17 @@
 	return schedulerv1connect.NewSchedulerClient(d.pool.Peer(address).Client())
 }
 
+// joinPlacement adds model placement after the feed, which holds its lease, so
+// that it stops before the lease is given up.
+func (d *Daemon) joinPlacement() error {
+	return d.kernel.Register(ServicePlacement, placement.NewDuty(placement.NewExecutor(placement.Options{
+		Lease:  d.view.placementLease,
+		Fleet:  placement.NewFleet(d.view, d.dialScheduler),
+		Client: upstream.New(upstream.Options{Scope: d.metrics.Scope.SubScope("placement"), Events: d.events}),
+		Tokens: d.config.OrderTokens, Events: d.events, Scope: d.metrics.Scope,
+	})))
+}
+
 func (d *Daemon) joinEntry() error {
 	l, err := d.listenCallers()
 	if err != nil {
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"auburnstep.example/auburnstep/internal/control/feed"
+	"auburnstep.example/auburnstep/internal/placement"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/schedulerhost"
 	"auburnstep.example/auburnstep/internal/settings"
@@ -71,7 +72,13 @@
 	return schedulerhost.Lease{Group: group, Epoch: epoch, Until: until}, epoch != 0
 }
 
-// Groups implements grants.Directory.
+// placementLease returns the lease of model placement.
+func (v *view) placementLease() (placement.Lease, bool) {
+	epoch, until := v.feed.Holds(settings.PlacementGroup)
+	return placement.Lease{Epoch: epoch, Until: until}, epoch != 0
+}
+
+// Groups implements grants.Directory and placement.Directory.
 func (v *view) Groups(service string) []string {
 	s, ok := v.Index().Service(service)
 	if !ok {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -55,6 +55,9 @@
 	return target
 }
 
+// headerFencing marks orders to engines, which callers never give.
+const headerFencing = "X-Fencing-Number"
+
 // plainHeader returns the headers that endpoints may see. The customer's key
 // stays inside the system.
 func plainHeader(h http.Header) http.Header {
@@ -62,6 +65,7 @@
 	out.Del("Authorization")
 	out.Del(HeaderClass)
 	out.Del(HeaderRequestID)
+	out.Del(headerFencing)
 	return out
 }
 
--- /dev/null
+++ b/internal/placement/main_test.go
@@ -0,0 +1,20 @@
+package placement
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if !set[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -29,6 +29,8 @@
 
 // Demand is what the planner of model placement asks of a group.
 type Demand struct {
+	// Age is the time since the core took over the group.
+	Age    time.Duration
 	Models []ModelDemand
 	// InFlight counts grants by endpoint and model. The empty model stands for
 	// grants whose model is not known, such as adopted ones.
@@ -81,7 +83,7 @@
 		}
 		return sums[key]
 	}
-	out := Demand{InFlight: make(map[string]map[string]int)}
+	out := Demand{Age: now.Sub(c.started), InFlight: make(map[string]map[string]int)}
 	for _, p := range c.poolOrder {
 		for t := range p.tiers {
 			if n := p.tiers[t].waiting; n > 0 {
--- a/internal/schedulerhost/convert.go
+++ b/internal/schedulerhost/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -76,7 +77,7 @@
 }
 
 func statusMessage(s scheduler.Status, d scheduler.Demand) *schedulerv1.StatusResponse {
-	res := &schedulerv1.StatusResponse{Group: s.Group, Epoch: s.Epoch}
+	res := &schedulerv1.StatusResponse{Group: s.Group, Epoch: s.Epoch, AgeMs: uint32(min(d.Age.Milliseconds(), math.MaxUint32))}
 	for _, e := range s.Endpoints {
 		res.Endpoints = append(res.Endpoints, &schedulerv1.EndpointStatus{
 			Endpoint: &schedulerv1.Endpoint{
--- a/internal/schedulerhost/handler.go
+++ b/internal/schedulerhost/handler.go
@@ -146,13 +146,15 @@
 // Withhold implements scheduler.v1.Scheduler.
 func (h *Host) Withhold(ctx context.Context, req *connect.Request[schedulerv1.WithholdRequest]) (*connect.Response[schedulerv1.WithholdResponse], error) {
 	m := req.Msg
+	res := &schedulerv1.WithholdResponse{}
 	err := h.call(ctx, m.Group, func(g *group, now time.Time) {
+		res.Epoch = g.epoch
 		g.core.Withhold(now, m.Endpoint, m.Model, time.Duration(m.ForMs)*time.Millisecond)
 	})
 	if err != nil {
 		return nil, rpcError(err)
 	}
-	return connect.NewResponse(&schedulerv1.WithholdResponse{}), nil
+	return connect.NewResponse(res), nil
 }
 
 // call runs f in the goroutine of the named group.
