--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -216,11 +216,23 @@
 }
 
 // deafConn loses the request after it was written.
-type deafConn struct{ net.Conn }
+type deafConn struct {
+	net.Conn
+	written chan struct{}
+}
 
-func (c deafConn) Write(p []byte) (int, error) { return len(p), nil }
+func (c deafConn) Write(p []byte) (int, error) {
+	select {
+	case c.written <- struct{}{}:
+	default:
+	}
+	return len(p), nil
+}
 
-func (c deafConn) Read([]byte) (int, error) { return 0, errors.New("connection lost") }
+func (c deafConn) Read([]byte) (int, error) {
+	<-c.written
+	return 0, errors.New("connection lost")
+}
 
 // TestLostAnswer guards against a lost answer that leads to a second load, to
 // another engine, to a second place in the limits or to blame for the engine.
@@ -233,7 +245,7 @@
 	}{
 		{"announced", func(c net.Conn) net.Conn { return cutConn{c} }, false, 1},
 		{"engine does not announce loads", func(c net.Conn) net.Conn { return cutConn{c} }, true, 2},
-		{"request lost", func(c net.Conn) net.Conn { return deafConn{c} }, false, 1},
+		{"request lost", func(c net.Conn) net.Conn { return deafConn{c, make(chan struct{}, 1)} }, false, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, idle("x"), idle("x"))
