--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -134,6 +134,30 @@
 	}
 }
 
+// TestNoOrdersFromCallers guards against a caller that reaches the order path of
+// an engine, or passes the marks of an order on to an endpoint.
+func TestNoOrdersFromCallers(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	e, p := b.Engine(t, engine()), b.Engine(t, plainService())
+	order := call{
+		body:   `{"kind":"unload_model","model":"wax-1"}`,
+		header: map[string]string{"X-Fencing-Number": "9", "X-Auburnstep-Class": "lookup"},
+	}
+	for _, path := range []string{
+		"/services/auburn-pool/v1/orders", "/services/auburn-pool//v1/orders", "/services/auburn-pool/%2e%2e/v1/orders",
+		"/services/rota-app/../auburn-pool/v1/orders", "/services/rota-app/%2e%2e/auburn-pool/v1/orders",
+		"/services/auburn%2dpool/v1/orders", "/v1/orders", "/v1/chat/completions/../orders",
+	} {
+		order.path = path
+		order.send(t, b)
+	}
+	qt.Check(t, e.Orders(), qt.HasLen, 0)
+	qt.Check(t, p.Orders(), qt.HasLen, 0)
+	order.path = "/services/rota-app/v1/orders"
+	_, text := order.send(t, b)
+	qt.Check(t, strings.Contains(strings.ToLower(text), "fencing"), qt.IsFalse)
+}
+
 // TestStaleSettings guards against serving on settings that may no longer be in force.
 func TestStaleSettings(t *testing.T) {
 	b := testkit.Start(t, declarations)
--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -23,8 +23,8 @@
 	engines   []*fakeengine.Server
 	inFlight  map[string]int // of every engine, by model
 	epoch     uint64
-	partial   bool
-	hideLoads bool // the engines do not announce loads
+	partial   string // a service that is not seen whole
+	hideLoads bool   // the engines do not announce loads
 	withheld  atomic.Int64
 }
 
@@ -44,8 +44,8 @@
 		s.Endpoints = append(s.Endpoints, out)
 	}
 	p := Picture{Services: []Service{s}}
-	if f.partial {
-		p.Partial = map[string]bool{s.Name: true}
+	if f.partial != "" {
+		p.Partial = map[string]bool{f.partial: true}
 	}
 	return p
 }
@@ -191,7 +191,7 @@
 // TestSuperseded guards against a holder that goes on after an engine has
 // proved that there is a later one.
 func TestSuperseded(t *testing.T) {
-	b := newBench(t, idle("x"), idle("x"))
+	b := newBench(t, idle("x"), fakeengine.Config{Models: []string{"x"}, Fencing: fakeengine.FencingIgnore})
 	b.fleet.service.Policy.WeightsAtOnce = 1
 	first, second := b.holder(1), b.holder(2)
 	second.run(formerLoads + long)
@@ -300,16 +300,34 @@
 	}
 }
 
+// TestFormerLoads guards against a new holder that starts loads in the minute
+// in which the former one used up the limit.
+func TestFormerLoads(t *testing.T) {
+	b := newBench(t, idle("x"), idle("x"), idle("x"))
+	b.fleet.service.Policy.WeightsPerMinute = 2
+	first, second := b.holder(1), b.holder(2)
+	first.run(policy.Hold + Interval)
+	b.store.Finish()
+	b.Check(b.store.Started(), qt.Equals, 2)
+	first.held = false
+	second.run(formerLoads)
+	b.Check(b.store.Started(), qt.Equals, 2)
+	second.run(2 * Interval)
+	b.Check(b.store.Started(), qt.Equals, 3)
+}
+
 // TestPerMinute guards against loads that end quickly and so pass the limit per
 // minute, and against new orders while a scheduler does not answer.
 func TestPerMinute(t *testing.T) {
 	b := newBench(t, idle("x"), idle("x"), idle("x"), idle("x"), idle("x"))
 	b.fleet.service.Policy.WeightsPerMinute = 2
 	h := b.holder(1)
-	b.fleet.partial = true
-	h.run(long)
-	b.Check(b.store.Started(), qt.Equals, 0)
-	b.fleet.partial = false
+	for _, service := range []string{"pool", "other"} {
+		b.fleet.partial = service
+		h.run(long)
+		b.Check(b.store.Started(), qt.Equals, 0)
+	}
+	b.fleet.partial = ""
 	for i, want := range []int{2, 4, 5} {
 		h.run(long)
 		b.store.Finish()
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -61,11 +61,12 @@
 type schedulers struct {
 	directory Directory
 	dial      func(address string) schedulerv1connect.SchedulerClient
+	settle    time.Duration
 }
 
 // NewFleet returns a Fleet that asks the schedulers of all engine services.
 func NewFleet(d Directory, dial func(address string) schedulerv1connect.SchedulerClient) Fleet {
-	return &schedulers{directory: d, dial: dial}
+	return &schedulers{directory: d, dial: dial, settle: settleTime}
 }
 
 // Poll implements Fleet.
@@ -95,7 +96,7 @@
 	}()
 	for a := range answers {
 		s := &p.Services[a.service]
-		if a.status == nil || time.Duration(a.status.AgeMs)*time.Millisecond < settleTime {
+		if a.status == nil || time.Duration(a.status.AgeMs)*time.Millisecond < f.settle {
 			p.Partial[s.Name] = true
 			continue
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -117,6 +117,9 @@
   - {path: /customers/g, kind: group}
   - {path: /customers/g/torino, kind: customer}`,
 			"t.yaml:4: /customers/torino: customer name torino is already used by /customers/g/torino"},
+		"reserved service name": {`
+  - {path: /customers/placement, kind: service}`,
+			"t.yaml:4: /customers/placement: the service name placement is reserved"},
 		"class outside a service": {`
   - {path: /customers/chat, kind: class}`,
 			"t.yaml:4: /customers/chat: a class may not be below /customers, which is a group; a class belongs directly below a service or a customer"},
