--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -141,15 +141,17 @@
 	e, p := b.Engine(t, engine()), b.Engine(t, plainService())
 	order := call{
 		body:   `{"kind":"unload_model","model":"wax-1"}`,
-		header: map[string]string{"X-Fencing-Number": "9", "X-Auburnstep-Class": "lookup"},
+		header: map[string]string{"X-Fencing-Number": "9"},
 	}
 	for _, path := range []string{
 		"/services/auburn-pool/v1/orders", "/services/auburn-pool//v1/orders", "/services/auburn-pool/%2e%2e/v1/orders",
 		"/services/rota-app/../auburn-pool/v1/orders", "/services/rota-app/%2e%2e/auburn-pool/v1/orders",
 		"/services/auburn%2dpool/v1/orders", "/v1/orders", "/v1/chat/completions/../orders",
 	} {
-		order.path = path
-		order.send(t, b)
+		for _, class := range []string{"crew-chat", "lookup"} {
+			order.path, order.header["X-Auburnstep-Class"] = path, class
+			order.send(t, b)
+		}
 	}
 	qt.Check(t, e.Orders(), qt.HasLen, 0)
 	qt.Check(t, p.Orders(), qt.HasLen, 0)
--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -115,8 +115,8 @@
 
 const long = 40 * time.Second // longer than the hold time
 
-// TestOrders guards against orders without fencing number or token, tokens that
-// are shown to engines that do not ask for them, and a load that is ordered twice.
+// TestOrders guards against orders without fencing number or token, a token
+// that is not replaced by the next one, and a load that is ordered twice.
 func TestOrders(t *testing.T) {
 	b := newBench(t, fakeengine.Config{Models: []string{"x"}, OrderToken: "new"}, idle("x"))
 	h := b.holder(7, "old", "new")
@@ -132,6 +132,16 @@
 	b.Check(b.fleet.engines[0].Announcement().Models, qt.DeepEquals, []string{"x", "m"})
 }
 
+// TestTokenIsKept guards against a token that is shown to an endpoint which does
+// not check it.
+func TestTokenIsKept(t *testing.T) {
+	h := newBench(t).holder(1, "secret")
+	for checks, want := range map[bool]string{true: "Bearer secret", false: ""} {
+		call := h.call(&task{endpoint: Endpoint{ChecksOrders: checks}}, h.lease)
+		h.b.Check(call.Header.Get("Authorization"), qt.Equals, want)
+	}
+}
+
 // TestOrderWithoutToken guards against an engine that is ordered over and over
 // although it refuses every token.
 func TestOrderWithoutToken(t *testing.T) {
@@ -200,9 +210,10 @@
 	b.fleet.hideLoads = true
 	first.run(long)
 	b.Check(first.superseded, qt.IsTrue)
+	b.fleet.engines = b.fleet.engines[1:]
 	first.run(long)
 	b.Check(b.store.Started(), qt.Equals, 1)
-	b.Check(b.orders(1), qt.HasLen, 0)
+	b.Check(b.orders(0), qt.HasLen, 0)
 }
 
 // cutConn loses the answer: the engine has taken the request.
