--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -42,7 +42,8 @@
 // variables; a number that is used twice is a programming error and panics.
 //
 // Number ranges: 1000 process, 2000 consensus and storage, 3000 control and
-// settings, 4000 scheduler, 5000 entry and upstream, 6000 membership.
+// settings, 4000 scheduler, 4100 model placement, 5000 entry and upstream,
+// 6000 membership.
 func Define(number int, name string, level Level, text string) *Event {
 	catalogueMu.Lock()
 	defer catalogueMu.Unlock()
