--- a/internal/placement/executor.go
+++ b/internal/placement/executor.go
@@ -174,6 +174,7 @@
 func (x *Executor) follow(now time.Time, p *Picture) {
 	for _, id := range slices.Sorted(maps.Keys(x.tasks)) {
 		t := x.tasks[id]
+		t.followed = false
 		s := p.service(t.order.Service)
 		if s == nil {
 			x.finish(now, t, cancelled, "the service was removed")
@@ -182,6 +183,7 @@
 		if p.Partial[s.Name] {
 			continue
 		}
+		t.followed = true
 		how, why := x.advance(now, t, s)
 		x.finish(now, t, how, why)
 	}
--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -362,6 +362,10 @@
 	b.fleet.inFlight, b.fleet.epoch = nil, 2
 	h.run(Interval)
 	b.Check(b.orders(0), qt.HasLen, 0, qt.Commentf("the new scheduler withholds nothing yet"))
+	b.fleet.partial = "pool"
+	h.run(3 * Interval)
+	b.Check(b.orders(0), qt.HasLen, 0, qt.Commentf("counts are not seen"))
+	b.fleet.partial = ""
 	h.run(3 * Interval)
 	b.Check(b.orders(0), qt.DeepEquals, []fakeengine.AppliedOrder{
 		{Order: fakeengine.Order{Kind: "unload_model", Model: "x"}, Fencing: 1},
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -51,6 +51,8 @@
 	// announced says that the engine has announced the load.
 	announced bool
 	missing   time.Time
+	// followed says that this round compared the task with a whole picture.
+	followed bool
 	// withheld is when the scheduler of the epoch last agreed to withhold.
 	withheld      time.Time
 	withheldEpoch uint64
@@ -83,7 +85,7 @@
 func (t *task) due() bool {
 	switch t.phase {
 	case unloading:
-		return true
+		return t.followed
 	case loading:
 		return t.accepted.IsZero()
 	default:
