--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -35,6 +35,7 @@
 	node        *consensus.Node // nil while down
 	disk        consensus.Restored
 	lost        bool  // the disk is gone; the ID never returns
+	retired     bool  // removed by the operator, perhaps still running
 	tick, due   int64 // interval and time of the next tick
 	pausedUntil int64
 	crash       crashPoint
@@ -79,22 +80,23 @@
 // sim runs hosts on a lossy network in simulated time and checks the
 // invariants of Raft after every event. A breach panics with violation.
 type sim struct {
-	rng       *rand.Rand
-	now, seq  int64
-	initial   int // number of voters at the start
-	hosts     []*host
-	nextID    uint64
-	network   deliveries
-	cut       map[link]bool
-	noise     int // percent of messages dropped, and duplicated, and delayed
-	leaders   map[uint64]uint64
-	entries   map[position]content
-	committed map[uint64]uint64 // index to term
-	top       uint64            // highest committed index
-	applied   map[uint64]uint64 // index to digest of the state
-	reads     map[uint64]uint64 // context to the least allowed index
-	readsDone int
-	proposed  uint64
+	rng         *rand.Rand
+	now, seq    int64
+	initial     int // number of voters at the start
+	hosts       []*host
+	nextID      uint64
+	network     deliveries
+	cut         map[link]bool
+	noise       int // percent of messages dropped, and duplicated, and delayed
+	leaders     map[uint64]uint64
+	entries     map[position]content
+	committed   map[uint64]uint64 // index to term
+	committedBy map[uint64]uint64 // index to the term of the leader that committed it
+	top         uint64            // highest committed index
+	applied     map[uint64]uint64 // index to digest of the state
+	reads       map[uint64]uint64 // context to the least allowed index
+	readsDone   int
+	proposed    uint64
 }
 
 // violation reports a broken invariant.
@@ -107,7 +109,7 @@
 func newSim(seed uint64, voters int) *sim {
 	s := &sim{
 		initial: voters, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[link]bool{}, leaders: map[uint64]uint64{},
-		entries: map[position]content{}, committed: map[uint64]uint64{},
+		entries: map[position]content{}, committed: map[uint64]uint64{}, committedBy: map[uint64]uint64{},
 		applied: map[uint64]uint64{}, reads: map[uint64]uint64{},
 	}
 	var ids []uint64
@@ -124,7 +126,7 @@
 // addHost creates a host with an empty disk and a new ID.
 func (s *sim) addHost() *host {
 	s.nextID++
-	h := &host{id: s.nextID, tick: tickUnits + s.rng.Int64N(maxTickUnits-tickUnits+1)}
+	h := &host{id: s.nextID, tick: []int64{tickUnits, maxTickUnits}[s.rng.IntN(2)]}
 	s.hosts = append(s.hosts, h)
 	return h
 }
@@ -136,7 +138,7 @@
 		return
 	}
 	n, err := consensus.New(consensus.Config{
-		ID: h.id, Seed: s.rng.Int64(), ElectionTicks: electionTick, HeartbeatTicks: 2,
+		ID: h.id, Seed: s.rng.Int64(), ElectionTicks: electionTick, HeartbeatTicks: 1,
 		MaxEntriesPerMessage: 3, MaxInflight: 4, KeepEntries: 2, MaxPromoteLag: 4,
 	}, h.disk)
 	if err != nil {
@@ -157,9 +159,21 @@
 
 func (s *sim) stop(h *host) { h.node, h.inbox = nil, nil }
 
-// run lets the given number of shortest tick intervals pass.
-func (s *sim) run(ticks int) {
-	end := s.now + int64(ticks)*tickUnits
+func (s *sim) restart(h *host) {
+	s.stop(h)
+	s.start(h)
+}
+
+// isolate cuts a host off from all others.
+func (s *sim) isolate(h *host) {
+	for _, o := range s.hosts {
+		s.cut[link{h.id, o.id}], s.cut[link{o.id, h.id}] = true, true
+	}
+}
+
+// run lets simulated time pass.
+func (s *sim) run(units int64) {
+	end := s.now + units
 	for {
 		h, at := s.nextWake()
 		if len(s.network) > 0 && s.network[0].at < min(at, end) {
@@ -229,7 +243,10 @@
 
 // settle carries out the host's work and checks it.
 func (s *sim) settle(h *host) {
-	for h.node != nil && h.node.HasReady() {
+	for rounds := 0; h.node != nil && h.node.HasReady(); rounds++ {
+		if rounds > 100 {
+			s.failf("host %d always has work: %+v", h.id, h.node.Status())
+		}
 		s.checkLeader(h)
 		r := h.node.Ready()
 		s.checkEntries(h, r)
@@ -238,6 +255,7 @@
 			return
 		}
 		persist(&h.disk, r)
+		s.checkCommit(h)
 		if h.crash == beforeSend {
 			s.stop(h)
 			return
@@ -247,7 +265,6 @@
 		}
 		s.apply(h, r)
 		h.node.Advance()
-		s.checkCommit(h)
 	}
 }
 
@@ -281,7 +298,7 @@
 		copies = 2 * s.rng.IntN(2)
 	}
 	for range copies {
-		delay := 20 + s.rng.Int64N(200)
+		delay := 5 + s.rng.Int64N(100)
 		if s.rng.IntN(100) < s.noise {
 			delay += s.rng.Int64N(15 * tickUnits)
 		}
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -27,26 +27,21 @@
 // memDisk is the data folder of a member in memory.
 type memDisk struct {
 	mu       sync.Mutex
-	identity *Identity
+	id       uint64
 	restored consensus.Restored
 	err      error
 }
 
-func (d *memDisk) LoadIdentity() (Identity, bool, error) {
-	if d.identity == nil {
-		return Identity{}, false, nil
-	}
-	return *d.identity, true, nil
-}
-
-func (d *memDisk) SaveIdentity(id Identity) error { d.identity = &id; return nil }
-
-func (d *memDisk) OpenLog() (Log, consensus.Restored, error) {
+func (d *memDisk) Open(string) (Log, Opened, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.restored
-	r.Entries = slices.Clone(r.Entries)
-	return d, r, nil
+	o := Opened{ID: d.id, New: d.id == 0, Restored: d.restored}
+	if o.New {
+		d.id = rand.Uint64()
+		o.ID = d.id
+	}
+	o.Restored.Entries = slices.Clone(o.Restored.Entries)
+	return d, o, nil
 }
 
 func (d *memDisk) Save(hs *consensus.HardState, entries []consensus.Entry) error {
@@ -87,6 +82,7 @@
 	cut     map[[2]string]bool // one way, from and to
 	drop    float64
 	delay   time.Duration
+	calls   sync.WaitGroup // calls in progress, also those without a waiting caller
 }
 
 type memLink struct {
@@ -115,55 +111,81 @@
 	return m, nil
 }
 
-func exchange[T any](ctx context.Context, l memLink, to string, call func(m *Member) (T, error)) (T, error) {
-	var zero T
+// exchange calls a member. The call goes on when its caller gives up, so that
+// requests are carried out late, and out of order with later ones.
+func exchange[T any](ctx context.Context, l memLink, to string, call func(ctx context.Context, m *Member) (T, error)) (T, error) {
+	type answer struct {
+		r   T
+		err error
+	}
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Second)
 		defer cancel()
 	}
-	m, err := l.net.pass(ctx, l.from, to)
-	if err != nil {
-		return zero, err
-	}
-	r, err := call(m)
-	if err != nil {
-		return zero, err
-	}
-	if _, err := l.net.pass(ctx, to, l.from); err != nil && !errors.Is(err, errLost) {
-		return zero, err
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	done := make(chan answer, 1)
+	l.net.calls.Add(1)
+	go func() {
+		defer l.net.calls.Done()
+		way, cancel := context.WithTimeout(context.Background(), left+l.net.longest())
+		defer cancel()
+		var a answer
+		var m *Member
+		if m, a.err = l.net.pass(way, l.from, to); a.err == nil {
+			server, cancel := context.WithTimeout(context.Background(), left)
+			defer cancel()
+			a.r, a.err = call(server, m)
+			if _, err := l.net.pass(way, to, l.from); err != nil && !errors.Is(err, errLost) {
+				return // The answer is lost on its way.
+			}
+		}
+		done <- a
+	}()
+	var zero T
+	select {
+	case a := <-done:
+		return a.r, a.err
+	case <-ctx.Done():
+		return zero, ctx.Err()
 	}
-	return r, nil
+}
+
+func (n *memNetwork) longest() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay
 }
 
 func (l memLink) Step(ctx context.Context, to string, r *consensusv1.StepRequest) error {
 	r = proto.Clone(r).(*consensusv1.StepRequest)
-	_, err := exchange(ctx, l, to, func(m *Member) (bool, error) { return true, m.HandleStep(ctx, l.from, r) })
+	_, err := exchange(ctx, l, to, func(ctx context.Context, m *Member) (bool, error) { return true, m.HandleStep(ctx, l.from, r) })
 	return err
 }
 
 func (l memLink) Status(ctx context.Context, to string) (*controlv1.StatusResponse, error) {
-	return exchange(ctx, l, to, func(m *Member) (*controlv1.StatusResponse, error) { return m.Status(), nil })
+	return exchange(ctx, l, to, func(_ context.Context, m *Member) (*controlv1.StatusResponse, error) { return m.Status(), nil })
 }
 
 func (l memLink) Member(ctx context.Context, to string, r *controlv1.MemberRequest) (*controlv1.MemberResponse, error) {
-	return exchange(ctx, l, to, func(m *Member) (*controlv1.MemberResponse, error) { return m.ChangeMember(ctx, r) })
+	return exchange(ctx, l, to, func(ctx context.Context, m *Member) (*controlv1.MemberResponse, error) { return m.ChangeMember(ctx, r) })
 }
 
 func (l memLink) Feed(ctx context.Context, to string, r *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
-	return exchange(ctx, l, to, func(m *Member) (*controlv1.FeedResponse, error) {
+	return exchange(ctx, l, to, func(_ context.Context, m *Member) (*controlv1.FeedResponse, error) {
 		return m.Feed(proto.Clone(r).(*controlv1.FeedRequest))
 	})
 }
 
 func (l memLink) Booking(ctx context.Context, to string, r *controlv1.BookingRequest) (*controlv1.BookingResponse, error) {
-	return exchange(ctx, l, to, func(m *Member) (*controlv1.BookingResponse, error) {
+	return exchange(ctx, l, to, func(ctx context.Context, m *Member) (*controlv1.BookingResponse, error) {
 		return m.Booking(ctx, proto.Clone(r).(*controlv1.BookingRequest))
 	})
 }
 
 func (l memLink) Change(ctx context.Context, to string, r *controlv1.ChangeRequest) (*controlv1.ChangeResponse, error) {
-	return exchange(ctx, l, to, func(m *Member) (*controlv1.ChangeResponse, error) {
+	return exchange(ctx, l, to, func(ctx context.Context, m *Member) (*controlv1.ChangeResponse, error) {
 		return m.Change(ctx, proto.Clone(r).(*controlv1.ChangeRequest))
 	})
 }
@@ -173,10 +195,12 @@
 	t     testing.TB
 	net   *memNetwork
 	names []string
-	disks map[string]*memDisk
-	ends  map[string]chan error
-	stops map[string]context.CancelFunc
-	seed  int64
+	// initial are the members that form the cluster: the first three.
+	initial []string
+	disks   map[string]*memDisk
+	ends    map[string]chan error
+	stops   map[string]context.CancelFunc
+	seed    int64
 }
 
 func newCluster(t testing.TB, seed int64, n int) *cluster {
@@ -187,6 +211,7 @@
 	for i := range n {
 		c.names = append(c.names, fmt.Sprintf("m%d", i))
 	}
+	c.initial = c.names[:min(3, n)]
 	for _, name := range c.names {
 		c.disks[name] = &memDisk{}
 		c.start(name)
@@ -207,7 +232,7 @@
 func (c *cluster) start(name string) {
 	c.seed++
 	m := NewMember(Options{
-		Cluster: "test", Instance: name, Address: name, InitialMembers: c.names[:min(3, len(c.names))],
+		Cluster: "test", Instance: name, Address: name, InitialMembers: c.initial,
 		Peers: c.names, Storage: c.disks[name], Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name),
 	})
 	if err := m.Validate(); err != nil {
@@ -246,6 +271,7 @@
 			c.kill(name)
 		}
 	}
+	c.net.calls.Wait()
 }
 
 func (c *cluster) member(name string) *Member {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -47,8 +48,13 @@
 		case <-ticker.C:
 		case <-m.wake:
 		}
+		// The messages are taken first, so that each of them was sent before the
+		// time up to which ticks are delivered. Otherwise a member that is paused
+		// between the two could acknowledge a heartbeat at its old tick, and by
+		// the next ticks be ready to vote while that heartbeat carries a lease.
+		inbound := m.inbox.Drain(maxInboundPerRound)
 		d.tick()
-		d.input()
+		d.input(inbound)
 		for _, s := range m.snapshots.Drain(1) {
 			if err := d.storeSnapshot(s); err != nil {
 				return err
@@ -76,9 +82,8 @@
 	}
 }
 
-func (d *driver) input() {
+func (d *driver) input(inbound []consensus.Message) {
 	m := d.m
-	inbound := m.inbox.Drain(maxInboundPerRound)
 	for _, msg := range inbound {
 		// A message that does not fit is ignored; its sender repeats it.
 		_ = d.node.Step(msg)
@@ -102,8 +107,7 @@
 
 // refusal maps an error of Propose, after which nothing was appended.
 func refusal(err error) error {
-	switch err {
-	case consensus.ErrBusy, consensus.ErrTransferring:
+	if errors.Is(err, consensus.ErrBusy) || errors.Is(err, consensus.ErrTransferring) {
 		return fmt.Errorf("%w: %w", ErrBusy, err)
 	}
 	return fmt.Errorf("%w: %w", ErrNotLeader, err)
@@ -159,7 +163,7 @@
 
 func (m *Member) leaderChanged(s consensus.SoftState) {
 	if s.Role == consensus.Leader {
-		m.options.Events.Emit(eventLeader, event.F("member", m.identity.ID))
+		m.options.Events.Emit(eventLeader, event.F("member", m.id()))
 	} else if s.Leader != 0 {
 		m.options.Events.Emit(eventFollower, event.F("leader", s.Leader))
 	}
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,9 +18,8 @@
 // Member is one control member. It is a kernel.Service; Service serves its calls.
 type Member struct {
 	kernel.Base
-	options  Options
-	identity Identity
-	metrics  memberMetrics
+	options Options
+	metrics memberMetrics
 
 	inbox     *ring.Ring[consensus.Message]
 	proposals *ring.Ring[proposal]
@@ -46,9 +44,11 @@
 	// formed is set once the member has a log or waits for a leader's.
 	formed  atomic.Bool
 	derived atomic.Pointer[derived]
-	fault   atomic.Pointer[error]
-	done    chan struct{}
-	cancel  context.CancelFunc
+	// stopping is closed by Stop, done when Start has ended.
+	stopping chan struct{}
+	stopOnce sync.Once
+	started  atomic.Bool
+	done     chan struct{}
 }
 
 // NewMember returns a member that is not started.
@@ -67,6 +67,7 @@
 		waiters:   waiters{byIndex: make(map[uint64]waiter)},
 		live:      newLiveness(),
 		changing:  make(chan struct{}, 1),
+		stopping:  make(chan struct{}),
 		done:      make(chan struct{}),
 	}
 	m.peers.senders = make(map[uint64]*sender)
@@ -97,25 +98,31 @@
 // Start implements kernel.Service. An error of the storage ends it.
 func (m *Member) Start(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	m.cancel = cancel
-	defer close(m.done)
 	defer cancel()
+	m.started.Store(true)
+	defer close(m.done)
+	go func() {
+		select {
+		case <-m.stopping:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	err := m.run(ctx)
 	m.close()
-	if err != nil && !errors.Is(err, context.Canceled) {
-		m.fault.Store(&err)
-		return err
+	if errors.Is(err, context.Canceled) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // Stop implements kernel.Service: a leader hands over first.
 func (m *Member) Stop(ctx context.Context) error {
-	if m.cancel == nil {
+	m.handOver(ctx)
+	m.stopOnce.Do(func() { close(m.stopping) })
+	if !m.started.Load() {
 		return nil
 	}
-	m.handOver(ctx)
-	m.cancel()
 	select {
 	case <-m.done:
 	case <-ctx.Done():
@@ -124,15 +131,17 @@
 }
 
 func (m *Member) run(ctx context.Context) error {
-	if err := m.loadIdentity(); err != nil {
-		return err
-	}
-	log, restored, err := m.options.Storage.OpenLog()
+	log, opened, err := m.options.Storage.Open(m.options.Cluster)
 	if err != nil {
 		return m.storageFailed(err)
 	}
 	defer log.Close()
-	if restored, err = m.found(ctx, log, restored); err != nil {
+	if opened.New {
+		m.options.Events.Emit(eventNewIdentity, event.F("member", opened.ID))
+	}
+	m.status.Store(&consensus.Status{ID: opened.ID})
+	restored, err := m.found(ctx, log, opened.Restored)
+	if err != nil {
 		return err
 	}
 	if data := restored.Snapshot.Data; len(data) > 0 {
@@ -145,11 +154,11 @@
 		m.mu.Unlock()
 	}
 	m.applied.Store(restored.Snapshot.Index)
-	node, err := consensus.New(consensus.Config{ID: m.identity.ID, ElectionTicks: m.options.ElectionTicks, HeartbeatTicks: 2, Seed: m.options.Seed}, restored)
+	node, err := consensus.New(consensus.Config{ID: opened.ID, ElectionTicks: m.options.ElectionTicks, HeartbeatTicks: 2, Seed: m.options.Seed}, restored)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	m.options.Events.Emit(eventRestored, event.F("snapshot", restored.Snapshot.Index), event.F("entries", len(restored.Entries)))
+	m.options.Events.Emit(eventRestored, event.F("snapshot", restored.Snapshot.Index), event.F("entries", len(restored.Entries)), event.F("torn_bytes", opened.TornBytes))
 	return m.duties(ctx, node, log, restored.Snapshot.Index)
 }
 
@@ -196,25 +205,8 @@
 	m.leads.until.Store(0)
 }
 
-func (m *Member) loadIdentity() error {
-	id, ok, err := m.options.Storage.LoadIdentity()
-	if err != nil {
-		return err
-	}
-	if ok && id.Cluster != m.options.Cluster {
-		return Error.Wrap(fmt.Errorf("%w: the data folder belongs to %q, not %q", ErrClusterMismatch, id.Cluster, m.options.Cluster))
-	}
-	if !ok {
-		id = Identity{ID: drawID(), Cluster: m.options.Cluster, Instance: m.options.Instance}
-		if err := m.options.Storage.SaveIdentity(id); err != nil {
-			return m.storageFailed(err)
-		}
-		m.options.Events.Emit(eventNewIdentity, event.F("member", id.ID))
-	}
-	m.identity = id
-	m.status.Store(&consensus.Status{ID: id.ID})
-	return nil
-}
+// id returns the ID of this member, or 0 before its folder is open.
+func (m *Member) id() uint64 { return m.status.Load().ID }
 
 func (m *Member) storageFailed(err error) error {
 	m.options.Events.Emit(eventStorageFailed, event.F("error", err))
--- a/internal/control/member_test.go
+++ b/internal/control/member_test.go
@@ -12,6 +12,7 @@
 
 	"auburnstep.example/auburnstep/internal/consensus"
 
+	"auburnstep.example/auburnstep/internal/rpc/consensusv1"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
@@ -27,10 +28,6 @@
 	return &controlv1.Operation{Kind: controlv1.Operation_KEY_SET, Path: path, Key: key, Value: value}
 }
 
-func unset(path, key string) *controlv1.Operation {
-	return &controlv1.Operation{Kind: controlv1.Operation_KEY_UNSET, Path: path, Key: key}
-}
-
 func accept(c *cluster, id string, base uint64, ops ...*controlv1.Operation) {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -226,3 +223,30 @@
 		qt.Assert(t, c.member(c.leader()).status.Load().Members.Has(id), qt.IsFalse)
 	})
 }
+
+// Guards against a planned stop of the leader that costs an election timeout.
+func TestStopHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 8, 3)
+		defer c.stop()
+		accept(c, "c1", 0, put("/services", "group"))
+		old := c.leader()
+		m := c.member(old)
+		start := time.Now()
+		qt.Assert(t, m.Stop(context.Background()), qt.IsNil)
+		c.waitFor("the next leader", func() bool { return c.leader() != old })
+		qt.Assert(t, time.Since(start) < time.Duration(m.options.ElectionTicks)*m.options.Tick, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+		accept(c, "c2", 1, put("/customers", "group"))
+	})
+}
+
+// Guards against messages of another cluster that reach the log.
+func TestForeignMessageIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 9, 3)
+		defer c.stop()
+		accept(c, "c1", 0, put("/services", "group"))
+		err := c.member("m0").HandleStep(context.Background(), "x", &consensusv1.StepRequest{Cluster: "other"})
+		qt.Assert(t, err, qt.ErrorIs, ErrClusterMismatch)
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,9 @@
 	"crypto/tls"
 	"hash/fnv"
 	"io"
+	stdlog "log"
 	"net"
+	"strings"
 	"sync/atomic"
 
 	"github.com/zeebo/errs"
@@ -44,9 +46,19 @@
 
 var (
 	eventStarted = event.Define(1001, "instance-started", event.Info, "the instance is starting")
+	eventLibrary = event.Define(1003, "library-message", event.Debug, "a library wrote a log line")
 	eventStopped = event.Define(1002, "instance-stopped", event.Info, "the instance has stopped")
 )
 
+// libraryLog turns lines of the standard logger into events.
+type libraryLog struct{ events *event.Recorder }
+
+// Write implements io.Writer.
+func (l libraryLog) Write(line []byte) (int, error) {
+	l.events.Emit(eventLibrary, event.F("message", strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
 // Daemon is one instance with its services.
 type Daemon struct {
 	config  Config
@@ -57,6 +69,7 @@
 	pool    *transport.Pool
 	peers   *transport.Server
 	view    *view
+	host    *schedulerhost.Host
 }
 
 // New joins the services of an instance. It opens the listeners, so that an
@@ -71,6 +84,9 @@
 		config: c, kernel: kernel.New(), clock: clock, metrics: metrics.New(c.Instance),
 		events: event.NewRecorder(c.Instance, clock, log, level),
 	}
+	// Libraries write to the standard logger; their lines become events as well.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryLog{d.events})
 	if err := d.join(); err != nil {
 		return nil, err
 	}
@@ -149,7 +165,7 @@
 	_, _ = seed.Write([]byte(d.config.Instance))
 	m := control.NewMember(control.Options{
 		Cluster: d.config.Cluster, Instance: d.config.Instance, Address: d.config.PeerAdvertise,
-		InitialMembers: d.config.InitialMembers, Peers: d.config.Peers, Storage: &memoryStorage{},
+		InitialMembers: d.config.InitialMembers, Peers: d.config.Peers, Storage: control.NewDirStorage(d.config.Data),
 		Network: control.NewNetwork(d.pool), Events: d.events, Scope: d.metrics.Scope, Seed: int64(seed.Sum64()),
 	})
 	control.NewService(m).Register(d.peers)
@@ -161,12 +177,13 @@
 		Instance: d.config.Instance, Address: d.config.Advertise, PeerAddress: d.config.PeerAdvertise,
 		FailureDomain: d.config.FailureDomain, Weight: d.config.Weight,
 	}}
-	host := schedulerhost.New(d.view, d.events, d.metrics.Scope)
+	d.host = schedulerhost.New(d.view, d.events, d.metrics.Scope)
+	d.host.Connect(d.view, d.dialScheduler)
 	d.view.feed = feed.NewClient(feed.Options{
-		Members: d.config.Peers, Caller: feed.NewCaller(d.pool), Self: d.view.info, Reports: host.Reports,
+		Members: d.config.Peers, Caller: feed.NewCaller(d.pool), Self: d.view.info, Reports: d.host.Reports,
 		Events: d.events, Scope: d.metrics.Scope,
 	})
-	path, handler := schedulerv1connect.NewSchedulerHandler(host, d.peers.HandlerOptions())
+	path, handler := schedulerv1connect.NewSchedulerHandler(d.host, d.peers.HandlerOptions())
 	d.peers.Handle(path, handler, transport.PeerRole, map[string]transport.Role{
 		schedulerv1connect.SchedulerStatusProcedure: transport.AnyRole,
 	})
@@ -175,7 +192,7 @@
 	if err := d.kernel.Register(ServiceFeed, d.view.feed); err != nil {
 		return err
 	}
-	return d.kernel.Register(ServiceScheduler, host)
+	return d.kernel.Register(ServiceScheduler, d.host)
 }
 
 func (d *Daemon) joinScheduler() error {
@@ -186,9 +203,13 @@
 	return d.kernel.Register(ServiceBookings, feed.NewBookings(d.view.feed))
 }
 
-// dialScheduler returns the client of a scheduler. Its calls may be repeated:
-// Acquire carries a request id, and releases of unknown grants are ignored.
+// dialScheduler returns the client of a scheduler. Calls of a scheduler on this
+// instance skip the network. All calls may be repeated: Acquire carries a
+// request id, and releases of unknown grants are ignored.
 func (d *Daemon) dialScheduler(address string) schedulerv1connect.SchedulerClient {
+	if address == d.config.PeerAdvertise {
+		return d.host
+	}
 	return schedulerv1connect.NewSchedulerClient(d.pool.Peer(address).Client())
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"auburnstep.example/auburnstep/internal/estimate"
@@ -41,7 +42,8 @@
 	expiring  heap[*waiter]
 
 	customers     map[string]*customer
-	customerOrder customer // sentinel
+	customerOrder customer  // sentinel
+	sharesEnd     time.Time // when the next share may end
 	classes       map[string]*class
 	classOrder    []*class
 	retry         limit.Retry
@@ -116,7 +118,7 @@
 		return nil
 	}
 	if g := c.byRequest[r.ID]; g != nil {
-		if !contains(r.Avoid, g.endpoint.spec.ID) {
+		if !slices.Contains(r.Avoid, g.endpoint.spec.ID) {
 			return []Decision{c.granted(now, g)}
 		}
 		c.drop(now, g, ended{})
@@ -141,15 +143,6 @@
 	return out
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *Core) newWaiter(now time.Time, r Request) *waiter {
 	w := &waiter{request: r, arrived: now.Add(-r.Waited), seen: now}
 	c.sequence++
@@ -172,10 +165,14 @@
 	if target <= 0 {
 		target = DefaultTarget
 	}
-	w.due = w.arrived.Add(target - c.firstToken(r.Class))
+	first := c.firstToken(r.Class)
+	w.due = w.arrived.Add(target - first)
 	w.deadline = now.Add(policy.QueueWait)
-	if r.Deadline > 0 && w.arrived.Add(r.Deadline).Before(w.deadline) {
-		w.deadline = w.arrived.Add(r.Deadline)
+	if r.Deadline > 0 {
+		margin := min(first, r.Deadline/2)
+		if last := w.arrived.Add(r.Deadline - margin); last.Before(w.deadline) {
+			w.deadline = last
+		}
 	}
 	w.expires = w.expiresAt()
 	return w
@@ -183,7 +180,7 @@
 
 // firstTokenQuantile leaves a margin in due times: among requests that start at
 // the last moment, this part still meets the target.
-const firstTokenQuantile = 0.9
+const firstTokenQuantile = 0.97
 
 // firstToken returns the time from the grant to the first token, or to the
 // response of a plain service, that most requests of the class stay below.
