--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -285,6 +287,29 @@
 	}
 }
 
+// TestFailedLoad guards against a load that keeps its place in the limits after
+// the engine gave it up or could not be reached, and is not made elsewhere.
+func TestFailedLoad(t *testing.T) {
+	b := newBench(t, idle("x"), idle("x"), idle("x"))
+	b.fleet.service.Policy.Floor, b.fleet.service.Policy.WeightsAtOnce = 1, 1
+	b.fleet.engines[0].Close()
+	h := b.holder(1)
+	h.run(long)
+	b.Check(h.planner.services["pool"].changes["e0"].strikes, qt.Equals, 1)
+	b.Assert(b.orders(1), qt.HasLen, 1)
+	unload := strings.NewReader(`{"kind":"unload_model","model":"m"}`)
+	r, err := http.NewRequest(http.MethodPost, b.fleet.engines[1].URL()+orderPath, unload)
+	b.Assert(err, qt.IsNil)
+	r.Header.Set(HeaderFencing, "1")
+	_, err = http.DefaultClient.Do(r)
+	b.Assert(err, qt.IsNil)
+	h.run(reportWithin + 2*Interval)
+	b.Check(h.planner.services["pool"].changes["e1"].strikes, qt.Equals, 1)
+	b.Check(b.orders(2), qt.HasLen, 1)
+	b.Check(h.weights.loads, qt.HasLen, 1)
+	b.Check(h.weights.recent(b.now), qt.Equals, 2, qt.Commentf("the failed load was begun, the one without connection was not"))
+}
+
 // TestLostHolder guards against more loads than the limits allow, or a second
 // load at one engine, when the holder is lost while loads run.
 func TestLostHolder(t *testing.T) {
