--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -356,7 +356,7 @@
 // minute, and against new orders while a scheduler does not answer.
 func TestPerMinute(t *testing.T) {
 	b := newBench(t, idle("x"), idle("x"), idle("x"), idle("x"), idle("x"))
-	b.fleet.service.Policy.WeightsPerMinute = 2
+	b.fleet.service.Policy.WeightsAtOnce, b.fleet.service.Policy.WeightsPerMinute = 5, 2
 	h := b.holder(1)
 	for _, service := range []string{"pool", "other"} {
 		b.fleet.partial = service
@@ -387,7 +387,11 @@
 	b.fleet.inFlight, b.fleet.epoch = nil, 2
 	h.run(Interval)
 	b.Check(b.orders(0), qt.HasLen, 0, qt.Commentf("the new scheduler withholds nothing yet"))
-	b.fleet.partial = "pool"
+	lease := h.lease
+	h.lease.Until = time.Now() // The order is due and cannot be sent.
+	h.run(3 * Interval)
+	b.Check(h.tasks["e0"].phase, qt.Equals, unloading)
+	h.lease, b.fleet.partial = lease, "pool"
 	h.run(3 * Interval)
 	b.Check(b.orders(0), qt.HasLen, 0, qt.Commentf("counts are not seen"))
 	b.fleet.partial = ""
