--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/openai"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
 
@@ -203,3 +204,18 @@
 	}
 	return Cut
 }
+
+// readWhole reads and judges an answer that is not streamed. Its first token
+// arrives with the rest.
+func readWhole(body io.Reader, want string, start time.Time) sample {
+	var answer openai.Completion
+	if err := json.NewDecoder(body).Decode(&answer); err != nil {
+		return sample{outcome: Cut}
+	}
+	took := time.Since(start)
+	s := sample{outcome: Whole, first: took, total: took, tokens: answer.Usage.CompletionTokens}
+	if len(answer.Choices) != 1 || answer.Choices[0].Message.Content != want {
+		s.outcome = Wrong
+	}
+	return s
+}
--- a/internal/load/bench.go
+++ b/internal/load/bench.go
@@ -183,7 +183,7 @@
 }
 
 func (p *benchPath) one(ctx context.Context, prompt string) (Outcome, sample, error) {
-	body, err := chatBody(p.options.Model, prompt, p.options.Tokens)
+	body, err := chatBody(p.options.Model, prompt, p.options.Tokens, true)
 	if err != nil {
 		return Cut, sample{}, err
 	}
--- a/internal/load/booking.go
+++ b/internal/load/booking.go
@@ -49,7 +49,7 @@
 				answer.outcome = Wrong
 			}
 		}
-		r.results[a.class.Name].add(sample{outcome: answer.outcome, first: answer.total, total: answer.total})
+		r.add(a, sample{outcome: answer.outcome, first: answer.total, total: answer.total})
 		return answer
 	}
 	first := make(chan plainAnswer, 1)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -122,6 +122,8 @@
 	Seed    uint64        `json:"seed"`
 	Seconds float64       `json:"seconds"`
 	Classes []ClassReport `json:"classes"`
+	// Callers holds one row a bearer key.
+	Callers []CallerReport `json:"callers"`
 	// TokensInTimePerSecond is the goodput.
 	TokensInTimePerSecond float64       `json:"tokens_in_time_per_second"`
 	Bookings              BookingReport `json:"bookings"`
@@ -136,6 +138,7 @@
 		report.Classes = append(report.Classes, row)
 		report.TokensInTimePerSecond += float64(row.TokensInTime) / took.Seconds()
 	}
+	report.Callers = r.callers.report()
 	runs, err := r.readLedgers(context.WithoutCancel(ctx))
 	if err != nil {
 		report.Warning = err.Error()
@@ -184,7 +187,11 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "%.1f s, %.0f tokens per second in answers in time\n", r.Seconds, r.TokensInTimePerSecond)
+	fmt.Fprintln(w)
+	if err := writeCallers(w, r.Callers); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "\n%.1f s, %.0f tokens per second in answers in time\n", r.Seconds, r.TokensInTimePerSecond)
 	b := r.Bookings
 	fmt.Fprintf(w, "bookings: %d, confirmed %d, doubled %d", b.Bookings, b.Confirmed, b.Doubled)
 	if b.LedgersRead {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -50,6 +50,7 @@
 	client    *http.Client
 	directory *directory
 	results   map[string]*collector
+	callers   *callers
 	bookings  *bookings
 	slots     chan struct{}
 	wg        sync.WaitGroup
@@ -74,7 +75,7 @@
 	defer client.CloseIdleConnections()
 	r := &runner{
 		options: o, client: client, directory: newDirectory(client, o.Instances, o.Seed),
-		results: make(map[string]*collector), bookings: newBookings(), slots: make(chan struct{}, o.MaxInFlight),
+		results: make(map[string]*collector), callers: newCallers(o.Keys), bookings: newBookings(), slots: make(chan struct{}, o.MaxInFlight),
 	}
 	for _, c := range profile.Classes {
 		r.results[c.Name] = newCollector(c)
@@ -131,7 +132,7 @@
 		select {
 		case r.slots <- struct{}{}:
 		default:
-			r.results[a.class.Name].add(sample{outcome: Unsent})
+			r.add(a, sample{outcome: Unsent})
 			continue
 		}
 		r.wg.Add(1)
@@ -143,12 +144,18 @@
 	}
 }
 
+// add counts the result of one request for its class and for its caller.
+func (r *runner) add(a arrival, s sample) {
+	r.results[a.class.Name].add(s)
+	r.callers.add(a.key, s)
+}
+
 func (r *runner) one(ctx context.Context, a arrival) {
 	switch a.class.Kind {
 	case Chat:
-		r.results[a.class.Name].add(r.chat(ctx, a))
+		r.add(a, r.chat(ctx, a))
 	case Lookup:
-		r.results[a.class.Name].add(r.lookup(ctx, a))
+		r.add(a, r.lookup(ctx, a))
 	case Booking:
 		r.book(ctx, a)
 	}
@@ -186,14 +193,18 @@
 	return b.String()
 }
 
-// chatBody returns the body of a chat request for a stream.
-func chatBody(model, prompt string, maxTokens int) ([]byte, error) {
+// wholeEvery is the share of chat requests that ask for a whole answer instead
+// of a stream: one of this many.
+const wholeEvery = 4
+
+// chatBody returns the body of a chat request.
+func chatBody(model, prompt string, maxTokens int, stream bool) ([]byte, error) {
 	content, err := json.Marshal(prompt)
 	if err != nil {
 		return nil, err
 	}
 	return json.Marshal(fakeengine.ChatRequest{
-		Model: model, MaxTokens: maxTokens, Stream: true,
+		Model: model, MaxTokens: maxTokens, Stream: stream,
 		Messages: []fakeengine.Message{{Role: "user", Content: content}},
 	})
 }
@@ -202,7 +213,8 @@
 	ctx, cancel := context.WithTimeout(ctx, r.options.Timeout)
 	defer cancel()
 	prompt := r.promptOf(a)
-	body, err := chatBody(a.class.Service, prompt, a.class.MaxTokens)
+	stream := a.index%wholeEvery != 0
+	body, err := chatBody(a.class.Service, prompt, a.class.MaxTokens, stream)
 	if err != nil {
 		return sample{outcome: Unsent}
 	}
@@ -217,9 +229,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return sample{outcome: ofStatus(resp)}
 	}
+	want := fakeengine.Answer(prompt, min(a.tokens, a.class.MaxTokens))
+	if !stream {
+		return readWhole(resp.Body, want, start)
+	}
 	s := readStream(resp.Body, start)
 	return sample{
-		outcome: s.judge(fakeengine.Answer(prompt, min(a.tokens, a.class.MaxTokens))),
+		outcome: s.judge(want),
 		first:   s.first, total: time.Since(start), between: s.between, tokens: s.tokens,
 	}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -62,6 +62,13 @@
   sleep 0.1
 done
 bin/auburnctl endpoints || fail "endpoints"
+# Entries hear of new models with their next poll of the control members.
+for entry in "${callers[@]}"; do
+  for _ in $(seq 50); do
+    curl -sf -H 'Authorization: Bearer cera-demo-torino' "http://$entry/v1/models" | grep -q wax-1 && break
+    sleep 0.1
+  done
+done
 
 echo "== load of every class, each booking twice under one key; instance-2 leaves under load"
 bin/auburnload run --instance "$entries" --profile cerapulita --model wax-1 --duration 8s --rate 20 --ledger "$rota" \
