--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,25 +9,16 @@
 	"google.golang.org/protobuf/proto"
 
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+
+	"auburnstep.example/auburnstep/internal/testkit/properties"
 )
 
 var update = flag.Bool("update", false, "rewrite docs/settings.md")
 
-// TestMain fixes the seed and the number of the property tests, unless a run
-// asks for others.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500"} {
-		f := flag.Lookup(name)
-		if f.Value.String() != f.DefValue {
-			continue
-		}
-		if err := f.Value.Set(value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+// drawnTrees is the number of cases of each property test.
+const drawnTrees = 500
+
+func TestMain(m *testing.M) { os.Exit(properties.Run(m, drawnTrees)) }
 
 const sample = `
 nodes:
@@ -117,6 +108,9 @@
   - {path: /customers/g, kind: group}
   - {path: /customers/g/torino, kind: customer}`,
 			"t.yaml:4: /customers/torino: customer name torino is already used by /customers/g/torino"},
+		"reserved service name": {`
+  - {path: /customers/placement, kind: service}`,
+			"t.yaml:4: /customers/placement: the service name placement is reserved"},
 		"class outside a service": {`
   - {path: /customers/chat, kind: class}`,
 			"t.yaml:4: /customers/chat: a class may not be below /customers, which is a group; a class belongs directly below a service or a customer"},
