policy: measure a flood of a large customer

Limits of customers were not modelled. Customers of unlike size existed in the workload (23% and 4% of the requests), but their attainment was not told apart. A scenario can now have a flood of the large customer and a limit on it, and the result counts the requests of the small customer; the tables of auburnpolicy are the same before and after.

--- a/internal/policy/core.go
+++ b/internal/policy/core.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/limit"
 	"auburnstep.example/auburnstep/internal/scheduler"
 )
 
@@ -55,7 +56,16 @@
 	for i := range entries {
 		config.Entries = append(config.Entries, entryName(i))
 	}
-	c.core = scheduler.New(c.clock(), config, scheduler.Policy{})
+	c.core = scheduler.New(c.clock(), config, scheduler.Policy{Customer: c.limits})
+}
+
+// limits returns the limits of a customer.
+func (c *coreRouter) limits(customer string) limit.Policy {
+	if !c.sim.scenario.limited || customer != largeCustomer {
+		return limit.Policy{}
+	}
+	sv := c.sim.service
+	return limit.Policy{Concurrency: int(largeLimit * float64(sv.replicas*sv.slots))}
 }
 
 // call runs f on the core one hop later, unless the core is lost.
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -35,3 +35,29 @@
 		c.Assert(fmt.Sprint(a), qt.Equals, fmt.Sprint(b))
 	}
 }
+
+// Guards against a large customer whose flood takes the service of a small one:
+// within a class the fair order prevents it (to the 95% of section 1.4 of the
+// design), and for lower classes the limit of the large customer does.
+func TestFloodOfLargeCustomer(t *testing.T) {
+	for _, sv := range []*service{services[1], services[2]} {
+		for _, flooded := range sv.classes {
+			t.Run(sv.name+" "+flooded.name, func(t *testing.T) {
+				c := qt.New(t)
+				sc := scenario{load: 0.7, floodClass: flooded.index}
+				quiet := run(sv, sc, "core", 1).Small
+				sc.flood = 2
+				unlimited := run(sv, sc, "core", 1).Small
+				sc.limited = true
+				limited := run(sv, sc, "core", 1).Small
+				t.Logf("quiet %v, flood %v, flood of a limited customer %v", quiet, unlimited, limited)
+				for i, q := range quiet {
+					c.Assert(q.Arrived >= 10, qt.IsTrue)
+					c.Assert(limited[i].InTime >= q.InTime, qt.IsTrue, qt.Commentf("%v", limited))
+				}
+				k := flooded.index
+				c.Assert(float64(unlimited[k].InTime) >= 0.95*float64(quiet[k].InTime), qt.IsTrue, qt.Commentf("%v", unlimited))
+			})
+		}
+	}
+}
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -21,26 +21,35 @@
 // responses in time; Wasted is the share of generated tokens that were not
 // delivered whole.
 type Result struct {
-	Service, Scenario, Router     string
-	Classes                       []ClassResult
-	Goodput, Wasted               float64
+	Service, Scenario, Router string
+	Classes                   []ClassResult
+	Goodput, Wasted           float64
+	// Small counts the requests of the small customer by class.
+	Small                         []ClassResult
 	violations, reserved, refused int
 }
 
 func (r *Result) collect(all []*request) {
 	good, run, lost := 0, 0, 0
+	r.Small = make([]ClassResult, len(r.Classes))
 	for _, q := range all {
 		if q.arrive < countedFrom {
 			continue
 		}
 		c := &r.Classes[q.class.index]
+		small := &ClassResult{}
+		if q.customer == smallCustomer {
+			small = &r.Small[q.class.index]
+		}
 		c.Arrived++
+		small.Arrived++
 		run += q.done
 		if !q.delivered {
 			lost += q.done
 		}
 		if q.inTime() {
 			c.InTime++
+			small.InTime++
 			good += q.tokens
 		}
 	}
--- a/internal/policy/workload.go
+++ b/internal/policy/workload.go
@@ -80,8 +80,20 @@
 	burstClass                int
 	slowed, crashed, takeover bool
 	reportLag                 float64
+	// flood is the rate, in times capacity, at which the large customer sends
+	// requests of floodClass in addition from 40 s to 70 s. limited bounds what it
+	// has in flight to largeLimit of the slots.
+	flood      float64
+	floodClass int
+	limited    bool
 }
 
+const (
+	largeCustomer = "customer0" // sends 23% of the requests
+	smallCustomer = "customer9" // sends 4%
+	largeLimit    = 0.3
+)
+
 var scenarios = []scenario{
 	{name: "0.7 times capacity", load: 0.7},
 	{name: "1.0 times capacity", load: 1},
@@ -155,9 +167,28 @@
 			})
 		}
 	}
+	all = append(all, generateFlood(s, sc, seed)...)
 	slices.SortFunc(all, func(a, b *request) int { return cmp.Compare(a.arrive, b.arrive) })
 	for i, r := range all {
 		r.id = fmt.Sprint("r", i)
 	}
 	return all
 }
+
+// generateFlood returns the additional requests of the large customer. They are
+// drawn apart, so that all others are the same with and without them.
+func generateFlood(s *service, sc scenario, seed uint64) (all []*request) {
+	if sc.flood == 0 {
+		return nil
+	}
+	rnd := rand.New(rand.NewPCG(seed, 13))
+	c := s.classes[sc.floodClass]
+	for t := 40 + rnd.ExpFloat64()/(s.capacity()*sc.flood); t < 70; t += rnd.ExpFloat64() / (s.capacity() * sc.flood) {
+		all = append(all, &request{
+			class: c, customer: largeCustomer, arrive: t, entry: rnd.IntN(entries),
+			tokens: max(1, int(c.median*math.Exp(c.sigma*rnd.NormFloat64()))),
+			prefix: uint64(1 + c.index + 2*rnd.IntN(20)),
+		})
+	}
+	return all
+}
