entry: let a duplicate wait for the request in flight

It now looks again up to four times within 1.6 s, and takes over the record if the first attempt proves not to have run. Waiting at the control members was ruled out: it would hold a call there for each duplicate.

--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -34,7 +34,8 @@
 func (s *Server) atMostOnce(ctx context.Context, w http.ResponseWriter, q *request, hash []byte,
 	run func(context.Context) (*controlv1.BookingOutcome, *verdict.Error)) *verdict.Error {
 	key := &controlv1.BookingKey{Customer: q.customer, Key: q.key}
-	begun, err := s.begin(ctx, &controlv1.BeginBooking{Key: key, BodyHash: hash, AttemptId: q.id})
+	begin := &controlv1.BeginBooking{Key: key, BodyHash: hash, AttemptId: q.id}
+	begun, err := s.beginOrAwait(ctx, begin)
 	if err != nil {
 		return err
 	}
@@ -49,15 +50,40 @@
 	defer cancel()
 	outcome, failure := run(detached)
 	if failure != nil {
-		return s.abandon(q, key, failure)
+		return s.abandon(q, begin, failure)
 	}
-	s.finish(q, &controlv1.FinishBooking{Key: key, AttemptId: q.id, Outcome: outcome})
+	s.finish(q, &controlv1.FinishBooking{Key: key, AttemptId: begin.AttemptId, Outcome: outcome})
 	s.metrics.finished(q, time.Since(q.start), 0)
 	s.o.Events.Emit(eventAnswered, q.fields(event.F("key", q.key), event.F("status", outcome.Status))...)
 	writeOutcome(w, outcome, false)
 	return nil
 }
 
+// outcomeWaits are the pauses after which a duplicate of a request in flight
+// looks again. Most bookings end within them; each look costs one log entry.
+var outcomeWaits = []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond, time.Second}
+
+// beginOrAwait begins the record. A duplicate of a request in flight waits some
+// time for the outcome; if the first attempt turns out not to have run, the
+// record is begun for the duplicate. Each look has an attempt id of its own,
+// since the record refuses an id for good; b holds the last one.
+func (s *Server) beginOrAwait(ctx context.Context, b *controlv1.BeginBooking) (*controlv1.BookingResponse, *verdict.Error) {
+	first := b.AttemptId
+	for n, wait := range outcomeWaits {
+		res, err := s.begin(ctx, b)
+		if err != nil || res.State != controlv1.BookingResponse_STARTED {
+			return res, err
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return res, nil
+		}
+		b.AttemptId = fmt.Sprintf("%s-%d", first, n+2)
+	}
+	return s.begin(ctx, b)
+}
+
 func (s *Server) begin(ctx context.Context, b *controlv1.BeginBooking) (*controlv1.BookingResponse, *verdict.Error) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
@@ -73,7 +99,7 @@
 
 // abandon ends a request that has no outcome. With proof that it did not run
 // the key may be used again; otherwise the record stays and blocks duplicates.
-func (s *Server) abandon(q *request, key *controlv1.BookingKey, failure *verdict.Error) *verdict.Error {
+func (s *Server) abandon(q *request, begun *controlv1.BeginBooking, failure *verdict.Error) *verdict.Error {
 	s.metrics.failed(q, failure.Verdict, 0)
 	s.o.Events.Emit(eventFailed, q.fields(event.F("verdict", failure.Verdict), event.F("code", failure.Code), event.F("key", q.key))...)
 	if failure.Verdict != verdict.NotRun {
@@ -81,7 +107,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	if err := s.o.Bookings.Release(ctx, &controlv1.ReleaseBooking{Key: key, AttemptId: q.id}); err != nil {
+	if err := s.o.Bookings.Release(ctx, &controlv1.ReleaseBooking{Key: begun.Key, AttemptId: begun.AttemptId}); err != nil {
 		s.o.Events.Emit(eventUnstored, q.fields(event.F("key", q.key), event.F("error", err))...)
 	}
 	return failure
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -279,6 +279,25 @@
 	qt.Check(t, len(p.Ledger()), qt.Equals, 1)
 }
 
+// TestDuplicateInFlight guards against a duplicate that is sent away although
+// the first request ends a moment later.
+func TestDuplicateInFlight(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	p := b.Engine(t, plainService())
+	p.Inject(fakeengine.Fault{Kind: fakeengine.FaultLate, Delay: 300 * time.Millisecond, Count: 1})
+	answers := make(chan string, 2)
+	for range 2 {
+		go func() {
+			res, text := booking("twice", "statue 3").send(t, b)
+			answers <- res.Status + " " + text
+		}()
+	}
+	first := <-answers
+	qt.Check(t, strings.HasPrefix(first, "201"), qt.IsTrue, qt.Commentf("%s", first))
+	qt.Check(t, <-answers, qt.Equals, first)
+	qt.Check(t, len(p.Ledger()), qt.Equals, 1)
+}
+
 // TestRecordsOfCustomers guards against a customer that reads or blocks the
 // record of another one by using its idempotency key.
 func TestRecordsOfCustomers(t *testing.T) {
