--- a/internal/proof/service_test.go
+++ b/internal/proof/service_test.go
@@ -167,3 +167,33 @@
 	qt.Check(t, faults, qt.HasLen, 0)
 	qt.Check(t, late <= leaveBound, qt.IsTrue, qt.Commentf("new work arrived %v after the endpoint began to leave", late))
 }
+
+// takeoverBound is the group lease of 2 s with its margin, a warm-up of 1 s and
+// the polls in between.
+const takeoverBound = 5 * time.Second
+
+// TestSchedulerLost guards against streams that are cut, and requests that are
+// not served again, when the scheduler of their group is killed.
+func TestSchedulerLost(t *testing.T) {
+	c := startCluster(t, 4, 0)
+	c.endpoint(engine(8), "auburn-pool/0")
+	holder := c.holder("auburn-pool/0")
+	entry := c.instances[0]
+	if entry == holder {
+		entry = c.instances[1]
+	}
+	inFlight := make(chan answer, 1)
+	go func() {
+		inFlight <- entry.send(context.Background(), "/v1/chat/completions", chatBody("in flight", 600, true), nil)
+	}()
+	time.Sleep(500 * time.Millisecond)
+	holder.kill()
+	lost := time.Now()
+	a := entry.send(context.Background(), "/v1/chat/completions", chatBody("next", 3, false), nil)
+	took := time.Since(lost)
+	t.Logf("the next request was answered %v after the loss", took.Round(time.Millisecond))
+	qt.Check(t, a.status, qt.Equals, 200, qt.Commentf("%s", a.body))
+	qt.Check(t, took <= takeoverBound, qt.IsTrue, qt.Commentf("%v", took))
+	a = <-inFlight
+	qt.Check(t, strings.HasSuffix(a.body, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%v %q", a.err, tail(a.body)))
+}
