--- /dev/null
+++ b/cmd/auburncapacity/main.go
@@ -0,0 +1,187 @@
+// Command auburncapacity measures running daemons for docs/CAPACITY.md; see
+// scripts/capacity.sh.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"auburnstep.example/auburnstep/internal/capacity"
+)
+
+type cli struct {
+	Load     loadCommand     `cmd:"" help:"Bring the settings to a number of customers."`
+	Feed     feedCommand     `cmd:"" help:"Poll the control members from a number of instances."`
+	Fresh    freshCommand    `cmd:"" help:"Start an instance without settings."`
+	Messages messagesCommand `cmd:"" help:"Send the messages of an entry to a scheduler."`
+	Bookings bookingsCommand `cmd:"" help:"Begin and finish bookings."`
+	Streams  streamsCommand  `cmd:"" help:"Send requests to an entry."`
+	InFlight inFlightCommand `cmd:"" help:"Hold streams at an entry."`
+	Memory   memoryCommand   `cmd:"" help:"Sample the memory of a daemon."`
+	Sync     syncCommand     `cmd:"" help:"Append to a file and sync it."`
+	Name     nameCommand     `cmd:"" help:"Print the name of the instance that is to hold the group."`
+	Fit      fitCommand      `cmd:"" help:"Read raw rows and write the table of slopes."`
+}
+
+var rows = capacity.Rows{W: os.Stdout}
+
+type members struct {
+	Control []string `help:"Peer addresses of control members." required:""`
+}
+
+type loadCommand struct {
+	members
+	Present   int `help:"Customers that exist."`
+	Customers int `help:"Customers to reach."`
+	Groups    int `help:"Scheduler groups of the service." default:"1"`
+}
+
+// Run implements the subcommand.
+func (c *loadCommand) Run(ctx context.Context) error {
+	return capacity.NewControl(c.Control).Load(ctx, rows, c.Present, c.Customers, c.Groups)
+}
+
+type feedCommand struct {
+	members
+	Instances int           `help:"Instances that poll." required:""`
+	Label     string        `help:"Start of the names of the quantities." default:"feed"`
+	Size      float64       `help:"Size to note; the number of instances by default."`
+	Window    time.Duration `help:"Time to measure." default:"8s"`
+	Every     time.Duration `help:"Time between settings changes; none by default."`
+}
+
+// Run implements the subcommand.
+func (c *feedCommand) Run(ctx context.Context) error {
+	f, err := capacity.StartFleet(ctx, capacity.NewControl(c.Control), c.Instances)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	// Groups of an earlier fleet get their new holders.
+	time.Sleep(4 * time.Second)
+	if c.Size == 0 {
+		c.Size = float64(c.Instances)
+	}
+	return f.Measure(ctx, rows, c.Label, c.Size, c.Window, c.Every)
+}
+
+type freshCommand struct {
+	members
+	Size float64 `help:"Number of customers to note." required:""`
+}
+
+// Run implements the subcommand.
+func (c *freshCommand) Run(ctx context.Context) error {
+	return capacity.NewControl(c.Control).Fresh(ctx, rows, c.Size)
+}
+
+type messagesCommand struct {
+	members
+	Held []int `help:"Numbers of grants in use." default:"0,16,64,256"`
+}
+
+// Run implements the subcommand.
+func (c *messagesCommand) Run(ctx context.Context) error {
+	s, err := capacity.NewScheduler(ctx, capacity.NewControl(c.Control))
+	if err != nil {
+		return err
+	}
+	return s.Run(ctx, rows, c.Held)
+}
+
+type bookingsCommand struct {
+	members
+	Bookings int `help:"Bookings to make." default:"2000"`
+	Parallel int `help:"Bookings at once." default:"16"`
+}
+
+// Run implements the subcommand.
+func (c *bookingsCommand) Run(ctx context.Context) error {
+	return capacity.NewControl(c.Control).Bookings(ctx, rows, c.Bookings, c.Parallel)
+}
+
+type entryAt struct {
+	Entry   string `help:"Address of the entry." required:""`
+	Metrics string `help:"Address of its metrics." required:""`
+}
+
+type streamsCommand struct {
+	entryAt
+	Tokens   int `help:"Tokens of a response." required:""`
+	Streams  int `help:"Streams at once." default:"64"`
+	Requests int `help:"Requests to send." default:"512"`
+}
+
+// Run implements the subcommand.
+func (c *streamsCommand) Run(ctx context.Context) error {
+	return capacity.NewEntry(c.Entry, c.Metrics).Streams(ctx, rows, c.Tokens, c.Streams, c.Requests)
+}
+
+type inFlightCommand struct {
+	entryAt
+	Streams int           `help:"Streams to hold." required:""`
+	Hold    time.Duration `help:"Time to hold them." default:"4s"`
+}
+
+// Run implements the subcommand.
+func (c *inFlightCommand) Run(ctx context.Context) error {
+	return capacity.NewEntry(c.Entry, c.Metrics).InFlight(ctx, rows, c.Streams, c.Hold)
+}
+
+type memoryCommand struct {
+	Label   string        `help:"Start of the names of the quantities." required:""`
+	Metrics string        `help:"Address of the metrics of the daemon." required:""`
+	Size    float64       `help:"Size to note."`
+	Window  time.Duration `help:"Time to sample." default:"3s"`
+}
+
+// Run implements the subcommand.
+func (c *memoryCommand) Run() error {
+	return capacity.Memory(rows, c.Label, c.Metrics, c.Size, c.Window)
+}
+
+type syncCommand struct {
+	Dir   string `help:"Folder of the file." required:""`
+	Sizes []int  `help:"Bytes to append at once." default:"512,4096,65536"`
+}
+
+// Run implements the subcommand.
+func (c *syncCommand) Run() error { return capacity.Sync(rows, c.Dir, c.Sizes) }
+
+type nameCommand struct{}
+
+// Run implements the subcommand.
+func (c *nameCommand) Run() error {
+	fmt.Println(capacity.HolderName())
+	return nil
+}
+
+type fitCommand struct {
+	File string `arg:"" help:"File of raw rows."`
+}
+
+// Run implements the subcommand.
+func (c *fitCommand) Run() error {
+	f, err := os.Open(c.File)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	all, err := capacity.ParseRows(f)
+	if err != nil {
+		return err
+	}
+	capacity.Table(os.Stdout, all, capacity.Targets())
+	return nil
+}
+
+func main() {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	k := kong.Parse(&cli{}, kong.Name("auburncapacity"), kong.BindTo(ctx, (*context.Context)(nil)))
+	k.FatalIfErrorf(k.Run())
+}
