--- a/cmd/auburncapacity/main.go
+++ b/cmd/auburncapacity/main.go
@@ -22,6 +22,8 @@
 	Streams  streamsCommand  `cmd:"" help:"Send requests to an entry."`
 	InFlight inFlightCommand `cmd:"" help:"Hold streams at an entry."`
 	Memory   memoryCommand   `cmd:"" help:"Sample the memory of a daemon."`
+	Idle     idleCommand     `cmd:"" help:"Measure a daemon without requests."`
+	Storm    stormCommand    `cmd:"" help:"Start many instances without settings at once."`
 	Sync     syncCommand     `cmd:"" help:"Append to a file and sync it."`
 	Name     nameCommand     `cmd:"" help:"Print the name of the instance that is to hold the group."`
 	Fit      fitCommand      `cmd:"" help:"Read raw rows and write the table of slopes."`
@@ -144,6 +146,24 @@
 	return capacity.Memory(rows, c.Label, c.Metrics, c.Size, c.Window)
 }
 
+type idleCommand struct{ memoryCommand }
+
+// Run implements the subcommand.
+func (c *idleCommand) Run() error {
+	return capacity.Idle(rows, c.Label, c.Metrics, c.Size, c.Window)
+}
+
+type stormCommand struct {
+	members
+	Instances int           `help:"Instances to start." required:""`
+	Bound     time.Duration `help:"Time to wait for whole views." default:"30s"`
+}
+
+// Run implements the subcommand.
+func (c *stormCommand) Run(ctx context.Context) error {
+	return capacity.NewControl(c.Control).Storm(ctx, rows, c.Instances, c.Bound)
+}
+
 type syncCommand struct {
 	Dir   string `help:"Folder of the file." required:""`
 	Sizes []int  `help:"Bytes to append at once." default:"512,4096,65536"`
--- a/internal/capacity/feed.go
+++ b/internal/capacity/feed.go
@@ -178,6 +178,8 @@
 	rows.Add(label+": polls per second and instance", size, n/seconds/instances, "1/s")
 	rows.Add(label+": bytes per second and instance, headers included", size, (float64(f.wire.in.Load()-in+f.wire.out.Load()-out)+float64((f.wire.segments()-segments)*segmentHeader))/seconds/instances, "B/s")
 	rows.Add(label+": leader's processor share", size+all-instances, 100*(leaderNow.cpu-leader.cpu).Seconds()/seconds, "%")
+	rows.Add(label+": leader's heap", size+all-instances, leaderNow.heap, "B")
+	rows.Add(label+": leader's resident memory", size+all-instances, leaderNow.resident, "B")
 	rows.Add(label+": share of polls with the directory", size, 100*float64(f.caller.directories.Load()-directories)/n, "%")
 	rows.Add("directory part of an answer", size, float64(f.caller.directory.Load()), "B")
 	if len(lags) > 0 {
@@ -212,6 +214,50 @@
 	return lags, nil
 }
 
+// Storm starts n instances without settings at once, as after the loss of a
+// failure domain, and writes the time until a half and all of them have a whole
+// view, or the number that have none when the time is over.
+func (c *Control) Storm(ctx context.Context, rows Rows, n int, bound time.Duration) error {
+	if err := c.find(ctx); err != nil {
+		return err
+	}
+	leader, err := daemonUsage(metricsAddress(c.leader))
+	if err != nil {
+		return err
+	}
+	f := &Fleet{control: c, caller: newCounts()}
+	run, cancel := context.WithCancel(ctx)
+	f.cancel = cancel
+	defer f.Stop()
+	begin := time.Now()
+	for i := range n {
+		nd := f.newNode(i)
+		f.nodes = append(f.nodes, nd)
+		f.done.Add(1)
+		go func() { defer f.done.Done(); _ = nd.client.Start(run) }()
+	}
+	size, half, whole := float64(n), false, 0
+	for whole < n && time.Since(begin) < bound {
+		time.Sleep(10 * time.Millisecond)
+		whole = 0
+		for _, nd := range f.nodes {
+			if nd.client.View().Version >= c.version {
+				whole++
+			}
+		}
+		if !half && 2*whole >= n {
+			half = true
+			rows.Add("storm: time until half have the settings", size, time.Since(begin).Seconds(), "s")
+		}
+	}
+	rows.Add("storm: time until all have the settings, or the end", size, time.Since(begin).Seconds(), "s")
+	rows.Add("storm: instances without settings at the end", size, float64(n-whole), "")
+	rows.Add("storm: bytes received in all", size, float64(f.wire.in.Load()), "B")
+	now, err := daemonUsage(metricsAddress(c.leader))
+	rows.Add("storm: processor time of the leader", size, (now.cpu - leader.cpu).Seconds(), "s")
+	return err
+}
+
 // Fresh starts one instance without settings and measures what it takes until
 // its view is whole, and then what one small change takes.
 func (c *Control) Fresh(ctx context.Context, rows Rows, size float64) error {
--- a/internal/capacity/streams.go
+++ b/internal/capacity/streams.go
@@ -182,3 +182,21 @@
 	}
 	return nil
 }
+
+// Idle writes what a daemon uses without requests.
+func Idle(rows Rows, label, metrics string, size float64, window time.Duration) error {
+	before, err := daemonUsage(metrics)
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	time.Sleep(window)
+	after, err := daemonUsage(metrics)
+	if err != nil {
+		return err
+	}
+	seconds := time.Since(begin).Seconds()
+	rows.Add(label+": processor share", size, 100*(after.cpu-before.cpu).Seconds()/seconds, "%")
+	rows.Add(label+": allocated bytes per second", size, (after.malloc-before.malloc)/seconds, "B/s")
+	return nil
+}
