--- a/internal/control/chores.go
+++ b/internal/control/chores.go
@@ -13,11 +13,15 @@
 
 // choresLoop does what only the leader does without being asked.
 func (m *Member) choresLoop(ctx context.Context) error {
-	var expired time.Time
+	var expired, gauged time.Time
 	for {
 		if err := sleep(ctx, choresInterval); err != nil {
 			return nil
 		}
+		if time.Since(gauged) >= gaugeInterval {
+			gauged = time.Now()
+			m.gauge()
+		}
 		term, ok := m.lease()
 		if !ok {
 			continue
@@ -74,10 +78,11 @@
 	return d
 }
 
-// retention returns the longest time for which any customer wants outcomes to
-// be kept. Records are expired by one bound for all.
+// retention returns the longest time for which outcomes are to be kept for any
+// customer. Records are expired by one bound for all.
 func retention(t *settings.Tree) time.Duration {
-	longest := defaultRetention
+	v, _, _ := t.Lookup(settings.Root, settings.KeyBookingRetention)
+	longest := v.Duration()
 	for n := range t.Nodes {
 		for _, s := range n.Settings() {
 			if s.Key == settings.KeyBookingRetention {
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -69,7 +69,6 @@
 	defaultElectionTicks  = 10
 	defaultSnapshotEvery  = 4096
 	defaultCallTimeout    = time.Second
-	defaultRetention      = 24 * time.Hour
 	snapshotSendTimeout   = 10 * time.Second
 	stepTimeout           = 500 * time.Millisecond
 	maxProposalsPerRound  = 256
@@ -81,6 +80,7 @@
 	maxMessagesPerStep    = 64
 	maxTicksCaughtUp      = 64
 	choresInterval        = 100 * time.Millisecond
+	gaugeInterval         = time.Second
 	expireInterval        = 10 * time.Second
 	expireBatch           = 1000
 	maxOutcomeBytes       = 256 << 10
@@ -88,6 +88,7 @@
 	maxKeyBytes           = 512
 	maxAttemptBytes       = 128
 	instanceLiveFor       = 1500 * time.Millisecond
+	entriesAge            = 100 * time.Millisecond
 	groupLeaseMargin      = 200 * time.Millisecond
 	directoryWarmup       = time.Second
 	joinInterval          = 500 * time.Millisecond
