--- a/cmd/auburncapacity/main.go
+++ b/cmd/auburncapacity/main.go
@@ -24,6 +24,7 @@
 	Memory   memoryCommand   `cmd:"" help:"Sample the memory of a daemon."`
 	Idle     idleCommand     `cmd:"" help:"Measure a daemon without requests."`
 	Storm    stormCommand    `cmd:"" help:"Start many instances without settings at once."`
+	Commands commandsCommand `cmd:"" help:"Write the sizes of commands in the replicated log."`
 	Sync     syncCommand     `cmd:"" help:"Append to a file and sync it."`
 	Name     nameCommand     `cmd:"" help:"Print the name of the instance that is to hold the group."`
 	Fit      fitCommand      `cmd:"" help:"Read raw rows and write the table of slopes."`
@@ -164,6 +165,11 @@
 	return capacity.NewControl(c.Control).Storm(ctx, rows, c.Instances, c.Bound)
 }
 
+type commandsCommand struct{}
+
+// Run implements the subcommand.
+func (c *commandsCommand) Run() error { return capacity.Commands(rows) }
+
 type syncCommand struct {
 	Dir   string `help:"Folder of the file." required:""`
 	Sizes []int  `help:"Bytes to append at once." default:"512,4096,65536"`
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -8,7 +8,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=${1:-capacity-out}
-parts=${PARTS:-streams messages feed groups fresh bookings sync bench}
+parts=${PARTS:-streams messages feed groups fresh storm bookings sync bench}
 repeats=${REPEATS:-3}
 sizes=${SIZES:-8 64 256}
 mkdir -p "$out"
@@ -87,6 +87,8 @@
     load 100 "$groups"
     for _ in $(seq "$repeats"); do
       measure feed --control "$members" --instances 64 --label "feed of 64 instances by groups" --size "$groups" --window 6s
+      sleep 3
+      measure idle --label "daemon without requests by groups" --metrics "$net.4:7002" --size "$groups" --window 5s
     done
   done
   load 100 1
@@ -105,10 +107,17 @@
       for m in 1 2 3; do measure memory --label "daemon by customers, control member $m" --metrics "$net.$m:7002" --size "$n" --window 1s; done
     done
   done
+  sleep 3
   for _ in $(seq "$repeats"); do
     measure feed --control "$members" --instances 64 --label "feed of 33000 customers with a change a second" --window 6s --every 1s
   done
 fi
+if wanted storm; then
+  load 33000
+  for n in 1 9 36; do
+    for _ in $(seq "$repeats"); do measure storm --control "$members" --instances "$n" --bound 30s; done
+  done
+fi
 if wanted sync; then
   for _ in $(seq "$repeats"); do measure sync --dir "$out"; done
 fi
