--- a/internal/capacity/commands.go
+++ b/internal/capacity/commands.go
@@ -6,7 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"auburnstep.example/auburnstep/internal/consensus"
-	"auburnstep.example/auburnstep/internal/consensus/wire"
+	codec "auburnstep.example/auburnstep/internal/consensus/wire"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/settings"
 )
@@ -34,7 +34,7 @@
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		m := wire.FromMessage(consensus.Message{Entries: []consensus.Entry{{Index: 1 << 30, Term: 100, Data: data}}})
+		m := codec.FromMessage(consensus.Message{Entries: []consensus.Entry{{Index: 1 << 30, Term: 100, Data: data}}})
 		rows.Add("command, "+c.name+": log entry", 1, float64(len(data)), "B")
 		rows.Add("command, "+c.name+": message between members", 1, float64(proto.Size(m)), "B")
 	}
