--- a/internal/capacity/feed.go
+++ b/internal/capacity/feed.go
@@ -177,9 +177,14 @@
 	rows.addUsage(label+", instance per poll", size, ownNow.since(own), n)
 	rows.Add(label+": polls per second and instance", size, n/seconds/instances, "1/s")
 	rows.Add(label+": bytes per second and instance, headers included", size, (float64(f.wire.in.Load()-in+f.wire.out.Load()-out)+float64((f.wire.segments()-segments)*segmentHeader))/seconds/instances, "B/s")
-	rows.Add(label+": leader's processor share", size+all-instances, 100*(leaderNow.cpu-leader.cpu).Seconds()/seconds, "%")
-	rows.Add(label+": leader's heap", size+all-instances, leaderNow.heap, "B")
-	rows.Add(label+": leader's resident memory", size+all-instances, leaderNow.resident, "B")
+	// The leader as a whole depends on all that poll it.
+	polling := size
+	if size == instances {
+		polling = all
+	}
+	rows.Add(label+": leader's processor share", polling, 100*(leaderNow.cpu-leader.cpu).Seconds()/seconds, "%")
+	rows.Add(label+": leader's heap", polling, leaderNow.heap, "B")
+	rows.Add(label+": leader's resident memory", polling, leaderNow.resident, "B")
 	rows.Add(label+": share of polls with the directory", size, 100*float64(f.caller.directories.Load()-directories)/n, "%")
 	rows.Add("directory part of an answer", size, float64(f.caller.directory.Load()), "B")
 	if len(lags) > 0 {
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -117,8 +117,9 @@
 
 // Targets are the sizes of section 1.8 of docs/design.md.
 func Targets() []Target {
-	const nodes, customers, tokens, streams = 390, 33_000, 422, 177
+	const nodes, customers, tokens, streams, groups = 390, 33_000, 422, 179, 20
 	return []Target{
+		{"feed of 64 instances by groups", groups}, {"feed of 33000", 64}, {"daemon without requests by groups", groups},
 		{"feed", nodes}, {"directory", nodes}, {"snapshot", customers}, {"delta", customers}, {"settings", customers},
 		{"daemon by customers", customers}, {"entry, per request", tokens}, {"entry by streams", streams}, {"message renew by", streams},
 	}
--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -197,8 +197,8 @@
 		return err
 	}
 	size := float64(parallel)
-	rows.Add("booking of three members without a disk: rate", size, float64(n)/seconds, "1/s")
-	rows.Add("booking of three members without a disk: latency of begin and finish", size, seconds*1e3*size/float64(n), "ms")
+	rows.Add("booking of three members: rate", size, float64(n)/seconds, "1/s")
+	rows.Add("booking of three members: latency of begin and finish", size, seconds*1e3*size/float64(n), "ms")
 	rows.addUsage("booking, leader", size, after.since(before), float64(n))
 	return nil
 }
