--- a/internal/schedulerhost/group.go
+++ b/internal/schedulerhost/group.go
@@ -34,9 +34,14 @@
 	ring    *ring.Ring[func(now time.Time)]
 	report  atomic.Pointer[controlv1.GroupReport]
 
-	core     *scheduler.Core
+	core *scheduler.Core
+	// shared says that the limits of customers are divided among the groups of
+	// the service. The budget is set in the group that owns them.
+	shared   bool
+	budget   *limit.Budget
 	index    *settings.Index
 	waiters  map[string]*waiter
+	known    map[string]bool // endpoints at the last report
 	reported time.Time
 
 	granted, refused, rejected tally.Counter
@@ -49,7 +54,7 @@
 	reply chan scheduler.Decision
 }
 
-func newGroup(h *Host, l Lease) (*group, bool) {
+func newGroup(h *Host, l Lease, restarted bool) (*group, bool) {
 	service, _, _ := strings.Cut(l.Group, "/")
 	index := h.source.Index()
 	policy, ok := index.Service(service)
@@ -68,8 +73,17 @@
 		granted: scope.Counter("granted"), refused: scope.Counter("refused"), rejected: scope.Counter("calls_rejected"),
 		waiting: scope.Gauge("waiting"), inFlight: scope.Gauge("in_flight"),
 	}
-	config := scheduler.Config{Group: l.Group, Kind: kind, Epoch: l.Epoch, Successor: l.Epoch > 1, Entries: h.source.Entries()}
-	g.core = scheduler.New(time.Now(), config, groupPolicy(index, service))
+	now := time.Now()
+	g.shared = sharesLimits(index, service)
+	// A group whose number of siblings changed starts again under its epoch.
+	// Entries then hold grants of the earlier core, as after a take-over.
+	successor := l.Epoch > 1 || restarted
+	if g.shared && l.Group == ownerOf(service) {
+		g.budget = limit.NewBudget(now, shareLease, successor)
+	}
+	g.core = scheduler.New(now, scheduler.Config{
+		Group: l.Group, Kind: kind, Epoch: l.Epoch, Successor: successor, Entries: h.source.Entries(), SharedLimits: g.shared,
+	}, groupPolicy(index, service))
 	return g, true
 }
 
@@ -156,6 +170,9 @@
 		g.core.Configure(now, groupPolicy(index, g.service))
 	}
 	g.deliver(g.core.Tick(now))
+	if g.budget != nil {
+		g.budget.Expire(now)
+	}
 	if now.Sub(g.reported) >= reportInterval {
 		g.reported = now
 		g.publish(now)
@@ -211,7 +228,26 @@
 			}
 		}
 	}
+	g.noteEndpoints(s.Endpoints)
 	g.report.Store(r)
 	g.waiting.Update(float64(r.Waiting))
 	g.inFlight.Update(float64(r.InFlight))
 }
+
+// noteEndpoints records which endpoints came and went since the last report.
+func (g *group) noteEndpoints(endpoints []scheduler.EndpointStatus) {
+	now := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		now[e.Endpoint.ID] = true
+		if !g.known[e.Endpoint.ID] {
+			g.host.events.Emit(eventJoined, event.F("group", g.name), event.F("endpoint", e.Endpoint.ID),
+				event.F("address", e.Endpoint.Address), event.F("failure_domain", e.Endpoint.FailureDomain))
+		}
+	}
+	for id := range g.known {
+		if !now[id] {
+			g.host.events.Emit(eventLeft, event.F("group", g.name), event.F("endpoint", id))
+		}
+	}
+	g.known = now
+}
