--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"auburnstep.example/auburnstep/internal/control/feed"
+	"auburnstep.example/auburnstep/internal/placement"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/schedulerhost"
 	"auburnstep.example/auburnstep/internal/settings"
@@ -57,6 +58,9 @@
 	held := v.feed.Held()
 	out := make([]schedulerhost.Lease, 0, len(held))
 	for group, l := range held {
+		if group == settings.PlacementGroup {
+			continue
+		}
 		out = append(out, schedulerhost.Lease{Group: group, Epoch: l.Epoch, Until: l.Until})
 	}
 	return out
@@ -68,7 +72,13 @@
 	return schedulerhost.Lease{Group: group, Epoch: epoch, Until: until}, epoch != 0
 }
 
-// Groups implements grants.Directory.
+// placementLease returns the lease of model placement.
+func (v *view) placementLease() (placement.Lease, bool) {
+	epoch, until := v.feed.Holds(settings.PlacementGroup)
+	return placement.Lease{Epoch: epoch, Until: until}, epoch != 0
+}
+
+// Groups implements grants.Directory and placement.Directory.
 func (v *view) Groups(service string) []string {
 	s, ok := v.Index().Service(service)
 	if !ok {
@@ -84,9 +94,11 @@
 // AllGroups implements grants.Directory.
 func (v *view) AllGroups() []string {
 	assignments := v.feed.View().Assignments
-	out := make([]string, len(assignments))
-	for i, a := range assignments {
-		out[i] = a.Group
+	out := make([]string, 0, len(assignments))
+	for _, a := range assignments {
+		if a.Group != settings.PlacementGroup {
+			out = append(out, a.Group)
+		}
 	}
 	return out
 }
