entry: bound the memory and number of requests in flight

Cause: bodies of up to 64 MiB each were read with no bound over all requests, and a collected chat answer had no bound at all.

A body with a Content-Length is accounted before it is read. Ruled out: strict tier order (a burst of the top tier starves the others) and cutting collected answers for lack of memory (wastes tokens that ran). A collected answer is bounded by 8 MiB, a recorded one by 256 KiB.

The parsed request and the body as read are no longer kept while the answer takes.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"auburnstep.example/auburnstep/internal/entry"
+	"auburnstep.example/auburnstep/internal/settings"
 )
 
 // Config holds the process settings of one instance. Everything else is in the
@@ -40,6 +43,9 @@
 	CallerTLSCert string `name:"caller-tls-cert" env:"AUBURNSTEP_CALLER_TLS_CERT" help:"PEM certificate towards callers and endpoints."`
 	CallerTLSKey  string `name:"caller-tls-key" env:"AUBURNSTEP_CALLER_TLS_KEY" help:"PEM key towards callers and endpoints."`
 
+	BodyMemory  string `default:"256MiB" env:"AUBURNSTEP_BODY_MEMORY" help:"Memory for request bodies and collected answers in flight, 128MiB to 64GiB."`
+	MaxRequests int64  `default:"4096" env:"AUBURNSTEP_MAX_REQUESTS" help:"Requests of callers in flight, 16 to 1000000."`
+
 	LogLevel  string        `default:"info" env:"AUBURNSTEP_LOG_LEVEL" help:"Lowest level that is logged: debug, info, warning or error."`
 	DrainWait time.Duration `default:"12s" env:"AUBURNSTEP_DRAIN_WAIT" help:"Time between leaving the list of entries and closing the listener, 0s to 10m. Callers keep the list for 10 s."`
 }
@@ -56,6 +62,13 @@
 	return fmt.Sprintf("--%s is %q; allowed is %s", e.Flag, e.Value, e.Allowed)
 }
 
+const (
+	// minRequests leaves each tier at least two requests of its own.
+	minRequests   = 16
+	maxRequests   = 1_000_000
+	maxBodyMemory = 64 << 30
+)
+
 // maxWeight bounds --weight so that sums of weights stay small numbers.
 const maxWeight = 1000
 
@@ -80,6 +93,12 @@
 	if c.DrainWait < 0 || c.DrainWait > 10*time.Minute {
 		return &FlagError{"drain-wait", c.DrainWait.String(), "0s to 10m"}
 	}
+	if _, err := c.bodyMemory(); err != nil {
+		return err
+	}
+	if c.MaxRequests < minRequests || c.MaxRequests > maxRequests {
+		return &FlagError{"max-requests", strconv.FormatInt(c.MaxRequests, 10), "16 to 1000000"}
+	}
 	if _, err := c.level(); err != nil {
 		return &FlagError{"log-level", c.LogLevel, "debug, info, warning or error"}
 	}
@@ -175,6 +194,15 @@
 	return nil
 }
 
+// bodyMemory returns --body-memory in bytes.
+func (c *Config) bodyMemory() (int64, error) {
+	n, err := settings.ParseSize(c.BodyMemory)
+	if err != nil || n < entry.MinBodyMemory || n > maxBodyMemory {
+		return 0, &FlagError{"body-memory", c.BodyMemory, "128MiB to 64GiB, with a unit"}
+	}
+	return n, nil
+}
+
 func (c *Config) level() (logrus.Level, error) {
 	l, err := logrus.ParseLevel(c.LogLevel)
 	if err != nil || l > logrus.DebugLevel || l < logrus.ErrorLevel {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -216,6 +216,10 @@
 	if err != nil {
 		return err
 	}
+	bodyMemory, err := d.config.bodyMemory()
+	if err != nil {
+		return err
+	}
 	client, err := kernel.Lookup[*grants.Client](d.kernel, ServiceGrants)
 	if err != nil {
 		return err
@@ -229,6 +233,7 @@
 		Directory: d.view, Dial: d.dialScheduler, Bookings: records{bookings},
 		Upstream: upstream.New(upstream.Options{Scope: d.metrics.Scope, Events: d.events}),
 		Events:   d.events, Scope: d.metrics.Scope, Draining: d.view.draining, DrainWait: d.config.DrainWait,
+		BodyMemory: bodyMemory, MaxRequests: d.config.MaxRequests,
 	}))
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -39,10 +39,8 @@
 }
 
 // newAttempts returns the retry layer for a request.
-func newAttempts(s *Server, q *request) *attempts {
-	return &attempts{s: s, q: q, worst: verdict.NotRun, demand: &schedulerv1.Request{
-		Customer: q.customer, Class: q.class.Class, MayRepeat: q.class.Idempotent,
-	}}
+func newAttempts(s *Server, q *request, demand *schedulerv1.Request) *attempts {
+	return &attempts{s: s, q: q, worst: verdict.NotRun, demand: demand}
 }
 
 // run tries the request until it succeeds or may not be retried.
@@ -107,7 +105,7 @@
 // request that must not repeat is retried only with proof that it did not run.
 // A request that the endpoint rejected as invalid fails everywhere.
 func retryable(err error, v *verdict.Error, idempotent bool) bool {
-	if errors.Is(err, errCallerGone) {
+	if errors.Is(err, errCallerGone) || v.Code == codeAnswerTooLarge {
 		return false
 	}
 	switch upstream.ReasonOf(err) {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -13,6 +13,7 @@
 	"auburnstep.example/auburnstep/internal/grants"
 	"auburnstep.example/auburnstep/internal/openai"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
+	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
 	"auburnstep.example/auburnstep/internal/settings"
 	"auburnstep.example/auburnstep/internal/upstream"
 	"auburnstep.example/auburnstep/internal/verdict"
@@ -20,7 +21,12 @@
 
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(w http.ResponseWriter, r *http.Request, q *request) *verdict.Error {
-	body, refusal := readBody(w, r, largestBody(q.index, q.index.Services(), q.customer))
+	held, refusal := s.enter(chatTier(q, r.Header))
+	if refusal != nil {
+		return refusal
+	}
+	defer held.leave()
+	body, refusal := readBounded(w, r, largestBody(q.index, q.index.Services(), q.customer), held)
 	if refusal != nil {
 		return refusal
 	}
@@ -37,12 +43,13 @@
 	if int64(len(body)) > q.class.BodyMax {
 		return tooLarge(q.class.BodyMax)
 	}
+	held.settle(min(q.class.Tier, lowestTier))
 	streamed, err := upstream.StreamBody(body)
 	if err != nil {
 		return verdict.Refused(http.StatusBadRequest, "invalid_request", "the body is not a JSON object")
 	}
 	s.o.Events.Emit(eventAccepted, q.fields(event.F("model", parsed.Model), event.F("bytes", len(body)))...)
-	c := &chatCall{s: s, q: q, request: parsed, body: streamed}
+	c := &chatCall{s: s, q: q, held: held, body: streamed, demand: demandOf(q, parsed)}
 	ctx, cancel := q.context(r)
 	defer cancel()
 	if q.key != "" {
@@ -51,7 +58,7 @@
 	if parsed.Stream {
 		c.sink = newStreamSink(w)
 	} else {
-		c.sink = newWholeSink(w, q.id, parsed)
+		c.sink = c.wholeSink(w, maxWholeAnswer)
 	}
 	return c.serve(ctx)
 }
@@ -89,11 +96,14 @@
 
 // chatCall is one chat request on its way to engines and back.
 type chatCall struct {
-	s       *Server
-	q       *request
-	request *openai.ChatRequest
-	body    []byte
-	sink    sink
+	s *Server
+	q *request
+	// demand stands for the parsed request, whose copy of the prompt would
+	// stay in memory for as long as the answer takes.
+	demand *schedulerv1.Request
+	body   []byte
+	held   *room
+	sink   sink
 
 	delivered  int
 	firstToken time.Duration
@@ -129,12 +139,22 @@
 }
 
 func (c *chatCall) run(ctx context.Context) *verdict.Error {
-	a := newAttempts(c.s, c.q)
-	a.demand.Model = c.request.Model
-	a.demand.PromptTokens = uint32(c.request.PromptTokens())
-	a.demand.MaxTokens = uint32(c.request.TokenLimit())
-	a.demand.Prefixes = c.request.Prefixes()
-	return a.run(ctx, c.attempt)
+	return newAttempts(c.s, c.q, c.demand).run(ctx, c.attempt)
+}
+
+// demandOf describes a chat request to the scheduler.
+func demandOf(q *request, r *openai.ChatRequest) *schedulerv1.Request {
+	d := q.demand()
+	d.Model = r.Model
+	d.PromptTokens = uint32(r.PromptTokens())
+	d.MaxTokens = uint32(r.TokenLimit())
+	d.Prefixes = r.Prefixes()
+	return d
+}
+
+// wholeSink returns a sink that collects at most limit bytes.
+func (c *chatCall) wholeSink(w http.ResponseWriter, limit int) *wholeSink {
+	return &wholeSink{w: w, id: c.q.id, model: c.demand.Model, prompt: int(c.demand.PromptTokens), held: c.held, limit: limit}
 }
 
 // attempt streams from one engine, starting behind what the caller has.
@@ -165,8 +185,8 @@
 			}
 		}
 		c.delivered += chunk.Tokens
-		if c.sink.chunk(chunk) != nil {
-			return result{tokens: c.delivered - before, firstToken: first, err: errCallerGone}
+		if err := c.sink.chunk(chunk); err != nil {
+			return result{tokens: c.delivered - before, firstToken: first, err: err}
 		}
 	}
 }
@@ -191,7 +211,7 @@
 // answer as an outcome. Such an answer is never streamed, because a duplicate
 // must be able to get all of it.
 func (c *chatCall) recorded(ctx context.Context) (*controlv1.BookingOutcome, *verdict.Error) {
-	whole := newWholeSink(nil, c.q.id, c.request)
+	whole := c.wholeSink(nil, maxStoredOutcome)
 	c.sink = whole
 	if err := c.run(ctx); err != nil {
 		return nil, err
@@ -200,5 +220,8 @@
 	if err != nil {
 		return nil, verdict.From(err)
 	}
+	if len(body) > maxStoredOutcome {
+		return nil, answerTooLarge(maxStoredOutcome)
+	}
 	return &controlv1.BookingOutcome{Status: http.StatusOK, ContentType: "application/json", Body: body}, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -73,6 +74,10 @@
 	Upstream       *upstream.Client
 	Events         *event.Recorder
 	Scope          tally.Scope
+	// BodyMemory bounds the bytes of request bodies and collected answers that
+	// are held at once, MaxRequests the requests in flight. 0 takes the defaults.
+	BodyMemory  int64
+	MaxRequests int64
 	// Draining is set when the instance leaves the list of entries.
 	Draining *atomic.Bool
 	// DrainWait is the time between leaving the list of entries and closing the
@@ -86,7 +91,9 @@
 	o        Options
 	http     *http.Server
 	inFlight atomic.Int64
-	metrics  requestMetrics
+	// bodies and requests bound what callers' requests hold at once.
+	bodies, requests *pool
+	metrics          requestMetrics
 	// announced remembers the models that endpoints announce.
 	announced modelTable
 }
@@ -96,7 +103,8 @@
 	if o.Draining == nil {
 		o.Draining = new(atomic.Bool)
 	}
-	s := &Server{o: o, metrics: newRequestMetrics(o.Scope)}
+	s := &Server{o: o, bodies: &pool{total: cmp.Or(o.BodyMemory, DefaultBodyMemory)},
+		requests: &pool{total: cmp.Or(o.MaxRequests, DefaultMaxRequests)}, metrics: newRequestMetrics(o.Scope)}
 	s.http = &http.Server{
 		Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/textproto"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +17,7 @@
 	openai "github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
+	"auburnstep.example/auburnstep/internal/entry"
 	"auburnstep.example/auburnstep/internal/fakeengine"
 	"auburnstep.example/auburnstep/internal/settings"
 	"auburnstep.example/auburnstep/internal/testkit"
@@ -147,6 +151,54 @@
 	qt.Check(t, res.Header.Get("Retry-After"), qt.Equals, "1")
 }
 
+// head sends the head of a request that announces a body, and returns what the
+// server answers before any byte of the body.
+func head(t *testing.T, b *testkit.Bench, path string, length int) (status string, header http.Header) {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.URL, "http://"))
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { c.Close() })
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", path, key, length)
+	qt.Assert(t, err, qt.IsNil)
+	in := textproto.NewReader(bufio.NewReader(c))
+	status, err = in.ReadLine()
+	qt.Assert(t, err, qt.IsNil)
+	fields, err := in.ReadMIMEHeader()
+	qt.Assert(t, err, qt.IsNil)
+	return status, http.Header(fields)
+}
+
+// TestOverloadOfEntry guards against bodies that are read without room for
+// them, and against a lower tier that takes the room of a higher one.
+func TestOverloadOfEntry(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*entry.Options)
+		body   int
+		room   int // requests of the lowest tier that fit
+	}{
+		{"bytes", func(o *entry.Options) { o.BodyMemory = 8 << 10 }, 3000, 1},
+		{"requests", func(o *entry.Options) { o.MaxRequests = 8 }, 100, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := testkit.Start(t, declarations, test.change)
+			p := b.Engine(t, plainService())
+			for range test.room {
+				status, _ := head(t, b, "/v1/chat/completions", test.body)
+				qt.Assert(t, status, qt.Equals, "HTTP/1.1 100 Continue")
+			}
+			status, header := head(t, b, "/v1/chat/completions", test.body)
+			qt.Check(t, status, qt.Equals, "HTTP/1.1 503 Service Unavailable")
+			qt.Check(t, header.Get("X-Auburnstep-Verdict"), qt.Equals, "not-run")
+			qt.Check(t, header.Get("Retry-After"), qt.Equals, "1")
+			res, text := call{path: "/services/rota-app/x", body: strings.Repeat("a", test.body),
+				header: map[string]string{"X-Auburnstep-Class": "lookup"}}.send(t, b)
+			qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%s", text))
+			qt.Check(t, p.Stats().Received, qt.Equals, int64(1))
+		})
+	}
+}
+
 // TestOpenAIClient guards against answers that a real client library can not
 // read, and against parts that are missing or belong to another request.
 func TestOpenAIClient(t *testing.T) {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -27,14 +27,19 @@
 	if refusal := q.classify(r.Header); refusal != nil {
 		return refusal
 	}
-	body, refusal := readBody(w, r, q.class.BodyMax)
+	held, refusal := s.enter(min(q.class.Tier, lowestTier))
+	if refusal != nil {
+		return refusal
+	}
+	defer held.leave()
+	body, refusal := readBounded(w, r, q.class.BodyMax, held)
 	if refusal != nil {
 		return refusal
 	}
 	s.o.Events.Emit(eventAccepted, q.fields(event.F("method", r.Method), event.F("bytes", len(body)))...)
 	ctx, cancel := q.context(r)
 	defer cancel()
-	c := &plainCall{s: s, q: q, w: w, body: body, method: r.Method, target: plainTarget(r), header: plainHeader(r.Header)}
+	c := &plainCall{s: s, q: q, w: w, held: held, body: body, method: r.Method, target: plainTarget(r), header: plainHeader(r.Header)}
 	if q.key != "" {
 		return s.atMostOnce(ctx, w, q, bodyHash(r, body), c.recorded)
 	}
@@ -74,6 +79,7 @@
 	target string
 	header http.Header
 	body   []byte
+	held   *room
 	begun  bool
 }
 
@@ -89,7 +95,7 @@
 // serve passes an idempotent call on and streams its answer.
 func (c *plainCall) serve(ctx context.Context) *verdict.Error {
 	var first time.Duration
-	err := newAttempts(c.s, c.q).run(ctx, func(ctx context.Context, id string, l *grants.Lease) result {
+	err := newAttempts(c.s, c.q, c.q.demand()).run(ctx, func(ctx context.Context, id string, l *grants.Lease) result {
 		answer, err := c.s.o.Upstream.Do(ctx, c.call(id, l))
 		if err != nil {
 			return result{err: err}
@@ -167,7 +173,8 @@
 // is no outcome that duplicates could be told.
 func (c *plainCall) recorded(ctx context.Context) (*controlv1.BookingOutcome, *verdict.Error) {
 	var outcome *controlv1.BookingOutcome
-	err := newAttempts(c.s, c.q).run(ctx, func(ctx context.Context, id string, l *grants.Lease) result {
+	c.held.charge(maxStoredOutcome)
+	err := newAttempts(c.s, c.q, c.q.demand()).run(ctx, func(ctx context.Context, id string, l *grants.Lease) result {
 		call := c.call(id, l)
 		call.MaxAnswer = maxStoredOutcome
 		answer, err := c.s.o.Upstream.Do(ctx, call)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -10,6 +10,7 @@
 
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/openai"
+	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
 	"auburnstep.example/auburnstep/internal/settings"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
@@ -105,6 +106,11 @@
 	return nil
 }
 
+// demand describes the request to the scheduler.
+func (q *request) demand() *schedulerv1.Request {
+	return &schedulerv1.Request{Customer: q.customer, Class: q.class.Class, MayRepeat: q.class.Idempotent}
+}
+
 // context bounds the request by the deadline of its class.
 func (q *request) context(r *http.Request) (context.Context, context.CancelFunc) {
 	return context.WithDeadline(r.Context(), q.start.Add(q.class.Deadline))
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -35,24 +35,33 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// readBody reads at most limit bytes within bodyTimeout.
+// readBody reads the body of an announcement, at most limit bytes within bodyTimeout.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *verdict.Error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer setReadDeadline(w)()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	// The server watches for a closed connection while the request runs, which
-	// an expired read deadline would report falsely.
-	_ = control.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return nil, tooLarge(limit)
 	case err != nil:
-		return nil, verdict.Refused(http.StatusBadRequest, "body_unreadable", "the request body could not be read to its end").WithCause(err)
+		return nil, unreadable(err)
 	}
 	return body, nil
 }
 
+// setReadDeadline bounds the reading of a body and returns what ends the bound:
+// the server watches for a closed connection while the request runs, which an
+// expired read deadline would report falsely.
+func setReadDeadline(w http.ResponseWriter) (reset func()) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	return func() { _ = control.SetReadDeadline(time.Time{}) }
+}
+
+func unreadable(err error) *verdict.Error {
+	return verdict.Refused(http.StatusBadRequest, "body_unreadable", "the request body could not be read to its end").WithCause(err)
+}
+
 func tooLarge(limit int64) *verdict.Error {
 	return verdict.Refused(http.StatusRequestEntityTooLarge, "request_too_large",
 		"the request body exceeds the limit of "+strconv.FormatInt(limit, 10)+" bytes")
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,7 +15,8 @@
 
 // sink takes the answer of a chat request.
 type sink interface {
-	// chunk takes one piece. An error says that the caller is gone.
+	// chunk takes one piece. Its error ends the attempt: errCallerGone, or an
+	// answer that is larger than the sink may collect.
 	chunk(upstream.Chunk) error
 	// end completes a whole answer.
 	end() error
@@ -44,7 +46,10 @@
 	if s.started && c.Tokens == 0 && c.FinishReason == "" && c.Usage == nil {
 		return nil
 	}
-	return s.event(c.Raw)
+	if s.event(c.Raw) != nil {
+		return errCallerGone
+	}
+	return nil
 }
 
 func (s *streamSink) end() error { return s.event([]byte("[DONE]")) }
@@ -76,26 +81,49 @@
 	return s.control.Flush()
 }
 
+// maxWholeAnswer bounds an answer that is collected before it is sent. It holds
+// the longest answer that a request may ask for, 2^20 tokens, at the usual four
+// bytes a token twice over.
+const maxWholeAnswer = 8 << 20
+
+// codeAnswerTooLarge is the code of answers that do not fit. Another attempt
+// would not make them smaller.
+const codeAnswerTooLarge = "answer_too_large"
+
+func answerTooLarge(limit int) *verdict.Error {
+	return verdict.Unknown(http.StatusBadGateway, codeAnswerTooLarge,
+		"the answer is larger than "+strconv.Itoa(limit)+" bytes, which is the most that is kept")
+}
+
 // wholeSink collects the answer and sends it only when it is whole.
 type wholeSink struct {
-	w       http.ResponseWriter
-	id      string
-	request *openai.ChatRequest
+	w      http.ResponseWriter
+	id     string
+	model  string
+	prompt int
+	held   *room
+	limit  int
+	// charged is the part of limit that is accounted in held.
+	charged int
 	text    strings.Builder
 	tokens  int
 	reason  string
 	usage   json.RawMessage
 }
 
-func newWholeSink(w http.ResponseWriter, id string, r *openai.ChatRequest) *wholeSink {
-	return &wholeSink{w: w, id: id, request: r}
-}
-
 func (s *wholeSink) begun() bool { return false }
 
 func (s *wholeSink) fail(*verdict.Error) {}
 
 func (s *wholeSink) chunk(c upstream.Chunk) error {
+	size := s.text.Len() + len(c.Text) + len(c.Usage)
+	if size > s.limit {
+		return answerTooLarge(s.limit)
+	}
+	for s.charged < size {
+		s.charged += answerStep
+		s.held.charge(answerStep)
+	}
 	s.text.WriteString(c.Text)
 	s.tokens += c.Tokens
 	if c.FinishReason != "" {
@@ -109,12 +137,12 @@
 
 // completion returns the collected answer.
 func (s *wholeSink) completion() openai.Completion {
-	usage := openai.Usage{PromptTokens: s.request.PromptTokens(), CompletionTokens: s.tokens}
+	usage := openai.Usage{PromptTokens: s.prompt, CompletionTokens: s.tokens}
 	// The engine's own count goes before the estimate, where it is readable.
 	_ = json.Unmarshal(s.usage, &usage)
 	usage.TotalTokens = usage.PromptTokens + usage.CompletionTokens
 	return openai.Completion{
-		ID: "chatcmpl-" + s.id, Object: "chat.completion", Created: time.Now().Unix(), Model: s.request.Model, Usage: usage,
+		ID: "chatcmpl-" + s.id, Object: "chat.completion", Created: time.Now().Unix(), Model: s.model, Usage: usage,
 		Choices: []openai.CompletionChoice{{
 			Message: openai.Message{Role: "assistant", Content: s.text.String()}, FinishReason: s.reason,
 		}},
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -191,6 +191,12 @@
 	return Value{}, fmt.Errorf("%q is not a size with a unit, such as 512KiB or 4MiB", text)
 }
 
+// ParseSize returns the bytes that a size with a unit stands for.
+func ParseSize(text string) (int64, error) {
+	v, err := parseSize(text)
+	return v.Bytes(), err
+}
+
 func parseList(t Type, text string) (Value, error) {
 	if text == "" {
 		return Value{typ: t}, nil
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -157,8 +157,9 @@
 	Scope   tally.TestScope
 }
 
-// Start runs an entry on loopback with the given declarations.
-func Start(t *testing.T, yaml string) *Bench {
+// Start runs an entry on loopback with the given declarations. The options of
+// the entry can be changed before it starts.
+func Start(t *testing.T, yaml string, change ...func(*entry.Options)) *Bench {
 	t.Helper()
 	declared, err := settings.Parse("test.yaml", []byte(yaml))
 	if err != nil {
@@ -191,10 +192,14 @@
 	}
 	b.View.host.Connect(b.View, dial)
 	client := grants.New(Instance, b.View, dial, b.Scope)
-	b.Entry = entry.New(entry.Options{
+	options := entry.Options{
 		Instance: Instance, Listener: listener, View: b.View, Grants: client, Directory: b.View, Dial: dial,
 		Bookings: b.Records, Upstream: upstream.New(upstream.Options{Scope: b.Scope}), Scope: b.Scope, DrainWait: 50 * time.Millisecond,
-	})
+	}
+	for _, f := range change {
+		f(&options)
+	}
+	b.Entry = entry.New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = b.View.host.Start(ctx) }()
 	go client.Watch(ctx)
