entry: let the deadline of a request travel with it

Cause: only the class bounded a request, endpoints did not know the time left, and a retry was started even when no answer could come of it.

Callers may send X-Auburnstep-Timeout-Ms; endpoints get the time left under the same name. A retry is held back when the time left is below each of the latest 16 first tokens of the class here (at least 4 known). Ruled out: the mean or a quantile, which would hold back retries that can still succeed.

Plain calls reported the time since the request's arrival as their first token, which put queueing into the scheduler's estimate of first tokens; they now report the time since the attempt began. No benefit of held-back retries was measured; the tests show which retries are held back.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -33,7 +33,8 @@
 
 // result is what one attempt reports.
 type result struct {
-	tokens     int
+	tokens int
+	// firstToken counts from the start of the attempt.
 	firstToken time.Duration
 	err        error
 }
@@ -56,6 +57,10 @@
 		if !retry || n == maxAttempts || ctx.Err() != nil {
 			return a.final(ctx, err)
 		}
+		if left := time.Until(a.q.deadline); a.s.paces.hopeless(a.q.class, left) {
+			a.s.o.Events.Emit(eventNoTime, a.q.fields(event.F("left", left))...)
+			return a.final(ctx, err)
+		}
 	}
 }
 
@@ -63,7 +68,7 @@
 func (a *attempts) once(ctx context.Context, id string, attempt func(context.Context, string, *grants.Lease) result) (*verdict.Error, bool) {
 	demand := proto.CloneOf(a.demand)
 	demand.Id = id
-	demand.DeadlineMs = uint32(max(a.q.class.Deadline-time.Since(a.q.start), time.Millisecond).Milliseconds())
+	demand.DeadlineMs = uint32(max(time.Until(a.q.deadline), time.Millisecond).Milliseconds())
 	lease, refusal := a.s.o.Grants.Acquire(ctx, a.q.service.Name, demand)
 	if refusal != nil {
 		return refusal, false
@@ -79,6 +84,7 @@
 	r := attempt(ctx, id, lease)
 	lease.Release(outcomeOf(r, start))
 	if r.err == nil {
+		a.s.paces.add(a.q.class, r.firstToken)
 		return nil, false
 	}
 	if upstream.ReasonOf(r.err) != upstream.ReasonLate {
@@ -125,7 +131,7 @@
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		out.Status, out.Code = http.StatusGatewayTimeout, "deadline_exceeded"
-		out.Message = "the deadline of class " + a.q.class.Class + " passed before the answer was whole"
+		out.Message = "the deadline of the request passed before the answer was whole"
 	}
 	return &out
 }
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -45,7 +45,7 @@
 	s.o.Events.Emit(eventBooking, q.fields(event.F("key", q.key))...)
 	// The caller's connection no longer matters: once the request may have
 	// reached an endpoint its outcome must be stored.
-	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.start.Add(q.class.Deadline))
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
 	defer cancel()
 	outcome, failure := run(detached)
 	if failure != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,6 +94,7 @@
 	// bodies and requests bound what callers' requests hold at once.
 	bodies, requests *pool
 	metrics          requestMetrics
+	paces            paceTable
 	// announced remembers the models that endpoints announce.
 	announced modelTable
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -125,6 +125,8 @@
 		{"engine as plain service", call{path: "/services/auburn-pool/x"}, 404, "unknown_service"},
 		{"plain service without class", call{path: "/services/rota-app/x"}, 400, "missing_class"},
 		{"booking without key", call{path: "/services/rota-app/x", header: map[string]string{"X-Auburnstep-Class": "booking"}}, 400, "missing_idempotency_key"},
+		{"timeout without number", call{path: chat, body: chatBody("a", ""), header: map[string]string{"X-Auburnstep-Timeout-Ms": "2s"}}, 400, "invalid_timeout"},
+		{"timeout of 0", call{path: chat, body: chatBody("a", ""), header: map[string]string{"X-Auburnstep-Timeout-Ms": "0"}}, 400, "invalid_timeout"},
 		{"unknown path", call{path: "/v2/chat"}, 404, "unknown_path"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -260,6 +262,52 @@
 	}
 }
 
+// TestRetryWithoutTime guards against a retry that wastes tokens because it
+// cannot deliver a first one before the deadline, and against a retry that is
+// held back by a history that is too short or was quicker once.
+func TestRetryWithoutTime(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		history []time.Duration
+		status  int
+	}{
+		{"all slower", []time.Duration{time.Hour, time.Hour, time.Hour, time.Hour}, 502},
+		{"one quicker", []time.Duration{time.Hour, time.Millisecond, time.Hour, time.Hour}, 200},
+		{"few", []time.Duration{time.Hour, time.Hour, time.Hour}, 200},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := testkit.Start(t, declarations)
+			first := b.Engine(t, engine())
+			first.Inject(fakeengine.Fault{Kind: fakeengine.FaultReset, Count: 1})
+			b.Entry.AssumeFirstTokens("auburn-pool", "crew-chat", test.history...)
+			status := make(chan int)
+			go func() {
+				res, _ := call{path: "/v1/chat/completions", body: chatBody("polish", `,"max_tokens":3`)}.send(t, b)
+				status <- res.StatusCode
+			}()
+			for first.Stats().Received == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			b.Engine(t, engine())
+			qt.Check(t, <-status, qt.Equals, test.status)
+		})
+	}
+}
+
+// TestCallerTimeout guards against an answer that goes on after the time that
+// its caller gave it, and against one that the class would have allowed longer.
+func TestCallerTimeout(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	b.Engine(t, fakeengine.Config{Service: "auburn-pool", Models: []string{"wax-1"}, Slots: 2, TokensPerSecond: 50})
+	res, text := call{path: "/v1/chat/completions", body: chatBody("long", `,"max_tokens":2000`),
+		header: map[string]string{"X-Auburnstep-Timeout-Ms": "300"}}.send(t, b)
+	qt.Check(t, res.StatusCode, qt.Equals, 504)
+	qt.Check(t, text, qt.Contains, "deadline_exceeded")
+	res, _ = call{path: "/v1/chat/completions", body: chatBody("short", `,"max_tokens":2`),
+		header: map[string]string{"X-Auburnstep-Timeout-Ms": "99999999999999"}}.send(t, b)
+	qt.Check(t, res.StatusCode, qt.Equals, 200)
+}
+
 // TestCallerGone guards against an engine that goes on generating for a caller
 // that has closed its connection. The stated bound is 200 ms.
 func TestCallerGone(t *testing.T) {
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -17,6 +17,7 @@
 	eventFailed    = event.Define(5005, "request-failed", event.Info, "ended a request without a whole answer")
 	eventGone      = event.Define(5006, "caller-gone", event.Info, "the caller closed the connection before the answer was whole")
 	eventRefused   = event.Define(5007, "error-answered", event.Debug, "answered a request with an error")
+	eventNoTime    = event.Define(5008, "retry-not-started", event.Info, "did not retry a request, since the time left is below that of any recent first token of its class")
 	eventDraining  = event.Define(5010, "draining", event.Info, "left the list of entries; accepting until callers' lists run out")
 	eventDrained   = event.Define(5011, "drained", event.Info, "closed the listener for callers")
 	eventCut       = event.Define(5012, "requests-cut", event.Failure, "ended with requests in flight")
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -96,13 +96,15 @@
 func (c *plainCall) serve(ctx context.Context) *verdict.Error {
 	var first time.Duration
 	err := newAttempts(c.s, c.q, c.q.demand()).run(ctx, func(ctx context.Context, id string, l *grants.Lease) result {
+		start := time.Now()
 		answer, err := c.s.o.Upstream.Do(ctx, c.call(id, l))
 		if err != nil {
 			return result{err: err}
 		}
 		defer answer.Body.Close()
 		first = time.Since(c.q.start)
-		return result{firstToken: first, err: c.pass(answer)}
+		took := time.Since(start)
+		return result{firstToken: took, err: c.pass(answer)}
 	})
 	if err == nil {
 		c.s.metrics.finished(c.q, first, 0)
@@ -175,13 +177,14 @@
 	var outcome *controlv1.BookingOutcome
 	c.held.charge(maxStoredOutcome)
 	err := newAttempts(c.s, c.q, c.q.demand()).run(ctx, func(ctx context.Context, id string, l *grants.Lease) result {
-		call := c.call(id, l)
+		start, call := time.Now(), c.call(id, l)
 		call.MaxAnswer = maxStoredOutcome
 		answer, err := c.s.o.Upstream.Do(ctx, call)
 		if err != nil {
 			return result{err: err}
 		}
 		defer answer.Body.Close()
+		first := time.Since(start)
 		body, err := io.ReadAll(answer.Body)
 		if err != nil {
 			return result{err: err}
@@ -193,7 +196,7 @@
 		outcome = &controlv1.BookingOutcome{
 			Status: uint32(answer.Status), ContentType: answer.Header.Get("Content-Type"), Body: body,
 		}
-		return result{firstToken: time.Since(c.q.start)}
+		return result{firstToken: first}
 	})
 	return outcome, err
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -26,8 +26,10 @@
 
 // request is one caller's request with the settings it is served under.
 type request struct {
-	id       string
-	start    time.Time
+	id    string
+	start time.Time
+	// deadline is set together with class.
+	deadline time.Time
 	index    *settings.Index
 	customer string
 	service  *settings.ServicePolicy
@@ -95,6 +97,9 @@
 			"service "+q.service.Name+" has no class "+quote(name)+"; it has "+strings.Join(q.service.Classes, ", "))
 	}
 	q.class = class
+	if refusal := q.bound(h); refusal != nil {
+		return refusal
+	}
 	if class.Idempotent {
 		return nil
 	}
@@ -111,9 +116,9 @@
 	return &schedulerv1.Request{Customer: q.customer, Class: q.class.Class, MayRepeat: q.class.Idempotent}
 }
 
-// context bounds the request by the deadline of its class.
+// context bounds the request by its deadline.
 func (q *request) context(r *http.Request) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(r.Context(), q.start.Add(q.class.Deadline))
+	return context.WithDeadline(r.Context(), q.deadline)
 }
 
 // fields identifies the request in events.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -22,6 +22,8 @@
 	HeaderRequestID    = "X-Request-Id"
 	HeaderPriority     = "X-Priority"
 	HeaderResumeOffset = "X-Resume-Offset"
+	// HeaderTimeout is the time left for the request in milliseconds.
+	HeaderTimeout = "X-Auburnstep-Timeout-Ms"
 )
 
 // Defaults of Options.
--- a/internal/upstream/plain.go
+++ b/internal/upstream/plain.go
@@ -93,6 +93,7 @@
 	}
 	dropHopHeaders(req.Header)
 	req.Header.Set(HeaderRequestID, call.RequestID)
+	setTimeout(ctx, req.Header)
 	if req.Header.Get("User-Agent") == "" {
 		req.Header["User-Agent"] = nil // Keeps net/http from adding its own.
 	}
--- a/internal/upstream/plain_test.go
+++ b/internal/upstream/plain_test.go
@@ -1,11 +1,14 @@
 package upstream
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -40,6 +43,34 @@
 	c.Check(fake.Stats().Connections, qt.Equals, int64(2), qt.Commentf("bookings use fresh connections"))
 }
 
+// TestTimeoutHeader guards against endpoints that are told the whole time of the
+// caller, or the caller's own header, in place of the time left.
+func TestTimeoutHeader(t *testing.T) {
+	c := qt.New(t)
+	var got []string
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		got = r.Header.Values(HeaderTimeout)
+	}))
+	defer server.Close()
+	client := startClient(c, Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), longBound)
+	defer cancel()
+	for _, send := range []func(){
+		func() { _, _ = client.Chat(ctx, Call{Endpoint: server.Listener.Addr().String()}) },
+		func() {
+			_, _ = client.Do(ctx, PlainCall{Endpoint: server.Listener.Addr().String(), Method: http.MethodGet, Target: "/",
+				Header: http.Header{HeaderTimeout: {"99999999"}}})
+		},
+	} {
+		got = nil
+		send()
+		c.Assert(got, qt.HasLen, 1)
+		left, err := strconv.Atoi(got[0])
+		c.Assert(err, qt.IsNil)
+		c.Check(left > 0 && int64(left) <= longBound.Milliseconds(), qt.IsTrue, qt.Commentf("%d", left))
+	}
+}
+
 // errReader fails as the body of a caller that went away does.
 type errReader struct{}
 
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -5,7 +5,9 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
+	"time"
 )
 
 func escapeSegment(s string) string { return url.PathEscape(s) }
@@ -24,6 +26,14 @@
 	return req, nil
 }
 
+// setTimeout tells the endpoint the time left until the deadline of ctx, if any.
+func setTimeout(ctx context.Context, h http.Header) {
+	h.Del(HeaderTimeout)
+	if deadline, ok := ctx.Deadline(); ok {
+		h.Set(HeaderTimeout, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
+	}
+}
+
 // onceBody is a request body that net/http cannot rewind. It keeps the
 // transport from repeating a request by itself on another connection.
 type onceBody struct{ io.Reader }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -112,6 +112,7 @@
 	req.Header.Set("Accept", "text/event-stream")
 	req.Header.Set(HeaderRequestID, call.RequestID)
 	req.Header.Set(HeaderPriority, strconv.Itoa(call.Priority))
+	setTimeout(ctx, req.Header)
 	if call.Offset > 0 {
 		req.Header.Set(HeaderResumeOffset, strconv.Itoa(call.Offset))
 	}
