entry, auburnctl: count requests and tokens by customer and class

Cause: operators could see requests by class only, not what each customer used.

Each entry keeps counters per customer and class since its start, at most 33,000 customers and 16 classes of each; the rest is counted as "(other)". The rpc events.v1.Instance/Usage returns them and auburnctl usage sums them over the instances, naming those it did not reach. Ruled out: labels by customer in the metrics (one time series per customer, class and instance).

Answers of recorded chat requests were counted with 0 tokens; they now count.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -70,6 +70,7 @@
 	Endpoints endpointsCmd `cmd:"" help:"Show the endpoints of all scheduler groups."`
 	Drain     drainCmd     `cmd:"" help:"Take an instance out of the entry list; it goes on serving."`
 	Timeline  timelineCmd  `cmd:"" help:"Show the events of all instances in one order."`
+	Usage     usageCmd     `cmd:"" help:"Show requests and tokens by customer and class."`
 	Member    memberCmd    `cmd:"" help:"Show, add or remove control members."`
 }
 
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -229,6 +229,18 @@
 	return connect.NewResponse(&eventsv1.DrainResponse{InFlight: 4}), nil
 }
 
+func (f *fakeInstance) Usage(_ context.Context, req *connect.Request[eventsv1.UsageRequest]) (*connect.Response[eventsv1.UsageResponse], error) {
+	res := &eventsv1.UsageResponse{}
+	for _, u := range []*eventsv1.Usage{
+		{Customer: "torino", Service: "auburn-pool", Class: "crew-chat", Answered: 3, NotRun: 1, PromptTokens: 90, DeliveredTokens: 40, WastedTokens: 2},
+		{Customer: f.name, Service: "rota-app", Class: "booking", Answered: 1, Replayed: 1, MayHaveRun: 1, Undelivered: 1}} {
+		if want := req.Msg.GetCustomer(); want == "" || want == u.Customer {
+			res.Rows = append(res.Rows, u)
+		}
+	}
+	return connect.NewResponse(res), nil
+}
+
 type fakeScheduler struct {
 	schedulerv1connect.UnimplementedSchedulerHandler
 }
--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -78,6 +78,23 @@
 	return connect.NewResponse(res), nil
 }
 
+// Usage implements events.v1.Instance.
+func (h *instanceHandler) Usage(_ context.Context, req *connect.Request[eventsv1.UsageRequest]) (*connect.Response[eventsv1.UsageResponse], error) {
+	s, err := kernel.Lookup[*entry.Server](h.d.kernel, ServiceEntry)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	res := &eventsv1.UsageResponse{}
+	for _, u := range s.Usage(req.Msg.Customer) {
+		res.Rows = append(res.Rows, &eventsv1.Usage{
+			Customer: u.Customer, Service: u.Service, Class: u.Class, Answered: u.Answered, Replayed: u.Replayed, NotRun: u.NotRun,
+			MayHaveRun: u.MayHaveRun, Undelivered: u.Undelivered, PromptTokens: u.PromptTokens,
+			DeliveredTokens: u.DeliveredTokens, WastedTokens: u.WastedTokens,
+		})
+	}
+	return connect.NewResponse(res), nil
+}
+
 var eventDrainOrdered = event.Define(1010, "drain-ordered", event.Info, "an operator took the instance out of the list of entries")
 
 // metricsServer serves GET /metrics and GET /healthz.
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -40,7 +40,7 @@
 	}
 	if begun.State != controlv1.BookingResponse_BEGUN {
 		s.o.Events.Emit(eventDuplicate, q.fields(event.F("key", q.key), event.F("state", begun.State))...)
-		return answerDuplicate(w, begun)
+		return answerDuplicate(w, q, begun)
 	}
 	s.o.Events.Emit(eventBooking, q.fields(event.F("key", q.key))...)
 	// The caller's connection no longer matters: once the request may have
@@ -52,7 +52,7 @@
 		return s.abandon(q, key, failure)
 	}
 	s.finish(q, &controlv1.FinishBooking{Key: key, AttemptId: q.id, Outcome: outcome})
-	s.metrics.finished(q, time.Since(q.start), 0)
+	s.finished(q, time.Since(q.start), q.spent.tokens)
 	s.o.Events.Emit(eventAnswered, q.fields(event.F("key", q.key), event.F("status", outcome.Status))...)
 	writeOutcome(w, outcome, false)
 	return nil
@@ -74,7 +74,7 @@
 // abandon ends a request that has no outcome. With proof that it did not run
 // the key may be used again; otherwise the record stays and blocks duplicates.
 func (s *Server) abandon(q *request, key *controlv1.BookingKey, failure *verdict.Error) *verdict.Error {
-	s.metrics.failed(q, failure.Verdict, 0)
+	s.failed(q, failure.Verdict, q.spent.tokens)
 	s.o.Events.Emit(eventFailed, q.fields(event.F("verdict", failure.Verdict), event.F("code", failure.Code), event.F("key", q.key))...)
 	if failure.Verdict != verdict.NotRun {
 		return failure
@@ -99,9 +99,10 @@
 }
 
 // answerDuplicate answers a request whose key was used before.
-func answerDuplicate(w http.ResponseWriter, b *controlv1.BookingResponse) *verdict.Error {
+func answerDuplicate(w http.ResponseWriter, q *request, b *controlv1.BookingResponse) *verdict.Error {
 	switch b.State {
 	case controlv1.BookingResponse_FINISHED:
+		q.spent.outcome = outcomeReplayed
 		writeOutcome(w, b.Outcome, true)
 		return nil
 	case controlv1.BookingResponse_MISMATCH:
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -50,6 +50,7 @@
 	}
 	s.o.Events.Emit(eventAccepted, q.fields(event.F("model", parsed.Model), event.F("bytes", len(body)))...)
 	c := &chatCall{s: s, q: q, held: held, body: streamed, demand: demandOf(q, parsed)}
+	q.spent.prompt = int(c.demand.PromptTokens)
 	ctx, cancel := q.context(r)
 	defer cancel()
 	if q.key != "" {
@@ -118,14 +119,14 @@
 	if err == nil {
 		if c.sink.end() != nil {
 			c.s.o.Events.Emit(eventGone, c.q.fields(event.F("tokens", c.delivered))...)
-			c.s.metrics.failed(c.q, verdict.Ran, c.delivered)
+			c.s.failed(c.q, verdict.Ran, c.delivered)
 			return nil
 		}
-		c.s.metrics.finished(c.q, c.firstToken, c.delivered)
+		c.s.finished(c.q, c.firstToken, c.delivered)
 		c.s.o.Events.Emit(eventAnswered, c.q.fields(event.F("tokens", c.delivered))...)
 		return nil
 	}
-	c.s.metrics.failed(c.q, err.Verdict, c.delivered)
+	c.s.failed(c.q, err.Verdict, c.delivered)
 	if errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errCallerGone) {
 		c.s.o.Events.Emit(eventGone, c.q.fields(event.F("tokens", c.delivered))...)
 	} else {
@@ -213,9 +214,15 @@
 func (c *chatCall) recorded(ctx context.Context) (*controlv1.BookingOutcome, *verdict.Error) {
 	whole := c.wholeSink(nil, maxStoredOutcome)
 	c.sink = whole
-	if err := c.run(ctx); err != nil {
+	err := c.run(ctx)
+	c.q.spent.tokens = c.delivered
+	if err != nil {
 		return nil, err
 	}
+	return wholeOutcome(whole)
+}
+
+func wholeOutcome(whole *wholeSink) (*controlv1.BookingOutcome, *verdict.Error) {
 	body, err := json.Marshal(whole.completion())
 	if err != nil {
 		return nil, verdict.From(err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,6 +95,7 @@
 	bodies, requests *pool
 	metrics          requestMetrics
 	paces            paceTable
+	usage            usageTable
 	// announced remembers the models that endpoints announce.
 	announced modelTable
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -406,6 +406,35 @@
 	qt.Check(t, p.Ledger(), qt.HasLen, 0)
 }
 
+// TestUsage guards against requests and tokens that are counted as another
+// outcome, for another customer, or twice.
+func TestUsage(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	b.Engine(t, engine())
+	b.Engine(t, plainService())
+	chat := call{path: "/v1/chat/completions", body: chatBody("wax the lion", `,"max_tokens":5`)}
+	chat.send(t, b)
+	booking("k1", "statue 7").send(t, b)
+	booking("k1", "statue 7").send(t, b)
+	booking("k1", "statue 8").send(t, b)
+	chat.header = map[string]string{"Authorization": "Bearer other-key", "X-Auburnstep-Class": "gold"}
+	chat.send(t, b)
+	chat.header["X-Auburnstep-Class"] = ""
+	chat.header["X-Auburnstep-Timeout-Ms"] = "250"
+	chat.body = chatBody("wax the lion", `,"max_tokens":2000`)
+	chat.send(t, b)
+	rows := b.Entry.Usage("")
+	qt.Assert(t, rows, qt.HasLen, 4)
+	wasted := rows[1].WastedTokens
+	qt.Check(t, wasted > 0, qt.IsTrue)
+	qt.Check(t, rows, qt.DeepEquals, []entry.Usage{
+		{Customer: "asti", Service: "auburn-pool", NotRun: 1},
+		{Customer: "asti", Service: "auburn-pool", Class: "crew-chat", MayHaveRun: 1, PromptTokens: 4, WastedTokens: wasted},
+		{Customer: "torino", Service: "auburn-pool", Class: "crew-chat", Answered: 1, PromptTokens: 4, DeliveredTokens: 5},
+		{Customer: "torino", Service: "rota-app", Class: "booking", Answered: 1, Replayed: 1, NotRun: 1},
+	})
+}
+
 // TestGracefulStop guards against a shutdown that cuts a request in flight.
 func TestGracefulStop(t *testing.T) {
 	b := testkit.Start(t, declarations)
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -43,6 +43,17 @@
 }
 
 // finished records a whole answer.
+func (s *Server) finished(q *request, firstToken time.Duration, tokens int) {
+	q.spent.outcome, q.spent.tokens = outcomeAnswered, tokens
+	s.metrics.finished(q, firstToken, tokens)
+}
+
+// failed records a request without a whole answer, and the tokens wasted on it.
+func (s *Server) failed(q *request, v verdict.Verdict, tokens int) {
+	q.spent.outcome, q.spent.tokens = outcomeOfVerdict(v), tokens
+	s.metrics.failed(q, v, tokens)
+}
+
 func (m requestMetrics) finished(r *request, firstToken time.Duration, tokens int) {
 	s := m.class(r.service.Name, r.class.Class)
 	s.Counter("answered").Inc(1)
@@ -54,7 +65,6 @@
 	}
 }
 
-// failed records a request without a whole answer, and the tokens wasted on it.
 func (m requestMetrics) failed(r *request, v verdict.Verdict, tokens int) {
 	s := m.class(r.service.Name, r.class.Class)
 	s.Tagged(map[string]string{"verdict": v.String()}).Counter("failed").Inc(1)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -107,11 +107,11 @@
 		return result{firstToken: took, err: c.pass(answer)}
 	})
 	if err == nil {
-		c.s.metrics.finished(c.q, first, 0)
+		c.s.finished(c.q, first, 0)
 		c.s.o.Events.Emit(eventAnswered, c.q.fields()...)
 		return nil
 	}
-	c.s.metrics.failed(c.q, err.Verdict, 0)
+	c.s.failed(c.q, err.Verdict, 0)
 	c.s.o.Events.Emit(eventFailed, c.q.fields(event.F("verdict", err.Verdict), event.F("code", err.Code))...)
 	if c.begun {
 		// The caller must see a broken answer, not a short one.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -36,6 +36,8 @@
 	class    *settings.ClassPolicy
 	// key is the idempotency key, set only for a class that is not idempotent.
 	key string
+	// spent is added to the counters of the customer when the request ends.
+	spent spending
 }
 
 // handler serves one authenticated request. A returned error is written to the
@@ -49,8 +51,10 @@
 		defer s.inFlight.Add(-1)
 		q := &request{id: uuid.NewString(), start: time.Now()}
 		w.Header().Set(HeaderRequestID, q.id)
-		err := s.admit(r, q)
-		if err == nil {
+		var err *verdict.Error
+		// A handler that breaks an answer off panics.
+		defer func() { s.account(q, err) }()
+		if err = s.admit(r, q); err == nil {
 			err = h(w, r, q)
 		}
 		if err != nil {
--- a/internal/rpc/eventsv1/eventsv1connect/events.connect.go
+++ b/internal/rpc/eventsv1/eventsv1connect/events.connect.go
@@ -38,6 +38,8 @@
 	InstanceEventsProcedure = "/auburnstep.events.v1.Instance/Events"
 	// InstanceDrainProcedure is the fully-qualified name of the Instance's Drain RPC.
 	InstanceDrainProcedure = "/auburnstep.events.v1.Instance/Drain"
+	// InstanceUsageProcedure is the fully-qualified name of the Instance's Usage RPC.
+	InstanceUsageProcedure = "/auburnstep.events.v1.Instance/Usage"
 )
 
 // InstanceClient is a client for the auburnstep.events.v1.Instance service.
@@ -45,6 +47,7 @@
 	Events(context.Context, *connect.Request[eventsv1.EventsRequest]) (*connect.Response[eventsv1.EventsResponse], error)
 	// Drain takes the instance out of the entry list; it goes on serving.
 	Drain(context.Context, *connect.Request[eventsv1.DrainRequest]) (*connect.Response[eventsv1.DrainResponse], error)
+	Usage(context.Context, *connect.Request[eventsv1.UsageRequest]) (*connect.Response[eventsv1.UsageResponse], error)
 }
 
 // NewInstanceClient constructs a client for the auburnstep.events.v1.Instance service. By default,
@@ -70,6 +73,12 @@
 			connect.WithSchema(instanceMethods.ByName("Drain")),
 			connect.WithClientOptions(opts...),
 		),
+		usage: connect.NewClient[eventsv1.UsageRequest, eventsv1.UsageResponse](
+			httpClient,
+			baseURL+InstanceUsageProcedure,
+			connect.WithSchema(instanceMethods.ByName("Usage")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -77,6 +86,7 @@
 type instanceClient struct {
 	events *connect.Client[eventsv1.EventsRequest, eventsv1.EventsResponse]
 	drain  *connect.Client[eventsv1.DrainRequest, eventsv1.DrainResponse]
+	usage  *connect.Client[eventsv1.UsageRequest, eventsv1.UsageResponse]
 }
 
 // Events calls auburnstep.events.v1.Instance.Events.
@@ -89,11 +99,17 @@
 	return c.drain.CallUnary(ctx, req)
 }
 
+// Usage calls auburnstep.events.v1.Instance.Usage.
+func (c *instanceClient) Usage(ctx context.Context, req *connect.Request[eventsv1.UsageRequest]) (*connect.Response[eventsv1.UsageResponse], error) {
+	return c.usage.CallUnary(ctx, req)
+}
+
 // InstanceHandler is an implementation of the auburnstep.events.v1.Instance service.
 type InstanceHandler interface {
 	Events(context.Context, *connect.Request[eventsv1.EventsRequest]) (*connect.Response[eventsv1.EventsResponse], error)
 	// Drain takes the instance out of the entry list; it goes on serving.
 	Drain(context.Context, *connect.Request[eventsv1.DrainRequest]) (*connect.Response[eventsv1.DrainResponse], error)
+	Usage(context.Context, *connect.Request[eventsv1.UsageRequest]) (*connect.Response[eventsv1.UsageResponse], error)
 }
 
 // NewInstanceHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -115,12 +131,20 @@
 		connect.WithSchema(instanceMethods.ByName("Drain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	instanceUsageHandler := connect.NewUnaryHandler(
+		InstanceUsageProcedure,
+		svc.Usage,
+		connect.WithSchema(instanceMethods.ByName("Usage")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/auburnstep.events.v1.Instance/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case InstanceEventsProcedure:
 			instanceEventsHandler.ServeHTTP(w, r)
 		case InstanceDrainProcedure:
 			instanceDrainHandler.ServeHTTP(w, r)
+		case InstanceUsageProcedure:
+			instanceUsageHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -137,3 +161,7 @@
 func (UnimplementedInstanceHandler) Drain(context.Context, *connect.Request[eventsv1.DrainRequest]) (*connect.Response[eventsv1.DrainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.events.v1.Instance.Drain is not implemented"))
 }
+
+func (UnimplementedInstanceHandler) Usage(context.Context, *connect.Request[eventsv1.UsageRequest]) (*connect.Response[eventsv1.UsageResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.events.v1.Instance.Usage is not implemented"))
+}
