daemon, fakeengine: TLS towards endpoints, a token in announcements

--endpoint-tls-ca turns TLS on towards all endpoints, with an optional client certificate. Ruled out: a field of the announcement that asks for TLS, since an announcement could then turn it off.

TestBookingRefusedByEndpoint waited out the 5 s deadline of its class; its first call now gives itself 500 ms.

Not done: the stand-in neither serves TLS nor announces over it.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -42,6 +42,10 @@
 	TLSCA         string `name:"tls-ca" env:"AUBURNSTEP_TLS_CA" help:"PEM certificate authorities of instances."`
 	CallerTLSCert string `name:"caller-tls-cert" env:"AUBURNSTEP_CALLER_TLS_CERT" help:"PEM certificate towards callers and endpoints."`
 	CallerTLSKey  string `name:"caller-tls-key" env:"AUBURNSTEP_CALLER_TLS_KEY" help:"PEM key towards callers and endpoints."`
+	// Endpoints are met in the clear unless their authorities are given.
+	EndpointTLSCA   string `name:"endpoint-tls-ca" env:"AUBURNSTEP_ENDPOINT_TLS_CA" help:"PEM certificate authorities of endpoints. With it all requests to endpoints use TLS."`
+	EndpointTLSCert string `name:"endpoint-tls-cert" env:"AUBURNSTEP_ENDPOINT_TLS_CERT" help:"PEM client certificate towards endpoints."`
+	EndpointTLSKey  string `name:"endpoint-tls-key" env:"AUBURNSTEP_ENDPOINT_TLS_KEY" help:"PEM key of the client certificate towards endpoints."`
 
 	BodyMemory  string `default:"256MiB" env:"AUBURNSTEP_BODY_MEMORY" help:"Memory for request bodies and collected answers in flight, 128MiB to 64GiB."`
 	MaxRequests int64  `default:"4096" env:"AUBURNSTEP_MAX_REQUESTS" help:"Requests of callers in flight, 16 to 1000000."`
@@ -174,6 +178,10 @@
 		{"tls-ca", c.TLSCA, c.TLSCert, "set together with --tls-cert and --tls-key"},
 		{"caller-tls-cert", c.CallerTLSCert, c.CallerTLSKey, "set together with --caller-tls-key"},
 		{"caller-tls-key", c.CallerTLSKey, c.CallerTLSCert, "set together with --caller-tls-cert"},
+		{"endpoint-tls-ca", c.EndpointTLSCA, c.EndpointTLSCA, ""},
+		{"endpoint-tls-cert", c.EndpointTLSCert, c.EndpointTLSKey, "set together with --endpoint-tls-key and --endpoint-tls-ca"},
+		{"endpoint-tls-cert", c.EndpointTLSCert, c.EndpointTLSCA, "set together with --endpoint-tls-key and --endpoint-tls-ca"},
+		{"endpoint-tls-key", c.EndpointTLSKey, c.EndpointTLSCert, "set together with --endpoint-tls-cert and --endpoint-tls-ca"},
 	}
 	for _, p := range pairs {
 		if p.value == "" {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -220,6 +220,10 @@
 	if err != nil {
 		return err
 	}
+	endpointTLS, err := d.config.endpointTLS()
+	if err != nil {
+		return err
+	}
 	client, err := kernel.Lookup[*grants.Client](d.kernel, ServiceGrants)
 	if err != nil {
 		return err
@@ -231,7 +235,7 @@
 	return d.kernel.Register(ServiceEntry, entry.New(entry.Options{
 		Instance: d.config.Instance, Listener: l, EndpointTokens: d.config.EndpointTokens, View: d.view, Grants: client,
 		Directory: d.view, Dial: d.dialScheduler, Bookings: records{bookings},
-		Upstream: upstream.New(upstream.Options{Scope: d.metrics.Scope, Events: d.events}),
+		Upstream: upstream.New(upstream.Options{TLS: endpointTLS, Scope: d.metrics.Scope, Events: d.events}),
 		Events:   d.events, Scope: d.metrics.Scope, Draining: d.view.draining, DrainWait: d.config.DrainWait,
 		BodyMemory: bodyMemory, MaxRequests: d.config.MaxRequests,
 	}))
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -66,6 +66,8 @@
 		{"requests", []string{"--max-requests", "0"}, 2, "auburnstepd: --max-requests is \"0\"; allowed is 16 to 1000000\n"},
 		{"level", []string{"--log-level", "loud"}, 2, "auburnstepd: --log-level is \"loud\"; allowed is debug, info, warning or error\n"},
 		{"certificate alone", []string{"--tls-cert", "x"}, 2, "auburnstepd: --tls-cert is \"x\"; allowed is set together with --tls-key and --tls-ca\n"},
+		{"client certificate alone", []string{"--endpoint-tls-cert", "x"}, 2, "auburnstepd: --endpoint-tls-cert is \"x\"; allowed is set together with --endpoint-tls-key and --endpoint-tls-ca\n"},
+		{"authority that does not exist", []string{"--endpoint-tls-ca", "/x/y"}, 2, "auburnstepd: --endpoint-tls-ca is \"/x/y\"; allowed is a file that can be read\n"},
 		{"unknown flag", []string{"--wieght", "1"}, 2, "auburnstepd: unknown flag --wieght, did you mean \"--weight\"?\n"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -386,7 +386,9 @@
 	b := testkit.Start(t, declarations)
 	p := b.Engine(t, plainService())
 	p.Inject(fakeengine.Fault{Kind: fakeengine.FaultOverload, Count: 1})
-	res, text := booking("k3", "statue 1").send(t, b)
+	first := booking("k3", "statue 1")
+	first.header["X-Auburnstep-Timeout-Ms"] = "500" // no other endpoint becomes free
+	res, text := first.send(t, b)
 	if res.StatusCode >= 400 {
 		qt.Assert(t, res.Header.Get("X-Auburnstep-Verdict"), qt.Equals, "not-run", qt.Commentf("%s", text))
 		res, text = booking("k3", "statue 1").send(t, b)
@@ -406,6 +408,19 @@
 	qt.Check(t, p.Ledger(), qt.HasLen, 0)
 }
 
+// TestEndpointTokens guards against endpoints that are kept out although they
+// have one of the tokens, and let in although they have none.
+func TestEndpointTokens(t *testing.T) {
+	b := testkit.Start(t, declarations, func(o *entry.Options) { o.EndpointTokens = []string{"new", "old"} })
+	res, text := call{path: "/endpoints/v1/announce", body: "{}"}.send(t, b)
+	qt.Check(t, res.StatusCode, qt.Equals, 401, qt.Commentf("%s", text))
+	c := plainService()
+	c.AnnounceToken = "old"
+	b.Engine(t, c)
+	res, text = booking("k1", "statue 7").send(t, b)
+	qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%s", text))
+}
+
 // TestUsage guards against requests and tokens that are counted as another
 // outcome, for another customer, or twice.
 func TestUsage(t *testing.T) {
--- a/internal/fakeengine/announce.go
+++ b/internal/fakeengine/announce.go
@@ -177,6 +177,9 @@
 		return reply, err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if token := a.server.cfg.AnnounceToken; token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
 	resp, err := a.client.Do(req)
 	if err != nil {
 		return reply, err
--- a/internal/fakeengine/config.go
+++ b/internal/fakeengine/config.go
@@ -30,6 +30,7 @@
 	Service       string        `help:"Service that the endpoint belongs to." default:"auburn-pool" env:"AUBURNSTEP_FAKE_SERVICE"`
 	FailureDomain string        `help:"Failure domain of the instance." default:"local" env:"AUBURNSTEP_FAKE_FAILURE_DOMAIN"`
 	Announce      []string      `help:"Entry addresses to announce to." env:"AUBURNSTEP_FAKE_ANNOUNCE"`
+	AnnounceToken string        `help:"Bearer token of announcements; none if empty." env:"AUBURNSTEP_FAKE_ANNOUNCE_TOKEN"`
 	Lease         time.Duration `help:"Lease of an announcement." default:"3s" env:"AUBURNSTEP_FAKE_LEASE"`
 	LeaveGrace    time.Duration `help:"Shortest time from the announcement of leaving to the exit." default:"2s" env:"AUBURNSTEP_FAKE_LEAVE_GRACE"`
 
