--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -105,8 +105,11 @@
 	if o.Draining == nil {
 		o.Draining = new(atomic.Bool)
 	}
-	s := &Server{o: o, bodies: &pool{total: cmp.Or(o.BodyMemory, DefaultBodyMemory)},
-		requests: &pool{total: cmp.Or(o.MaxRequests, DefaultMaxRequests)}, metrics: newRequestMetrics(o.Scope)}
+	m := newRequestMetrics(o.Scope)
+	s := &Server{o: o, metrics: m,
+		bodies:   &pool{total: cmp.Or(o.BodyMemory, DefaultBodyMemory), gauge: m.scope.Gauge("memory_bytes")},
+		requests: &pool{total: cmp.Or(o.MaxRequests, DefaultMaxRequests), gauge: m.scope.Gauge("in_flight")},
+	}
 	s.http = &http.Server{
 		Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -38,8 +38,8 @@
 	return requestMetrics{scope.SubScope("requests")}
 }
 
-func (m requestMetrics) class(service, class string) tally.Scope {
-	return m.scope.Tagged(map[string]string{"service": service, "class": class})
+func (m requestMetrics) class(c classID) tally.Scope {
+	return m.scope.Tagged(map[string]string{"service": c.service, "class": c.class})
 }
 
 // finished records a whole answer.
@@ -51,11 +51,11 @@
 // failed records a request without a whole answer, and the tokens wasted on it.
 func (s *Server) failed(q *request, v verdict.Verdict, tokens int) {
 	q.spent.outcome, q.spent.tokens = outcomeOfVerdict(v), tokens
-	s.metrics.failed(q, v, tokens)
+	s.metrics.failed(idOf(q.class), v, tokens)
 }
 
 func (m requestMetrics) finished(r *request, firstToken time.Duration, tokens int) {
-	s := m.class(r.service.Name, r.class.Class)
+	s := m.class(idOf(r.class))
 	s.Counter("answered").Inc(1)
 	s.Counter("tokens_delivered").Inc(int64(tokens))
 	s.Timer("first_token").Record(firstToken)
@@ -65,8 +65,10 @@
 	}
 }
 
-func (m requestMetrics) failed(r *request, v verdict.Verdict, tokens int) {
-	s := m.class(r.service.Name, r.class.Class)
+// failed counts a request without a whole answer. Before the class of a request
+// is known its labels are empty.
+func (m requestMetrics) failed(c classID, v verdict.Verdict, tokens int) {
+	s := m.class(c)
 	s.Tagged(map[string]string{"verdict": v.String()}).Counter("failed").Inc(1)
 	s.Counter("tokens_wasted").Inc(int64(tokens))
 }
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"auburnstep.example/auburnstep/internal/settings"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
@@ -39,6 +41,16 @@
 	mu    sync.Mutex
 	total int64
 	used  [tiers]int64
+	// gauge shows the sum of used; it may be nil.
+	gauge tally.Gauge
+}
+
+// change adds n to what the tier uses. The caller holds mu.
+func (p *pool) change(tier int, n int64) {
+	p.used[tier] += n
+	if p.gauge != nil {
+		p.gauge.Update(float64(p.used[0] + p.used[1] + p.used[2]))
+	}
 }
 
 // own returns the part that belongs to each tier alone.
@@ -68,14 +80,14 @@
 	if !p.fits(tier, n) {
 		return false
 	}
-	p.used[tier] += n
+	p.change(tier, n)
 	return true
 }
 
 // add accounts n, negative to give back, without asking for room.
 func (p *pool) add(tier int, n int64) {
 	p.mu.Lock()
-	p.used[tier] += n
+	p.change(tier, n)
 	p.mu.Unlock()
 }
 
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -145,12 +145,6 @@
 // account adds the request to the counters of its customer. A request without
 // an outcome of its own ended with err, or is none that a class counts.
 func (s *Server) account(q *request, err *verdict.Error) {
-	if q.spent.outcome == outcomeNone && err != nil {
-		q.spent.outcome = outcomeOfVerdict(err.Verdict)
-	}
-	if q.customer == "" || q.spent.outcome == outcomeNone {
-		return
-	}
 	var class classID
 	if q.service != nil {
 		class.service = q.service.Name
@@ -158,5 +152,12 @@
 	if q.class != nil {
 		class = idOf(q.class)
 	}
+	if q.spent.outcome == outcomeNone && err != nil {
+		q.spent.outcome = outcomeOfVerdict(err.Verdict)
+		s.metrics.failed(class, err.Verdict, 0)
+	}
+	if q.customer == "" || q.spent.outcome == outcomeNone {
+		return
+	}
 	s.usage.add(q.customer, class, q.spent)
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -20,6 +20,15 @@
 	closer  io.Closer
 }
 
+// sanitizer keeps label values as operators name instances, classes and groups.
+// The reporter's default turns hyphens and slashes into underscores, so that a
+// label cannot be matched with a setting.
+var sanitizer = func() tally.SanitizeOptions {
+	o := promreporter.DefaultSanitizerOpts
+	o.ValueCharacters = tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: []rune{'_', '-', '.', '/'}}
+	return o
+}()
+
 // New returns the metrics of one process. All names start with "auburnstep_".
 func New(instance string) *Metrics {
 	reporter := promreporter.NewReporter(promreporter.Options{})
@@ -28,7 +37,7 @@
 		Tags:            map[string]string{"instance": instance},
 		CachedReporter:  reporter,
 		Separator:       promreporter.DefaultSeparator,
-		SanitizeOptions: &promreporter.DefaultSanitizerOpts,
+		SanitizeOptions: &sanitizer,
 		// Tally's own counters would carry names outside this project's prefix.
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
