entry, grants: one place each for the end of a request and for stale settings

Read as a newcomer: metrics and events of a request's end stood at five call sites, the class, deadline and key of a request were found by one function, the refusal for stale settings was written twice, and Acquire gave up in two ways that did the same. The comment on schedulerhost's group named a field that is gone.

Adds a test of bodies that are read in parts.

--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -52,8 +52,7 @@
 		return s.abandon(q, key, failure)
 	}
 	s.finish(q, &controlv1.FinishBooking{Key: key, AttemptId: q.id, Outcome: outcome})
-	s.finished(q, time.Since(q.start), q.spent.tokens)
-	s.o.Events.Emit(eventAnswered, q.fields(event.F("key", q.key), event.F("status", outcome.Status))...)
+	s.finished(q, time.Since(q.start), q.spent.tokens, event.F("key", q.key), event.F("status", outcome.Status))
 	writeOutcome(w, outcome, false)
 	return nil
 }
@@ -74,8 +73,7 @@
 // abandon ends a request that has no outcome. With proof that it did not run
 // the key may be used again; otherwise the record stays and blocks duplicates.
 func (s *Server) abandon(q *request, key *controlv1.BookingKey, failure *verdict.Error) *verdict.Error {
-	s.failed(q, failure.Verdict, q.spent.tokens)
-	s.o.Events.Emit(eventFailed, q.fields(event.F("verdict", failure.Verdict), event.F("code", failure.Code), event.F("key", q.key))...)
+	s.failed(q, failure, q.spent.tokens, event.F("key", q.key))
 	if failure.Verdict != verdict.NotRun {
 		return failure
 	}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -43,7 +43,7 @@
 	if int64(len(body)) > q.class.BodyMax {
 		return tooLarge(q.class.BodyMax)
 	}
-	held.settle(min(q.class.Tier, lowestTier))
+	held.settle(tierOf(q.class))
 	streamed, err := upstream.StreamBody(body)
 	if err != nil {
 		return verdict.Refused(http.StatusBadRequest, "invalid_request", "the body is not a JSON object")
@@ -118,19 +118,16 @@
 	err := c.run(ctx)
 	if err == nil {
 		if c.sink.end() != nil {
-			c.s.o.Events.Emit(eventGone, c.q.fields(event.F("tokens", c.delivered))...)
-			c.s.failed(c.q, verdict.Ran, c.delivered)
+			c.s.gone(c.q, verdict.Ran, c.delivered)
 			return nil
 		}
-		c.s.finished(c.q, c.firstToken, c.delivered)
-		c.s.o.Events.Emit(eventAnswered, c.q.fields(event.F("tokens", c.delivered))...)
+		c.s.finished(c.q, c.firstToken, c.delivered, event.F("tokens", c.delivered))
 		return nil
 	}
-	c.s.failed(c.q, err.Verdict, c.delivered)
 	if errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errCallerGone) {
-		c.s.o.Events.Emit(eventGone, c.q.fields(event.F("tokens", c.delivered))...)
+		c.s.gone(c.q, err.Verdict, c.delivered)
 	} else {
-		c.s.o.Events.Emit(eventFailed, c.q.fields(event.F("verdict", err.Verdict), event.F("code", err.Code))...)
+		c.s.failed(c.q, err, c.delivered)
 	}
 	if c.sink.begun() {
 		c.sink.fail(err)
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -43,13 +43,26 @@
 }
 
 // finished records a whole answer.
-func (s *Server) finished(q *request, firstToken time.Duration, tokens int) {
+func (s *Server) finished(q *request, firstToken time.Duration, tokens int, fields ...event.Field) {
 	q.spent.outcome, q.spent.tokens = outcomeAnswered, tokens
 	s.metrics.finished(q, firstToken, tokens)
+	s.o.Events.Emit(eventAnswered, q.fields(fields...)...)
 }
 
 // failed records a request without a whole answer, and the tokens wasted on it.
-func (s *Server) failed(q *request, v verdict.Verdict, tokens int) {
+func (s *Server) failed(q *request, err *verdict.Error, tokens int, fields ...event.Field) {
+	s.wasted(q, err.Verdict, tokens)
+	fields = append([]event.Field{event.F("verdict", err.Verdict), event.F("code", err.Code)}, fields...)
+	s.o.Events.Emit(eventFailed, q.fields(fields...)...)
+}
+
+// gone records a request whose caller closed the connection.
+func (s *Server) gone(q *request, v verdict.Verdict, tokens int) {
+	s.wasted(q, v, tokens)
+	s.o.Events.Emit(eventGone, q.fields(event.F("tokens", tokens))...)
+}
+
+func (s *Server) wasted(q *request, v verdict.Verdict, tokens int) {
 	q.spent.outcome, q.spent.tokens = outcomeOfVerdict(v), tokens
 	s.metrics.failed(idOf(q.class), v, tokens)
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -27,7 +27,7 @@
 	if refusal := q.classify(r.Header); refusal != nil {
 		return refusal
 	}
-	held, refusal := s.enter(min(q.class.Tier, lowestTier))
+	held, refusal := s.enter(tierOf(q.class))
 	if refusal != nil {
 		return refusal
 	}
@@ -108,11 +108,9 @@
 	})
 	if err == nil {
 		c.s.finished(c.q, first, 0)
-		c.s.o.Events.Emit(eventAnswered, c.q.fields()...)
 		return nil
 	}
-	c.s.failed(c.q, err.Verdict, 0)
-	c.s.o.Events.Emit(eventFailed, c.q.fields(event.F("verdict", err.Verdict), event.F("code", err.Code))...)
+	c.s.failed(c.q, err, 0)
 	if c.begun {
 		// The caller must see a broken answer, not a short one.
 		panic(http.ErrAbortHandler)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -68,7 +68,7 @@
 // admit checks that the settings are current and names the customer.
 func (s *Server) admit(r *http.Request, q *request) *verdict.Error {
 	if !s.o.View.Fresh() {
-		return verdict.Overloaded("settings_stale", "this entry can not reach the control members; use another entry", time.Second)
+		return verdict.StaleSettings()
 	}
 	q.index = s.o.View.Index()
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
@@ -85,8 +85,19 @@
 	return nil
 }
 
-// classify finds the class of the request and checks its idempotency key.
+// classify sets what the headers decide once the service is known: the class,
+// the deadline and the idempotency key.
 func (q *request) classify(h http.Header) *verdict.Error {
+	if refusal := q.findClass(h); refusal != nil {
+		return refusal
+	}
+	if refusal := q.bound(h); refusal != nil {
+		return refusal
+	}
+	return q.findKey(h)
+}
+
+func (q *request) findClass(h http.Header) *verdict.Error {
 	name := h.Get(HeaderClass)
 	if name == "" {
 		name = q.service.DefaultClass
@@ -101,15 +112,16 @@
 			"service "+q.service.Name+" has no class "+quote(name)+"; it has "+strings.Join(q.service.Classes, ", "))
 	}
 	q.class = class
-	if refusal := q.bound(h); refusal != nil {
-		return refusal
-	}
-	if class.Idempotent {
+	return nil
+}
+
+func (q *request) findKey(h http.Header) *verdict.Error {
+	if q.class.Idempotent {
 		return nil
 	}
 	q.key = h.Get(HeaderIdempotencyKey)
 	if !openai.CleanID(q.key) {
-		return verdict.Refused(http.StatusBadRequest, "missing_idempotency_key", "requests of class "+name+
+		return verdict.Refused(http.StatusBadRequest, "missing_idempotency_key", "requests of class "+q.class.Class+
 			" run at most once and need an "+HeaderIdempotencyKey+" of 1 to 128 printable characters without spaces")
 	}
 	return nil
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -168,15 +168,18 @@
 			name = service.DefaultClass
 		}
 		if class, ok := classOf(q.index, service, name, q.customer); ok && service.Engine {
-			tier = max(tier, class.Tier)
+			tier = max(tier, tierOf(class))
 		}
 	}
 	if tier < 0 {
 		return lowestTier
 	}
-	return min(tier, lowestTier)
+	return tier
 }
 
+// tierOf returns the tier of a class, within the tiers that pools know.
+func tierOf(c *settings.ClassPolicy) int { return min(c.Tier, lowestTier) }
+
 func classOf(x *settings.Index, service *settings.ServicePolicy, name, customer string) (*settings.ClassPolicy, bool) {
 	if name == "" {
 		return nil, false
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -44,6 +45,48 @@
 	}
 }
 
+// TestReadBounded guards against bodies that are changed by reading them in
+// parts, and against memory that is used without being accounted.
+func TestReadBounded(t *testing.T) {
+	const memory = 800 << 10 // 400 KiB of it for the lowest tier
+	for _, test := range []struct {
+		name        string
+		size, limit int
+		known       bool
+		code        string
+	}{
+		{"known length", 100_000, 100_000, true, ""},
+		{"unknown length", 100_000, 100_000, false, ""},
+		{"unknown length, one step", reserveStep, 1 << 20, false, ""},
+		{"unknown length, many steps", 300_000, 1 << 20, false, "body_memory_exhausted"},
+		{"unknown length over the limit", 100_001, 100_000, false, "request_too_large"},
+		{"known length over the limit", 100_001, 100_000, true, "request_too_large"},
+		{"known length without room", 500_000, 1 << 20, true, "body_memory_exhausted"},
+		{"empty", 0, 100, false, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := New(Options{BodyMemory: memory})
+			held, _ := s.enter(lowestTier)
+			sent := strings.Repeat("ab", test.size/2+1)[:test.size]
+			r := httptest.NewRequest("POST", "/", strings.NewReader(sent))
+			if !test.known {
+				r.ContentLength = -1
+			}
+			body, refusal := readBounded(httptest.NewRecorder(), r, int64(test.limit), held)
+			if test.code != "" {
+				qt.Assert(t, refusal != nil, qt.IsTrue)
+				qt.Check(t, refusal.Code, qt.Equals, test.code)
+			} else {
+				qt.Assert(t, refusal == nil, qt.IsTrue)
+				qt.Check(t, string(body) == sent, qt.IsTrue)
+				qt.Check(t, s.bodies.used[lowestTier] >= int64(test.size), qt.IsTrue)
+			}
+			held.leave()
+			qt.Check(t, s.bodies.used, qt.Equals, [tiers]int64{})
+		})
+	}
+}
+
 // TestWholeAnswerBound guards against an engine that fills the memory of an
 // entry with one answer, and against collected answers that are not accounted.
 func TestWholeAnswerBound(t *testing.T) {
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -171,19 +171,11 @@
 func (c *Client) acquireFrom(ctx context.Context, start time.Time, group string, r *schedulerv1.Request) (*Lease, *verdict.Error) {
 	asked := false
 	for {
-		if ctx.Err() != nil {
-			if asked {
-				c.cancel(group, r.Id)
-			}
-			return nil, waitEnded(ctx)
-		}
-		// Without a fresh directory the scheduler it names may have lost the
-		// group, and nothing tells when another one takes over.
-		if !c.directory.Fresh() {
+		if refusal := c.mayWait(ctx); refusal != nil {
 			if asked {
 				c.cancel(group, r.Id)
 			}
-			return nil, verdict.Overloaded("settings_stale", "this entry can not reach the control members; use another entry", time.Second)
+			return nil, refusal
 		}
 		address, _, ok := c.directory.Holder(group)
 		if !ok {
@@ -208,6 +200,20 @@
 	}
 }
 
+// mayWait refuses once the caller waits no longer or the directory is not fresh:
+// the scheduler it names may then have lost the group, and nothing tells when
+// another one takes over.
+func (c *Client) mayWait(ctx context.Context) *verdict.Error {
+	switch {
+	case ctx.Err() != nil:
+		return waitEnded(ctx)
+	case !c.directory.Fresh():
+		return verdict.StaleSettings()
+	default:
+		return nil
+	}
+}
+
 func (c *Client) ask(ctx context.Context, address, group string, r *schedulerv1.Request) (*schedulerv1.AcquireResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/schedulerhost/group.go
+++ b/internal/schedulerhost/group.go
@@ -24,8 +24,9 @@
 	tickInterval = 25 * time.Millisecond
 )
 
-// group is one scheduler core with its goroutine. All fields below commands
-// belong to that goroutine, but for report.
+// group is one scheduler core with its goroutine, which runs the commands of
+// the ring. The fields from core on belong to that goroutine, but for shared,
+// which does not change, and the metrics.
 type group struct {
 	host    *Host
 	name    string
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -96,6 +96,12 @@
 	return e
 }
 
+// StaleSettings returns the refusal of an entry that does not know whether its
+// settings are still in force.
+func StaleSettings() *Error {
+	return Overloaded("settings_stale", "this entry can not reach the control members; use another entry", time.Second)
+}
+
 // Unknown returns a MayHaveRun error.
 func Unknown(status int, code, message string) *Error {
 	return &Error{Verdict: MayHaveRun, Status: status, Type: typeOf(status), Code: code, Message: message}
