--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
 	"auburnstep.example/auburnstep/internal/control"
@@ -19,6 +20,7 @@
 	"auburnstep.example/auburnstep/internal/hlc"
 	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/metrics"
+	"auburnstep.example/auburnstep/internal/placement"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/rpc/eventsv1/eventsv1connect"
 	"auburnstep.example/auburnstep/internal/rpc/schedulerv1/schedulerv1connect"
@@ -39,6 +41,7 @@
 	ServiceBookings  = "bookings"
 	ServiceScheduler = "scheduler-host"
 	ServiceGrants    = "grants"
+	ServicePlacement = "placement"
 	ServiceEntry     = "entry"
 )
 
@@ -105,7 +108,7 @@
 // reverse order: the entry drains first and the peer server goes last.
 func (d *Daemon) join() error {
 	for _, step := range []func() error{
-		d.joinMetrics, d.joinPeers, d.joinControl, d.joinFeed, d.joinScheduler, d.joinEntry,
+		d.joinMetrics, d.joinPeers, d.joinControl, d.joinFeed, d.joinScheduler, d.joinPlacement, d.joinEntry,
 	} {
 		if err := step(); err != nil {
 			return err
@@ -211,6 +214,30 @@
 	return schedulerv1connect.NewSchedulerClient(d.pool.Peer(address).Client())
 }
 
+// joinPlacement adds model placement after the feed, which holds its lease, so
+// that it stops before the lease is given up.
+func (d *Daemon) joinPlacement() error {
+	endpoints, err := d.endpointClient(d.metrics.Scope.SubScope("placement"))
+	if err != nil {
+		return err
+	}
+	return d.kernel.Register(ServicePlacement, placement.NewDuty(placement.NewExecutor(placement.Options{
+		Lease:  d.view.placementLease,
+		Fleet:  placement.NewFleet(d.view, d.dialScheduler),
+		Client: endpoints,
+		Tokens: d.config.OrderTokens, Events: d.events, Scope: d.metrics.Scope,
+	})))
+}
+
+// endpointClient returns a client to endpoints with its metrics in a scope.
+func (d *Daemon) endpointClient(scope tally.Scope) (*upstream.Client, error) {
+	config, err := d.config.endpointTLS()
+	if err != nil {
+		return nil, err
+	}
+	return upstream.New(upstream.Options{TLS: config, Scope: scope, Events: d.events}), nil
+}
+
 func (d *Daemon) joinEntry() error {
 	l, err := d.listenCallers()
 	if err != nil {
@@ -220,7 +247,7 @@
 	if err != nil {
 		return err
 	}
-	endpointTLS, err := d.config.endpointTLS()
+	endpoints, err := d.endpointClient(d.metrics.Scope)
 	if err != nil {
 		return err
 	}
@@ -235,7 +262,7 @@
 	return d.kernel.Register(ServiceEntry, entry.New(entry.Options{
 		Instance: d.config.Instance, Listener: l, EndpointTokens: d.config.EndpointTokens, View: d.view, Grants: client,
 		Directory: d.view, Dial: d.dialScheduler, Bookings: records{bookings},
-		Upstream: upstream.New(upstream.Options{TLS: endpointTLS, Scope: d.metrics.Scope, Events: d.events}),
+		Upstream: endpoints,
 		Events:   d.events, Scope: d.metrics.Scope, Draining: d.view.draining, DrainWait: d.config.DrainWait,
 		BodyMemory: bodyMemory, MaxRequests: d.config.MaxRequests,
 	}))
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,11 +4,8 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/textproto"
 	"strings"
 	"testing"
 	"time"
@@ -17,7 +14,6 @@
 	openai "github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
-	"auburnstep.example/auburnstep/internal/entry"
 	"auburnstep.example/auburnstep/internal/fakeengine"
 	"auburnstep.example/auburnstep/internal/settings"
 	"auburnstep.example/auburnstep/internal/testkit"
@@ -143,6 +139,34 @@
 	}
 }
 
+// TestNoOrdersFromCallers guards against a caller that reaches the order path of
+// an engine, or passes the marks of an order on to an endpoint.
+func TestNoOrdersFromCallers(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	open := engine()
+	open.Fencing = fakeengine.FencingIgnore // It takes every order that reaches it.
+	e, p := b.Engine(t, open), b.Engine(t, plainService())
+	order := call{
+		body:   `{"kind":"unload_model","model":"wax-1"}`,
+		header: map[string]string{"X-Fencing-Number": "9"},
+	}
+	for _, path := range []string{
+		"/services/auburn-pool/v1/orders", "/services/auburn-pool//v1/orders", "/services/auburn-pool/%2e%2e/v1/orders",
+		"/services/rota-app/../auburn-pool/v1/orders", "/services/rota-app/%2e%2e/auburn-pool/v1/orders",
+		"/services/auburn%2dpool/v1/orders", "/v1/orders", "/v1/chat/completions/../orders",
+	} {
+		for _, class := range []string{"crew-chat", "lookup"} {
+			order.path, order.header["X-Auburnstep-Class"] = path, class
+			order.send(t, b)
+		}
+	}
+	qt.Check(t, e.Orders(), qt.HasLen, 0)
+	qt.Check(t, p.Orders(), qt.HasLen, 0)
+	order.path = "/services/rota-app/v1/orders"
+	_, text := order.send(t, b)
+	qt.Check(t, strings.Contains(strings.ToLower(text), "fencing"), qt.IsFalse)
+}
+
 // TestStaleSettings guards against serving on settings that may no longer be in force.
 func TestStaleSettings(t *testing.T) {
 	b := testkit.Start(t, declarations)
@@ -153,54 +177,6 @@
 	qt.Check(t, res.Header.Get("Retry-After"), qt.Equals, "1")
 }
 
-// head sends the head of a request that announces a body, and returns what the
-// server answers before any byte of the body.
-func head(t *testing.T, b *testkit.Bench, path string, length int) (status string, header http.Header) {
-	t.Helper()
-	c, err := net.Dial("tcp", strings.TrimPrefix(b.URL, "http://"))
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { c.Close() })
-	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", path, key, length)
-	qt.Assert(t, err, qt.IsNil)
-	in := textproto.NewReader(bufio.NewReader(c))
-	status, err = in.ReadLine()
-	qt.Assert(t, err, qt.IsNil)
-	fields, err := in.ReadMIMEHeader()
-	qt.Assert(t, err, qt.IsNil)
-	return status, http.Header(fields)
-}
-
-// TestOverloadOfEntry guards against bodies that are read without room for
-// them, and against a lower tier that takes the room of a higher one.
-func TestOverloadOfEntry(t *testing.T) {
-	for _, test := range []struct {
-		name   string
-		change func(*entry.Options)
-		body   int
-		room   int // requests of the lowest tier that fit
-	}{
-		{"bytes", func(o *entry.Options) { o.BodyMemory = 8 << 10 }, 3000, 1},
-		{"requests", func(o *entry.Options) { o.MaxRequests = 8 }, 100, 4},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			b := testkit.Start(t, declarations, test.change)
-			p := b.Engine(t, plainService())
-			for range test.room {
-				status, _ := head(t, b, "/v1/chat/completions", test.body)
-				qt.Assert(t, status, qt.Equals, "HTTP/1.1 100 Continue")
-			}
-			status, header := head(t, b, "/v1/chat/completions", test.body)
-			qt.Check(t, status, qt.Equals, "HTTP/1.1 503 Service Unavailable")
-			qt.Check(t, header.Get("X-Auburnstep-Verdict"), qt.Equals, "not-run")
-			qt.Check(t, header.Get("Retry-After"), qt.Equals, "1")
-			res, text := call{path: "/services/rota-app/x", body: strings.Repeat("a", test.body),
-				header: map[string]string{"X-Auburnstep-Class": "lookup"}}.send(t, b)
-			qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%s", text))
-			qt.Check(t, p.Stats().Received, qt.Equals, int64(1))
-		})
-	}
-}
-
 // TestOpenAIClient guards against answers that a real client library can not
 // read, and against parts that are missing or belong to another request.
 func TestOpenAIClient(t *testing.T) {
@@ -262,52 +238,6 @@
 	}
 }
 
-// TestRetryWithoutTime guards against a retry that wastes tokens because it
-// cannot deliver a first one before the deadline, and against a retry that is
-// held back by a history that is too short or was quicker once.
-func TestRetryWithoutTime(t *testing.T) {
-	for _, test := range []struct {
-		name    string
-		history []time.Duration
-		status  int
-	}{
-		{"all slower", []time.Duration{time.Hour, time.Hour, time.Hour, time.Hour}, 502},
-		{"one quicker", []time.Duration{time.Hour, time.Millisecond, time.Hour, time.Hour}, 200},
-		{"few", []time.Duration{time.Hour, time.Hour, time.Hour}, 200},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			b := testkit.Start(t, declarations)
-			first := b.Engine(t, engine())
-			first.Inject(fakeengine.Fault{Kind: fakeengine.FaultReset, Count: 1})
-			b.Entry.AssumeFirstTokens("auburn-pool", "crew-chat", test.history...)
-			status := make(chan int)
-			go func() {
-				res, _ := call{path: "/v1/chat/completions", body: chatBody("polish", `,"max_tokens":3`)}.send(t, b)
-				status <- res.StatusCode
-			}()
-			for first.Stats().Received == 0 {
-				time.Sleep(time.Millisecond)
-			}
-			b.Engine(t, engine())
-			qt.Check(t, <-status, qt.Equals, test.status)
-		})
-	}
-}
-
-// TestCallerTimeout guards against an answer that goes on after the time that
-// its caller gave it, and against one that the class would have allowed longer.
-func TestCallerTimeout(t *testing.T) {
-	b := testkit.Start(t, declarations)
-	b.Engine(t, fakeengine.Config{Service: "auburn-pool", Models: []string{"wax-1"}, Slots: 2, TokensPerSecond: 50})
-	res, text := call{path: "/v1/chat/completions", body: chatBody("long", `,"max_tokens":2000`),
-		header: map[string]string{"X-Auburnstep-Timeout-Ms": "300"}}.send(t, b)
-	qt.Check(t, res.StatusCode, qt.Equals, 504)
-	qt.Check(t, text, qt.Contains, "deadline_exceeded")
-	res, _ = call{path: "/v1/chat/completions", body: chatBody("short", `,"max_tokens":2`),
-		header: map[string]string{"X-Auburnstep-Timeout-Ms": "99999999999999"}}.send(t, b)
-	qt.Check(t, res.StatusCode, qt.Equals, 200)
-}
-
 // TestCallerGone guards against an engine that goes on generating for a caller
 // that has closed its connection. The stated bound is 200 ms.
 func TestCallerGone(t *testing.T) {
@@ -351,6 +281,25 @@
 	qt.Check(t, len(p.Ledger()), qt.Equals, 1)
 }
 
+// TestDuplicateInFlight guards against a duplicate that is sent away although
+// the first request ends a moment later.
+func TestDuplicateInFlight(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	p := b.Engine(t, plainService())
+	p.Inject(fakeengine.Fault{Kind: fakeengine.FaultLate, Delay: 300 * time.Millisecond, Count: 1})
+	answers := make(chan string, 2)
+	for range 2 {
+		go func() {
+			res, text := booking("twice", "statue 3").send(t, b)
+			answers <- res.Status + " " + text
+		}()
+	}
+	first := <-answers
+	qt.Check(t, strings.HasPrefix(first, "201"), qt.IsTrue, qt.Commentf("%s", first))
+	qt.Check(t, <-answers, qt.Equals, first)
+	qt.Check(t, len(p.Ledger()), qt.Equals, 1)
+}
+
 // TestRecordsOfCustomers guards against a customer that reads or blocks the
 // record of another one by using its idempotency key.
 func TestRecordsOfCustomers(t *testing.T) {
@@ -408,48 +357,6 @@
 	qt.Check(t, p.Ledger(), qt.HasLen, 0)
 }
 
-// TestEndpointTokens guards against endpoints that are kept out although they
-// have one of the tokens, and let in although they have none.
-func TestEndpointTokens(t *testing.T) {
-	b := testkit.Start(t, declarations, func(o *entry.Options) { o.EndpointTokens = []string{"new", "old"} })
-	res, text := call{path: "/endpoints/v1/announce", body: "{}"}.send(t, b)
-	qt.Check(t, res.StatusCode, qt.Equals, 401, qt.Commentf("%s", text))
-	c := plainService()
-	c.AnnounceToken = "old"
-	b.Engine(t, c)
-	res, text = booking("k1", "statue 7").send(t, b)
-	qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%s", text))
-}
-
-// TestUsage guards against requests and tokens that are counted as another
-// outcome, for another customer, or twice.
-func TestUsage(t *testing.T) {
-	b := testkit.Start(t, declarations)
-	b.Engine(t, engine())
-	b.Engine(t, plainService())
-	chat := call{path: "/v1/chat/completions", body: chatBody("wax the lion", `,"max_tokens":5`)}
-	chat.send(t, b)
-	booking("k1", "statue 7").send(t, b)
-	booking("k1", "statue 7").send(t, b)
-	booking("k1", "statue 8").send(t, b)
-	chat.header = map[string]string{"Authorization": "Bearer other-key", "X-Auburnstep-Class": "gold"}
-	chat.send(t, b)
-	chat.header["X-Auburnstep-Class"] = ""
-	chat.header["X-Auburnstep-Timeout-Ms"] = "250"
-	chat.body = chatBody("wax the lion", `,"max_tokens":2000`)
-	chat.send(t, b)
-	rows := b.Entry.Usage("")
-	qt.Assert(t, rows, qt.HasLen, 4)
-	wasted := rows[1].WastedTokens
-	qt.Check(t, wasted > 0, qt.IsTrue)
-	qt.Check(t, rows, qt.DeepEquals, []entry.Usage{
-		{Customer: "asti", Service: "auburn-pool", NotRun: 1},
-		{Customer: "asti", Service: "auburn-pool", Class: "crew-chat", MayHaveRun: 1, PromptTokens: 4, WastedTokens: wasted},
-		{Customer: "torino", Service: "auburn-pool", Class: "crew-chat", Answered: 1, PromptTokens: 4, DeliveredTokens: 5},
-		{Customer: "torino", Service: "rota-app", Class: "booking", Answered: 1, Replayed: 1, NotRun: 1},
-	})
-}
-
 // TestGracefulStop guards against a shutdown that cuts a request in flight.
 func TestGracefulStop(t *testing.T) {
 	b := testkit.Start(t, declarations)
--- /dev/null
+++ b/internal/entry/limits_test.go
@@ -0,0 +1,154 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/entry"
+	"auburnstep.example/auburnstep/internal/fakeengine"
+	"auburnstep.example/auburnstep/internal/testkit"
+)
+
+// head sends the head of a request that announces a body, and returns what the
+// server answers before any byte of the body.
+func head(t *testing.T, b *testkit.Bench, path string, length int) (status string, header http.Header) {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.URL, "http://"))
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { c.Close() })
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", path, key, length)
+	qt.Assert(t, err, qt.IsNil)
+	in := textproto.NewReader(bufio.NewReader(c))
+	status, err = in.ReadLine()
+	qt.Assert(t, err, qt.IsNil)
+	fields, err := in.ReadMIMEHeader()
+	qt.Assert(t, err, qt.IsNil)
+	return status, http.Header(fields)
+}
+
+// TestOverloadOfEntry guards against bodies that are read without room for
+// them, and against a lower tier that takes the room of a higher one.
+func TestOverloadOfEntry(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*entry.Options)
+		body   int
+		room   int // requests of the lowest tier that fit
+	}{
+		{"bytes", func(o *entry.Options) { o.BodyMemory = 8 << 10 }, 3000, 1},
+		{"requests", func(o *entry.Options) { o.MaxRequests = 8 }, 100, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := testkit.Start(t, declarations, test.change)
+			p := b.Engine(t, plainService())
+			for range test.room {
+				status, _ := head(t, b, "/v1/chat/completions", test.body)
+				qt.Assert(t, status, qt.Equals, "HTTP/1.1 100 Continue")
+			}
+			status, header := head(t, b, "/v1/chat/completions", test.body)
+			qt.Check(t, status, qt.Equals, "HTTP/1.1 503 Service Unavailable")
+			qt.Check(t, header.Get("X-Auburnstep-Verdict"), qt.Equals, "not-run")
+			qt.Check(t, header.Get("Retry-After"), qt.Equals, "1")
+			res, text := call{path: "/services/rota-app/x", body: strings.Repeat("a", test.body),
+				header: map[string]string{"X-Auburnstep-Class": "lookup"}}.send(t, b)
+			qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%s", text))
+			qt.Check(t, p.Stats().Received, qt.Equals, int64(1))
+		})
+	}
+}
+
+// TestRetryWithoutTime guards against a retry that wastes tokens because it
+// cannot deliver a first one before the deadline, and against a retry that is
+// held back by a history that is too short or was quicker once.
+func TestRetryWithoutTime(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		history []time.Duration
+		status  int
+	}{
+		{"all slower", []time.Duration{time.Hour, time.Hour, time.Hour, time.Hour}, 502},
+		{"one quicker", []time.Duration{time.Hour, time.Millisecond, time.Hour, time.Hour}, 200},
+		{"few", []time.Duration{time.Hour, time.Hour, time.Hour}, 200},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := testkit.Start(t, declarations)
+			first := b.Engine(t, engine())
+			first.Inject(fakeengine.Fault{Kind: fakeengine.FaultReset, Count: 1})
+			b.Entry.AssumeFirstTokens("auburn-pool", "crew-chat", test.history...)
+			status := make(chan int)
+			go func() {
+				res, _ := call{path: "/v1/chat/completions", body: chatBody("polish", `,"max_tokens":3`)}.send(t, b)
+				status <- res.StatusCode
+			}()
+			for first.Stats().Received == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			b.Engine(t, engine())
+			qt.Check(t, <-status, qt.Equals, test.status)
+		})
+	}
+}
+
+// TestCallerTimeout guards against an answer that goes on after the time that
+// its caller gave it, and against one that the class would have allowed longer.
+func TestCallerTimeout(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	b.Engine(t, fakeengine.Config{Service: "auburn-pool", Models: []string{"wax-1"}, Slots: 2, TokensPerSecond: 50})
+	res, text := call{path: "/v1/chat/completions", body: chatBody("long", `,"max_tokens":2000`),
+		header: map[string]string{"X-Auburnstep-Timeout-Ms": "300"}}.send(t, b)
+	qt.Check(t, res.StatusCode, qt.Equals, 504)
+	qt.Check(t, text, qt.Contains, "deadline_exceeded")
+	res, _ = call{path: "/v1/chat/completions", body: chatBody("short", `,"max_tokens":2`),
+		header: map[string]string{"X-Auburnstep-Timeout-Ms": "99999999999999"}}.send(t, b)
+	qt.Check(t, res.StatusCode, qt.Equals, 200)
+}
+
+// TestEndpointTokens guards against endpoints that are kept out although they
+// have one of the tokens, and let in although they have none.
+func TestEndpointTokens(t *testing.T) {
+	b := testkit.Start(t, declarations, func(o *entry.Options) { o.EndpointTokens = []string{"new", "old"} })
+	res, text := call{path: "/endpoints/v1/announce", body: "{}"}.send(t, b)
+	qt.Check(t, res.StatusCode, qt.Equals, 401, qt.Commentf("%s", text))
+	c := plainService()
+	c.AnnounceToken = "old"
+	b.Engine(t, c)
+	res, text = booking("k1", "statue 7").send(t, b)
+	qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%s", text))
+}
+
+// TestUsage guards against requests and tokens that are counted as another
+// outcome, for another customer, or twice.
+func TestUsage(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	b.Engine(t, engine())
+	b.Engine(t, plainService())
+	chat := call{path: "/v1/chat/completions", body: chatBody("wax the lion", `,"max_tokens":5`)}
+	chat.send(t, b)
+	booking("k1", "statue 7").send(t, b)
+	booking("k1", "statue 7").send(t, b)
+	booking("k1", "statue 8").send(t, b)
+	chat.header = map[string]string{"Authorization": "Bearer other-key", "X-Auburnstep-Class": "gold"}
+	chat.send(t, b)
+	chat.header["X-Auburnstep-Class"] = ""
+	chat.header["X-Auburnstep-Timeout-Ms"] = "250"
+	chat.body = chatBody("wax the lion", `,"max_tokens":2000`)
+	chat.send(t, b)
+	rows := b.Entry.Usage("")
+	qt.Assert(t, rows, qt.HasLen, 4)
+	wasted := rows[1].WastedTokens
+	qt.Check(t, wasted > 0, qt.IsTrue)
+	qt.Check(t, rows, qt.DeepEquals, []entry.Usage{
+		{Customer: "asti", Service: "auburn-pool", NotRun: 1},
+		{Customer: "asti", Service: "auburn-pool", Class: "crew-chat", MayHaveRun: 1, PromptTokens: 4, WastedTokens: wasted},
+		{Customer: "torino", Service: "auburn-pool", Class: "crew-chat", Answered: 1, PromptTokens: 4, DeliveredTokens: 5},
+		{Customer: "torino", Service: "rota-app", Class: "booking", Answered: 1, Replayed: 1, NotRun: 1},
+	})
+}
