--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"auburnstep.example/auburnstep/internal/entry"
+	"auburnstep.example/auburnstep/internal/settings"
 )
 
 // Config holds the process settings of one instance. Everything else is in the
@@ -41,6 +44,13 @@
 	TLSCA         string `name:"tls-ca" env:"AUBURNSTEP_TLS_CA" help:"PEM certificate authorities of instances."`
 	CallerTLSCert string `name:"caller-tls-cert" env:"AUBURNSTEP_CALLER_TLS_CERT" help:"PEM certificate towards callers and endpoints."`
 	CallerTLSKey  string `name:"caller-tls-key" env:"AUBURNSTEP_CALLER_TLS_KEY" help:"PEM key towards callers and endpoints."`
+	// Endpoints are met in the clear unless their authorities are given.
+	EndpointTLSCA   string `name:"endpoint-tls-ca" env:"AUBURNSTEP_ENDPOINT_TLS_CA" help:"PEM certificate authorities of endpoints. With it all requests to endpoints use TLS."`
+	EndpointTLSCert string `name:"endpoint-tls-cert" env:"AUBURNSTEP_ENDPOINT_TLS_CERT" help:"PEM client certificate towards endpoints."`
+	EndpointTLSKey  string `name:"endpoint-tls-key" env:"AUBURNSTEP_ENDPOINT_TLS_KEY" help:"PEM key of the client certificate towards endpoints."`
+
+	BodyMemory  string `default:"256MiB" env:"AUBURNSTEP_BODY_MEMORY" help:"Memory for request bodies and collected answers in flight, 128MiB to 64GiB."`
+	MaxRequests int64  `default:"4096" env:"AUBURNSTEP_MAX_REQUESTS" help:"Requests of callers in flight, 16 to 1000000."`
 
 	LogLevel  string        `default:"info" env:"AUBURNSTEP_LOG_LEVEL" help:"Lowest level that is logged: debug, info, warning or error."`
 	DrainWait time.Duration `default:"12s" env:"AUBURNSTEP_DRAIN_WAIT" help:"Time between leaving the list of entries and closing the listener, 0s to 10m. Callers keep the list for 10 s."`
@@ -58,6 +68,13 @@
 	return fmt.Sprintf("--%s is %q; allowed is %s", e.Flag, e.Value, e.Allowed)
 }
 
+const (
+	// minRequests leaves each tier at least two requests of its own.
+	minRequests   = 16
+	maxRequests   = 1_000_000
+	maxBodyMemory = 64 << 30
+)
+
 // maxWeight bounds --weight so that sums of weights stay small numbers.
 const maxWeight = 1000
 
@@ -82,6 +99,12 @@
 	if c.DrainWait < 0 || c.DrainWait > 10*time.Minute {
 		return &FlagError{"drain-wait", c.DrainWait.String(), "0s to 10m"}
 	}
+	if _, err := c.bodyMemory(); err != nil {
+		return err
+	}
+	if c.MaxRequests < minRequests || c.MaxRequests > maxRequests {
+		return &FlagError{"max-requests", strconv.FormatInt(c.MaxRequests, 10), "16 to 1000000"}
+	}
 	if _, err := c.level(); err != nil {
 		return &FlagError{"log-level", c.LogLevel, "debug, info, warning or error"}
 	}
@@ -157,6 +180,10 @@
 		{"tls-ca", c.TLSCA, c.TLSCert, "set together with --tls-cert and --tls-key"},
 		{"caller-tls-cert", c.CallerTLSCert, c.CallerTLSKey, "set together with --caller-tls-key"},
 		{"caller-tls-key", c.CallerTLSKey, c.CallerTLSCert, "set together with --caller-tls-cert"},
+		{"endpoint-tls-ca", c.EndpointTLSCA, c.EndpointTLSCA, ""},
+		{"endpoint-tls-cert", c.EndpointTLSCert, c.EndpointTLSKey, "set together with --endpoint-tls-key and --endpoint-tls-ca"},
+		{"endpoint-tls-cert", c.EndpointTLSCert, c.EndpointTLSCA, "set together with --endpoint-tls-key and --endpoint-tls-ca"},
+		{"endpoint-tls-key", c.EndpointTLSKey, c.EndpointTLSCert, "set together with --endpoint-tls-cert and --endpoint-tls-ca"},
 	}
 	for _, p := range pairs {
 		if p.value == "" {
@@ -177,6 +204,15 @@
 	return nil
 }
 
+// bodyMemory returns --body-memory in bytes.
+func (c *Config) bodyMemory() (int64, error) {
+	n, err := settings.ParseSize(c.BodyMemory)
+	if err != nil || n < entry.MinBodyMemory || n > maxBodyMemory {
+		return 0, &FlagError{"body-memory", c.BodyMemory, "128MiB to 64GiB, with a unit"}
+	}
+	return n, nil
+}
+
 func (c *Config) level() (logrus.Level, error) {
 	l, err := logrus.ParseLevel(c.LogLevel)
 	if err != nil || l > logrus.DebugLevel || l < logrus.ErrorLevel {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
 	"auburnstep.example/auburnstep/internal/control"
@@ -216,19 +217,40 @@
 // joinPlacement adds model placement after the feed, which holds its lease, so
 // that it stops before the lease is given up.
 func (d *Daemon) joinPlacement() error {
+	endpoints, err := d.endpointClient(d.metrics.Scope.SubScope("placement"))
+	if err != nil {
+		return err
+	}
 	return d.kernel.Register(ServicePlacement, placement.NewDuty(placement.NewExecutor(placement.Options{
 		Lease:  d.view.placementLease,
 		Fleet:  placement.NewFleet(d.view, d.dialScheduler),
-		Client: upstream.New(upstream.Options{Scope: d.metrics.Scope.SubScope("placement"), Events: d.events}),
+		Client: endpoints,
 		Tokens: d.config.OrderTokens, Events: d.events, Scope: d.metrics.Scope,
 	})))
 }
 
+// endpointClient returns a client to endpoints with its metrics in a scope.
+func (d *Daemon) endpointClient(scope tally.Scope) (*upstream.Client, error) {
+	config, err := d.config.endpointTLS()
+	if err != nil {
+		return nil, err
+	}
+	return upstream.New(upstream.Options{TLS: config, Scope: scope, Events: d.events}), nil
+}
+
 func (d *Daemon) joinEntry() error {
 	l, err := d.listenCallers()
 	if err != nil {
 		return err
 	}
+	bodyMemory, err := d.config.bodyMemory()
+	if err != nil {
+		return err
+	}
+	endpoints, err := d.endpointClient(d.metrics.Scope)
+	if err != nil {
+		return err
+	}
 	client, err := kernel.Lookup[*grants.Client](d.kernel, ServiceGrants)
 	if err != nil {
 		return err
@@ -240,8 +262,9 @@
 	return d.kernel.Register(ServiceEntry, entry.New(entry.Options{
 		Instance: d.config.Instance, Listener: l, EndpointTokens: d.config.EndpointTokens, View: d.view, Grants: client,
 		Directory: d.view, Dial: d.dialScheduler, Bookings: records{bookings},
-		Upstream: upstream.New(upstream.Options{Scope: d.metrics.Scope, Events: d.events}),
+		Upstream: endpoints,
 		Events:   d.events, Scope: d.metrics.Scope, Draining: d.view.draining, DrainWait: d.config.DrainWait,
+		BodyMemory: bodyMemory, MaxRequests: d.config.MaxRequests,
 	}))
 }
 
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -41,20 +41,19 @@
 	}
 	if begun.State != controlv1.BookingResponse_BEGUN {
 		s.o.Events.Emit(eventDuplicate, q.fields(event.F("key", q.key), event.F("state", begun.State))...)
-		return answerDuplicate(w, begun)
+		return answerDuplicate(w, q, begun)
 	}
 	s.o.Events.Emit(eventBooking, q.fields(event.F("key", q.key))...)
 	// The caller's connection no longer matters: once the request may have
 	// reached an endpoint its outcome must be stored.
-	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.start.Add(q.class.Deadline))
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
 	defer cancel()
 	outcome, failure := run(detached)
 	if failure != nil {
 		return s.abandon(q, begin, failure)
 	}
 	s.finish(q, &controlv1.FinishBooking{Key: key, AttemptId: begin.AttemptId, Outcome: outcome})
-	s.metrics.finished(q, time.Since(q.start), 0)
-	s.o.Events.Emit(eventAnswered, q.fields(event.F("key", q.key), event.F("status", outcome.Status))...)
+	s.finished(q, time.Since(q.start), q.spent.tokens, event.F("key", q.key), event.F("status", outcome.Status))
 	writeOutcome(w, outcome, false)
 	return nil
 }
@@ -100,8 +99,7 @@
 // abandon ends a request that has no outcome. With proof that it did not run
 // the key may be used again; otherwise the record stays and blocks duplicates.
 func (s *Server) abandon(q *request, begun *controlv1.BeginBooking, failure *verdict.Error) *verdict.Error {
-	s.metrics.failed(q, failure.Verdict, 0)
-	s.o.Events.Emit(eventFailed, q.fields(event.F("verdict", failure.Verdict), event.F("code", failure.Code), event.F("key", q.key))...)
+	s.failed(q, failure, q.spent.tokens, event.F("key", q.key))
 	if failure.Verdict != verdict.NotRun {
 		return failure
 	}
@@ -125,9 +123,10 @@
 }
 
 // answerDuplicate answers a request whose key was used before.
-func answerDuplicate(w http.ResponseWriter, b *controlv1.BookingResponse) *verdict.Error {
+func answerDuplicate(w http.ResponseWriter, q *request, b *controlv1.BookingResponse) *verdict.Error {
 	switch b.State {
 	case controlv1.BookingResponse_FINISHED:
+		q.spent.outcome = outcomeReplayed
 		writeOutcome(w, b.Outcome, true)
 		return nil
 	case controlv1.BookingResponse_MISMATCH:
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -121,6 +121,8 @@
 		{"engine as plain service", call{path: "/services/auburn-pool/x"}, 404, "unknown_service"},
 		{"plain service without class", call{path: "/services/rota-app/x"}, 400, "missing_class"},
 		{"booking without key", call{path: "/services/rota-app/x", header: map[string]string{"X-Auburnstep-Class": "booking"}}, 400, "missing_idempotency_key"},
+		{"timeout without number", call{path: chat, body: chatBody("a", ""), header: map[string]string{"X-Auburnstep-Timeout-Ms": "2s"}}, 400, "invalid_timeout"},
+		{"timeout of 0", call{path: chat, body: chatBody("a", ""), header: map[string]string{"X-Auburnstep-Timeout-Ms": "0"}}, 400, "invalid_timeout"},
 		{"unknown path", call{path: "/v2/chat"}, 404, "unknown_path"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -333,7 +335,9 @@
 	b := testkit.Start(t, declarations)
 	p := b.Engine(t, plainService())
 	p.Inject(fakeengine.Fault{Kind: fakeengine.FaultOverload, Count: 1})
-	res, text := booking("k3", "statue 1").send(t, b)
+	first := booking("k3", "statue 1")
+	first.header["X-Auburnstep-Timeout-Ms"] = "500" // no other endpoint becomes free
+	res, text := first.send(t, b)
 	if res.StatusCode >= 400 {
 		qt.Assert(t, res.Header.Get("X-Auburnstep-Verdict"), qt.Equals, "not-run", qt.Commentf("%s", text))
 		res, text = booking("k3", "statue 1").send(t, b)
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -17,6 +17,7 @@
 	eventFailed    = event.Define(5005, "request-failed", event.Info, "ended a request without a whole answer")
 	eventGone      = event.Define(5006, "caller-gone", event.Info, "the caller closed the connection before the answer was whole")
 	eventRefused   = event.Define(5007, "error-answered", event.Debug, "answered a request with an error")
+	eventNoTime    = event.Define(5008, "retry-not-started", event.Info, "did not retry a request, since the time left is below that of any recent first token of its class")
 	eventDraining  = event.Define(5010, "draining", event.Info, "left the list of entries; accepting until callers' lists run out")
 	eventDrained   = event.Define(5011, "drained", event.Info, "closed the listener for callers")
 	eventCut       = event.Define(5012, "requests-cut", event.Failure, "ended with requests in flight")
@@ -37,13 +38,37 @@
 	return requestMetrics{scope.SubScope("requests")}
 }
 
-func (m requestMetrics) class(service, class string) tally.Scope {
-	return m.scope.Tagged(map[string]string{"service": service, "class": class})
+func (m requestMetrics) class(c classID) tally.Scope {
+	return m.scope.Tagged(map[string]string{"service": c.service, "class": c.class})
 }
 
 // finished records a whole answer.
+func (s *Server) finished(q *request, firstToken time.Duration, tokens int, fields ...event.Field) {
+	q.spent.outcome, q.spent.tokens = outcomeAnswered, tokens
+	s.metrics.finished(q, firstToken, tokens)
+	s.o.Events.Emit(eventAnswered, q.fields(fields...)...)
+}
+
+// failed records a request without a whole answer, and the tokens wasted on it.
+func (s *Server) failed(q *request, err *verdict.Error, tokens int, fields ...event.Field) {
+	s.wasted(q, err.Verdict, tokens)
+	fields = append([]event.Field{event.F("verdict", err.Verdict), event.F("code", err.Code)}, fields...)
+	s.o.Events.Emit(eventFailed, q.fields(fields...)...)
+}
+
+// gone records a request whose caller closed the connection.
+func (s *Server) gone(q *request, v verdict.Verdict, tokens int) {
+	s.wasted(q, v, tokens)
+	s.o.Events.Emit(eventGone, q.fields(event.F("tokens", tokens))...)
+}
+
+func (s *Server) wasted(q *request, v verdict.Verdict, tokens int) {
+	q.spent.outcome, q.spent.tokens = outcomeOfVerdict(v), tokens
+	s.metrics.failed(idOf(q.class), v, tokens)
+}
+
 func (m requestMetrics) finished(r *request, firstToken time.Duration, tokens int) {
-	s := m.class(r.service.Name, r.class.Class)
+	s := m.class(idOf(r.class))
 	s.Counter("answered").Inc(1)
 	s.Counter("tokens_delivered").Inc(int64(tokens))
 	s.Timer("first_token").Record(firstToken)
@@ -53,9 +78,10 @@
 	}
 }
 
-// failed records a request without a whole answer, and the tokens wasted on it.
-func (m requestMetrics) failed(r *request, v verdict.Verdict, tokens int) {
-	s := m.class(r.service.Name, r.class.Class)
+// failed counts a request without a whole answer. Before the class of a request
+// is known its labels are empty.
+func (m requestMetrics) failed(c classID, v verdict.Verdict, tokens int) {
+	s := m.class(c)
 	s.Tagged(map[string]string{"verdict": v.String()}).Counter("failed").Inc(1)
 	s.Counter("tokens_wasted").Inc(int64(tokens))
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -27,14 +27,19 @@
 	if refusal := q.classify(r.Header); refusal != nil {
 		return refusal
 	}
-	body, refusal := readBody(w, r, q.class.BodyMax)
+	held, refusal := s.enter(tierOf(q.class))
+	if refusal != nil {
+		return refusal
+	}
+	defer held.leave()
+	body, refusal := readBounded(w, r, q.class.BodyMax, held)
 	if refusal != nil {
 		return refusal
 	}
 	s.o.Events.Emit(eventAccepted, q.fields(event.F("method", r.Method), event.F("bytes", len(body)))...)
 	ctx, cancel := q.context(r)
 	defer cancel()
-	c := &plainCall{s: s, q: q, w: w, body: body, method: r.Method, target: plainTarget(r), header: plainHeader(r.Header)}
+	c := &plainCall{s: s, q: q, w: w, held: held, body: body, method: r.Method, target: plainTarget(r), header: plainHeader(r.Header)}
 	if q.key != "" {
 		return s.atMostOnce(ctx, w, q, bodyHash(r, body), c.recorded)
 	}
@@ -78,6 +83,7 @@
 	target string
 	header http.Header
 	body   []byte
+	held   *room
 	begun  bool
 }
 
@@ -93,22 +99,22 @@
 // serve passes an idempotent call on and streams its answer.
 func (c *plainCall) serve(ctx context.Context) *verdict.Error {
 	var first time.Duration
-	err := newAttempts(c.s, c.q).run(ctx, func(ctx context.Context, id string, l *grants.Lease) result {
+	err := newAttempts(c.s, c.q, c.q.demand()).run(ctx, func(ctx context.Context, id string, l *grants.Lease) result {
+		start := time.Now()
 		answer, err := c.s.o.Upstream.Do(ctx, c.call(id, l))
 		if err != nil {
 			return result{err: err}
 		}
 		defer answer.Body.Close()
 		first = time.Since(c.q.start)
-		return result{firstToken: first, err: c.pass(answer)}
+		took := time.Since(start)
+		return result{firstToken: took, err: c.pass(answer)}
 	})
 	if err == nil {
-		c.s.metrics.finished(c.q, first, 0)
-		c.s.o.Events.Emit(eventAnswered, c.q.fields()...)
+		c.s.finished(c.q, first, 0)
 		return nil
 	}
-	c.s.metrics.failed(c.q, err.Verdict, 0)
-	c.s.o.Events.Emit(eventFailed, c.q.fields(event.F("verdict", err.Verdict), event.F("code", err.Code))...)
+	c.s.failed(c.q, err, 0)
 	if c.begun {
 		// The caller must see a broken answer, not a short one.
 		panic(http.ErrAbortHandler)
@@ -171,14 +177,16 @@
 // is no outcome that duplicates could be told.
 func (c *plainCall) recorded(ctx context.Context) (*controlv1.BookingOutcome, *verdict.Error) {
 	var outcome *controlv1.BookingOutcome
-	err := newAttempts(c.s, c.q).run(ctx, func(ctx context.Context, id string, l *grants.Lease) result {
-		call := c.call(id, l)
+	c.held.charge(maxStoredOutcome)
+	err := newAttempts(c.s, c.q, c.q.demand()).run(ctx, func(ctx context.Context, id string, l *grants.Lease) result {
+		start, call := time.Now(), c.call(id, l)
 		call.MaxAnswer = maxStoredOutcome
 		answer, err := c.s.o.Upstream.Do(ctx, call)
 		if err != nil {
 			return result{err: err}
 		}
 		defer answer.Body.Close()
+		first := time.Since(start)
 		body, err := io.ReadAll(answer.Body)
 		if err != nil {
 			return result{err: err}
@@ -190,7 +198,7 @@
 		outcome = &controlv1.BookingOutcome{
 			Status: uint32(answer.Status), ContentType: answer.Header.Get("Content-Type"), Body: body,
 		}
-		return result{firstToken: time.Since(c.q.start)}
+		return result{firstToken: first}
 	})
 	return outcome, err
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -10,6 +10,7 @@
 
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/openai"
+	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
 	"auburnstep.example/auburnstep/internal/settings"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
@@ -25,14 +26,18 @@
 
 // request is one caller's request with the settings it is served under.
 type request struct {
-	id       string
-	start    time.Time
+	id    string
+	start time.Time
+	// deadline is set together with class.
+	deadline time.Time
 	index    *settings.Index
 	customer string
 	service  *settings.ServicePolicy
 	class    *settings.ClassPolicy
 	// key is the idempotency key, set only for a class that is not idempotent.
 	key string
+	// spent is added to the counters of the customer when the request ends.
+	spent spending
 }
 
 // handler serves one authenticated request. A returned error is written to the
@@ -46,8 +51,10 @@
 		defer s.inFlight.Add(-1)
 		q := &request{id: uuid.NewString(), start: time.Now()}
 		w.Header().Set(HeaderRequestID, q.id)
-		err := s.admit(r, q)
-		if err == nil {
+		var err *verdict.Error
+		// A handler that breaks an answer off panics.
+		defer func() { s.account(q, err) }()
+		if err = s.admit(r, q); err == nil {
 			err = h(w, r, q)
 		}
 		if err != nil {
@@ -61,7 +68,7 @@
 // admit checks that the settings are current and names the customer.
 func (s *Server) admit(r *http.Request, q *request) *verdict.Error {
 	if !s.o.View.Fresh() {
-		return verdict.Overloaded("settings_stale", "this entry can not reach the control members; use another entry", time.Second)
+		return verdict.StaleSettings()
 	}
 	q.index = s.o.View.Index()
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
@@ -78,8 +85,19 @@
 	return nil
 }
 
-// classify finds the class of the request and checks its idempotency key.
+// classify sets what the headers decide once the service is known: the class,
+// the deadline and the idempotency key.
 func (q *request) classify(h http.Header) *verdict.Error {
+	if refusal := q.findClass(h); refusal != nil {
+		return refusal
+	}
+	if refusal := q.bound(h); refusal != nil {
+		return refusal
+	}
+	return q.findKey(h)
+}
+
+func (q *request) findClass(h http.Header) *verdict.Error {
 	name := h.Get(HeaderClass)
 	if name == "" {
 		name = q.service.DefaultClass
@@ -94,20 +112,29 @@
 			"service "+q.service.Name+" has no class "+quote(name)+"; it has "+strings.Join(q.service.Classes, ", "))
 	}
 	q.class = class
-	if class.Idempotent {
+	return nil
+}
+
+func (q *request) findKey(h http.Header) *verdict.Error {
+	if q.class.Idempotent {
 		return nil
 	}
 	q.key = h.Get(HeaderIdempotencyKey)
 	if !openai.CleanID(q.key) {
-		return verdict.Refused(http.StatusBadRequest, "missing_idempotency_key", "requests of class "+name+
+		return verdict.Refused(http.StatusBadRequest, "missing_idempotency_key", "requests of class "+q.class.Class+
 			" run at most once and need an "+HeaderIdempotencyKey+" of 1 to 128 printable characters without spaces")
 	}
 	return nil
 }
 
-// context bounds the request by the deadline of its class.
+// demand describes the request to the scheduler.
+func (q *request) demand() *schedulerv1.Request {
+	return &schedulerv1.Request{Customer: q.customer, Class: q.class.Class, MayRepeat: q.class.Idempotent}
+}
+
+// context bounds the request by its deadline.
 func (q *request) context(r *http.Request) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(r.Context(), q.start.Add(q.class.Deadline))
+	return context.WithDeadline(r.Context(), q.deadline)
 }
 
 // fields identifies the request in events.
