--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -112,7 +112,7 @@
 fi
 if wanted storm; then
   load 33000
-  for n in 1 9 36; do
+  for n in 1 2 4 9 36; do
     for _ in $(seq "$repeats"); do measure storm --control "$members" --instances "$n" --bound 10s; done
   done
 fi
