proof: separate port ranges for runs side by side; no fatal failure outside the test

A run of another checkout took the port of an instance during its restart, and the failure that followed came from a caller's goroutine, which hid it.

--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -84,11 +84,18 @@
 // nextPort counts up from below the range from which the kernel draws ports for
 // outgoing connections. A port of that range could be taken by a connection
 // while the instance that listens on it is restarted.
-var nextPort = 21000
+var nextPort = firstPort + os.Getpid()%portRanges*portRange
+
+// Runs of several checkouts on one machine use different ranges.
+const (
+	firstPort  = 21000
+	portRange  = 500
+	portRanges = 20
+)
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for nextPort < 30000 {
+	for last := nextPort + portRange; nextPort < last; {
 		nextPort++
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
 		if err == nil {
--- a/internal/proof/service_test.go
+++ b/internal/proof/service_test.go
@@ -40,6 +40,10 @@
 				}
 				prompt := fmt.Sprintf("rolling %d %d", w, n)
 				in := c.listed(w + n)
+				if in == nil {
+					t.Errorf("no entry is listed within %v", settleBound)
+					return
+				}
 				a := in.send(context.Background(), "/v1/chat/completions", chatBody(prompt, 200, true), nil)
 				whole := a.err == nil && a.status == 200 && strings.HasSuffix(a.body, "data: [DONE]\n\n")
 				mu.Lock()
@@ -66,13 +70,13 @@
 
 func tail(s string) string { return s[max(0, len(s)-120):] }
 
-// listed returns an instance that the list of entries names.
+// listed returns an instance that the list of entries names, or nil if it names
+// none for too long. Callers use it outside the goroutine of the test.
 func (c *cluster) listed(n int) *instance {
-	var out *instance
-	eventually(c.t, settleBound, "an entry in the list", func() error {
+	for deadline := time.Now().Add(settleBound); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		s, err := c.status()
 		if err != nil {
-			return err
+			continue
 		}
 		var live []*instance
 		for _, e := range s.Entries {
@@ -82,13 +86,11 @@
 				}
 			}
 		}
-		if len(live) == 0 {
-			return fmt.Errorf("the list is empty")
+		if len(live) > 0 {
+			return live[n%len(live)]
 		}
-		out = live[n%len(live)]
-		return nil
-	})
-	return out
+	}
+	return nil
 }
 
 // TestMajorityLost guards against an entry that serves on settings which may
