--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,6 @@
 GO ?= go
-BINARIES := auburnstepd auburnctl fakeengine auburnload
 
-.PHONY: build test lint demo generate fuzz policy clean
+.PHONY: build test lint demo soak policy capacity fuzz generate clean
 
 build: ## Builds every program into bin/.
 	$(GO) build -o bin/ ./cmd/...
@@ -17,6 +16,18 @@
 demo: build ## Starts three instances and three endpoints and sends requests of every class.
 	./scripts/demo.sh
 
+soak: build ## Load with kills and freezes; SEED and SECONDS vary it.
+	./scripts/soak.sh $(or $(SEED),1) $(or $(SECONDS),40)
+
+policy: ## The tables of docs/policy.md, about 40 s.
+	$(GO) run ./cmd/auburnpolicy --seeds 1,2,3 --workers 4
+
+capacity: build ## The slopes of docs/CAPACITY.md, some 15 minutes.
+	./scripts/capacity.sh
+
+fuzz: ## Each fuzz target for FUZZTIME.
+	./scripts/fuzz.sh $(or $(FUZZTIME),10s)
+
 generate: ## Regenerates the committed protobuf and connect code.
 	./scripts/generate.sh
 
