control, feed: hand groups over to instances with fewer of them

Cause: a group moved only when its holder was lost or resigned.

The leader now plans one hand-over at a time: the holder is asked through the feed answer to resign the group, stops it, and reports it as given up in a poll 50 ms later. Until that report the holder keeps the group and its lease, so a holder that does not react, or an older version, loses nothing. The rule by which a group is free (liveness.replaceable) is unchanged.

Ruled out: revoking the lease first (costs 2.2 s without a holder, and the same when the holder ignores it); moving every group to its rendezvous winner, since winners can be spread as unevenly as the present holders. Only the number of groups counts, with a gap of 2, which ends after a bounded number of moves.

Conclusion: the cost is about a poll of the target and one round of chores.

--- a/internal/control/chores.go
+++ b/internal/control/chores.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"auburnstep.example/auburnstep/internal/event"
@@ -30,6 +31,7 @@
 		m.live.mu.Lock()
 		m.live.enter(term, now)
 		m.live.mu.Unlock()
+		m.planMove()
 		m.assignGroups(ctx)
 		call, cancel := context.WithTimeout(ctx, defaultCallTimeout)
 		m.promote(call)
@@ -93,6 +95,18 @@
 	return longest
 }
 
+// planMove starts a planned hand-over if the groups are spread unevenly.
+func (m *Member) planMove() {
+	d := m.derive()
+	m.mu.RLock()
+	assignments := m.state.Assignments()
+	m.mu.RUnlock()
+	assignments = slices.DeleteFunc(assignments, func(a *controlv1.Assignment) bool { return !d.wanted[a.Group] })
+	if move := m.live.plan(assignments, time.Now()); move != nil {
+		m.options.Events.Emit(eventHandOver, event.F("group", move.group), event.F("holder", move.holder), event.F("target", move.target))
+	}
+}
+
 // assignGroups gives groups without a live holder to other instances.
 func (m *Member) assignGroups(ctx context.Context) {
 	for _, group := range m.derive().groups {
--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -19,6 +19,10 @@
 // last answer is fresh.
 const pollTimeout = 400 * time.Millisecond
 
+// yieldInterval is the time between polls while a group that the leader asked
+// for is being stopped; the leader assigns it once it is reported as stopped.
+const yieldInterval = 50 * time.Millisecond
+
 var (
 	eventFeedLost     = event.Define(3100, "feed-lost", event.Warn, "no control member answered in time; new requests are refused")
 	eventFeedBack     = event.Define(3101, "feed-fresh", event.Info, "the feed of the control members is fresh")
@@ -56,12 +60,14 @@
 	// The fields below belong to the goroutine that polls.
 	directory uint64
 	reset     bool
-	// inherited holds the groups that were assigned to this instance before
-	// this process started. They belong to the former process; this one acts
-	// only under an epoch that was drawn for it.
-	inherited map[string]uint64
-	lost      bool
-	resigned  atomic.Bool
+	// disowned holds epochs of groups under which this process never acts:
+	// those assigned to the instance before this process started, which belong
+	// to the former process, and those given up because the leader asked for it.
+	disowned map[string]uint64
+	// yielding holds the groups given up that may still run here.
+	yielding map[string]uint64
+	lost     bool
+	resigned atomic.Bool
 
 	polls, failures tally.Counter
 	version, fresh  tally.Gauge
@@ -78,7 +84,7 @@
 	}
 	tree := settings.New()
 	c := &Client{
-		options: o, router: newRouter(o.Members), incarnation: rand.Uint64(), now: make(chan chan struct{}),
+		options: o, router: newRouter(o.Members), incarnation: rand.Uint64(), now: make(chan chan struct{}), yielding: make(map[string]uint64),
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		polls: o.Scope.Counter("feed_polls_sent"), failures: o.Scope.Counter("feed_polls_failed"),
 		version: o.Scope.Gauge("feed_settings_version"), fresh: o.Scope.Gauge("feed_fresh_seconds"),
@@ -138,7 +144,11 @@
 		c.round(ctx)
 		c.checkFresh()
 		// Jitter keeps the polls of many instances apart.
-		wait := time.NewTimer(PollInterval*4/5 + rand.N(PollInterval*2/5))
+		pause := PollInterval*4/5 + rand.N(PollInterval*2/5)
+		if len(c.yielding) > 0 {
+			pause = yieldInterval
+		}
+		wait := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 			wait.Stop()
@@ -235,16 +245,25 @@
 	}
 	held := c.Held()
 	reported := make(map[string]bool)
+	running := make(map[string]uint64)
 	if c.options.Reports != nil {
 		for _, g := range c.options.Reports() {
+			running[g.GetGroup()] = g.GetEpoch()
 			if l, ok := held[g.GetGroup()]; ok && l.Epoch == g.GetEpoch() {
 				r.Groups = append(r.Groups, g)
 				reported[g.GetGroup()] = true
 			}
 		}
 	}
+	for group, epoch := range c.yielding {
+		if running[group] != epoch {
+			delete(c.yielding, group)
+		}
+	}
 	for _, a := range view.Assignments {
-		if a.Instance != c.instance || reported[a.Group] {
+		// A group that is given up and still runs is not reported at all: the
+		// leader then neither gives it to another one nor takes it as lost.
+		if a.Instance != c.instance || reported[a.Group] || c.yielding[a.Group] == a.Epoch {
 			continue
 		}
 		// Epoch 0 tells that this process does not act as holder.
@@ -261,7 +280,7 @@
 		return err
 	}
 	c.reset = false
-	first := c.inherited == nil
+	first := c.disowned == nil
 	if len(r.GetMembers()) > 0 {
 		c.directory = DirectoryVersion(r, EntriesVersion(r.GetEntries()))
 		next.Assignments, next.Members = r.GetAssignments(), r.GetMembers()
@@ -277,6 +296,7 @@
 	if first {
 		c.inherit(next)
 	}
+	c.yield(r.GetResign())
 	changed := c.renew(next, sent) || next.Version != old.Version || len(r.GetMembers()) > 0 || first
 	c.view.Store(next)
 	if next.Version != old.Version {
@@ -289,10 +309,21 @@
 }
 
 func (c *Client) inherit(v *View) {
-	c.inherited = make(map[string]uint64)
+	c.disowned = make(map[string]uint64)
 	for _, a := range v.Assignments {
 		if a.Instance == c.instance {
-			c.inherited[a.Group] = a.Epoch
+			c.disowned[a.Group] = a.Epoch
+		}
+	}
+}
+
+// yield gives up groups that the leader asks for. Only this process's own
+// present epochs count, so that a late answer has no effect on a later one.
+func (c *Client) yield(asked []*controlv1.Assignment) {
+	held := *c.held.Load()
+	for _, a := range asked {
+		if l, ok := held[a.Group]; ok && l.Epoch == a.Epoch && a.Epoch != 0 {
+			c.disowned[a.Group], c.yielding[a.Group] = a.Epoch, a.Epoch
 		}
 	}
 }
@@ -303,7 +334,7 @@
 	next := make(map[string]Lease)
 	if !c.resigned.Load() {
 		for _, a := range v.Assignments {
-			if a.Instance == c.instance && c.inherited[a.Group] != a.Epoch {
+			if a.Instance == c.instance && c.disowned[a.Group] != a.Epoch {
 				next[a.Group] = Lease{Epoch: a.Epoch, Until: sent.Add(GroupLease)}
 			}
 		}
--- a/internal/control/feed/client_test.go
+++ b/internal/control/feed/client_test.go
@@ -214,3 +214,46 @@
 		<-done
 	})
 }
+
+// Guards against a group that is reported as given up while it still runs here,
+// and against one that is taken up again under the epoch it was given up for.
+func TestGroupIsYieldedOnceItHasStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		assigned := []*controlv1.Assignment{{Group: "g/0", Instance: "e0", Epoch: 3}}
+		var asked []*controlv1.FeedRequest
+		var mu sync.Mutex // guards asked, r and running
+		r := &controlv1.FeedResponse{FreshForMs: 3000, Members: []string{"a"}}
+		s := &scripted{feed: func(_ string, q *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			asked = append(asked, q)
+			return r, nil
+		}}
+		running := []*controlv1.GroupReport{{Group: "g/0", Epoch: 3}}
+		c := newTestClient(s, "a")
+		c.options.Reports = func() []*controlv1.GroupReport { mu.Lock(); defer mu.Unlock(); return running }
+		defer run(c)()
+		second := func() { mu.Unlock(); time.Sleep(time.Second); mu.Lock() }
+		mu.Lock()
+		defer mu.Unlock()
+		second()
+		r = &controlv1.FeedResponse{FreshForMs: 3000, Members: []string{"a"}, Assignments: assigned}
+		second()
+		epoch, _ := c.Holds("g/0")
+		qt.Assert(t, epoch, qt.Equals, uint64(3))
+		asked = nil
+		r = &controlv1.FeedResponse{FreshForMs: 3000, Members: []string{"a"}, Assignments: assigned, Resign: assigned}
+		second()
+		epoch, _ = c.Holds("g/0")
+		qt.Assert(t, epoch, qt.Equals, uint64(0))
+		qt.Assert(t, len(asked) > 10, qt.IsTrue) // It polls at short intervals meanwhile.
+		for _, q := range asked[1:] {
+			qt.Assert(t, q.Groups, qt.HasLen, 0)
+		}
+		running = nil
+		second()
+		last := asked[len(asked)-1].Groups
+		qt.Assert(t, last, qt.HasLen, 1)
+		qt.Assert(t, last[0].Epoch, qt.Equals, uint64(0))
+	})
+}
--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -29,7 +29,7 @@
 	now := time.Now()
 	revoking := m.live.poll(term, now, r)
 	entries, entriesVersion := m.live.entries(now)
-	out := &controlv1.FeedResponse{FreshForMs: uint32(feed.FreshFor.Milliseconds()), Entries: entries}
+	out := &controlv1.FeedResponse{FreshForMs: uint32(feed.FreshFor.Milliseconds()), Entries: entries, Resign: m.live.resign(r.GetSelf().GetInstance())}
 	derived := m.derive()
 	m.mu.RLock()
 	out.SettingsVersion = m.state.Version()
--- a/internal/control/feeds_test.go
+++ b/internal/control/feeds_test.go
@@ -98,6 +98,63 @@
 	})
 }
 
+// Guards against groups that all stay on one instance after the others were
+// restarted, against a hand-over that costs a lease or leaves two holders, and
+// against moves that never end.
+func TestGroupsAreHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 16, 3)
+		defer c.stop()
+		all := feeds{}
+		join := func(name string) {
+			f, end := c.feed(name, nil)
+			t.Cleanup(end)
+			all[name] = f
+		}
+		join("e0")
+		withService(c)
+		accept(c, "more", 1, set("/services/lotes", "scheduler.groups", "6"))
+		groups := []string{"lotes/0", "lotes/1", "lotes/2", "lotes/3", "lotes/4", "lotes/5"}
+		c.waitFor("one holder of all", func() bool { return len(all["e0"].Held()) == len(groups) })
+		joined := time.Now()
+		join("e1")
+		join("e2")
+		first := time.Duration(0)
+		var longest time.Duration
+		moves, free := map[string]uint64{}, map[string]time.Time{}
+		for time.Since(joined) < 30*time.Second {
+			time.Sleep(10 * time.Millisecond)
+			for _, g := range groups {
+				_, epoch := all.holder(t, g)
+				switch at, ok := free[g]; {
+				case epoch == 0 && !ok:
+					free[g] = time.Now()
+				case epoch != 0 && ok:
+					longest = max(longest, time.Since(at))
+					delete(free, g)
+				}
+				if first == 0 && len(free) > 0 {
+					first = time.Since(joined)
+				}
+				if epoch != 0 {
+					moves[g] = epoch
+				}
+			}
+		}
+		total := uint64(0)
+		for _, epoch := range moves {
+			total += epoch - 1
+		}
+		t.Logf("%d moves, the first after %v; a group had no holder for %v at most", total, first, longest)
+		qt.Assert(t, total, qt.Equals, uint64(4))
+		qt.Assert(t, first >= moveSettle, qt.IsTrue, qt.Commentf("%v", first))
+		qt.Assert(t, longest < time.Second, qt.IsTrue, qt.Commentf("%v", longest))
+		for name, f := range all {
+			qt.Assert(t, f.Held(), qt.HasLen, 2, qt.Commentf(name))
+		}
+	})
+}
+
 // Guards against settings in force that miss an accepted change for longer than
 // FreshFor, or that go back, while members are cut off, killed and silent.
 func TestAcceptedChangeIsInForce(t *testing.T) {
--- a/internal/control/liveness.go
+++ b/internal/control/liveness.go
@@ -41,6 +41,8 @@
 	revoking map[string]uint64
 	// assigned holds the epoch and time of the assignments of this term.
 	assigned map[string]assignment
+	// moves are the planned hand-overs of groups.
+	moves moves
 
 	// listed is the entry list made at listedAt.
 	listed        []*controlv1.EntryInfo
@@ -57,6 +59,7 @@
 func newLiveness() *liveness {
 	return &liveness{
 		instances: make(map[string]*instance), revoking: make(map[string]uint64), assigned: make(map[string]assignment),
+		moves: moves{abandoned: make(map[string]time.Time)},
 	}
 }
 
@@ -67,6 +70,7 @@
 		clear(l.instances)
 		clear(l.revoking)
 		clear(l.assigned)
+		l.moves = moves{abandoned: make(map[string]time.Time)}
 		l.listed = nil
 	}
 }
@@ -115,7 +119,7 @@
 	}
 	out := make([]*controlv1.EntryInfo, 0, len(l.instances))
 	for _, name := range slices.Sorted(maps.Keys(l.instances)) {
-		if i := l.instances[name]; now.Sub(i.last) < instanceLiveFor {
+		if i := l.instances[name]; i.live(now) {
 			out = append(out, i.info)
 		}
 	}
@@ -151,7 +155,10 @@
 	} else if !l.replaceable(group, a, now) {
 		return nil
 	}
-	next := l.rendezvous(group, now)
+	next := l.target(group, a, now)
+	if next == nil {
+		next = l.rendezvous(group, now)
+	}
 	if next != nil {
 		l.revoking[group] = a.GetEpoch()
 	}
@@ -200,13 +207,23 @@
 	var best *controlv1.EntryInfo
 	var highest uint64
 	for name, i := range l.instances {
-		if now.Sub(i.last) >= instanceLiveFor || i.info.GetDraining() || i.info.GetPeerAddress() == "" {
+		if !i.eligible(now) {
 			continue
 		}
-		h := xxhash.Sum64String(group + "\x00" + name)
+		h := weight(group, name)
 		if best == nil || h > highest || h == highest && name < best.Instance {
 			best, highest = i.info, h
 		}
 	}
 	return best
 }
+
+// weight is the rank of an instance for a group in rendezvous hashing.
+func weight(group, instance string) uint64 { return xxhash.Sum64String(group + "\x00" + instance) }
+
+func (i *instance) live(now time.Time) bool { return now.Sub(i.last) < instanceLiveFor }
+
+// eligible reports whether an instance may be given a group.
+func (i *instance) eligible(now time.Time) bool {
+	return i.live(now) && !i.info.GetDraining() && i.info.GetPeerAddress() != ""
+}
--- a/internal/control/liveness_test.go
+++ b/internal/control/liveness_test.go
@@ -85,6 +85,48 @@
 	qt.Assert(t, l.poll(1, start.Add(holdTime), pollOf("a", 1)), qt.HasLen, 0)
 }
 
+// Guards the brakes of planned hand-overs: no target that restarts in a loop,
+// one move at a time and a second apart, a holder that does not react is left
+// alone, and a draining one gives up its groups.
+func TestHandOverIsPlanned(t *testing.T) {
+	start := time.Now()
+	held := []*controlv1.Assignment{{Group: "s/0", Instance: "a", Epoch: 1}, {Group: "s/1", Instance: "a", Epoch: 1}, {Group: "s/2", Instance: "a", Epoch: 1}}
+	report := []*controlv1.GroupReport{{Group: "s/0", Epoch: 1}, {Group: "s/1", Epoch: 1}, {Group: "s/2", Epoch: 1}}
+	l := newLiveness()
+	poll := func(at time.Duration, incarnation uint64, draining bool) {
+		r := pollOf("a", 1, report...)
+		r.Self.Draining = draining
+		l.poll(1, start.Add(at), r)
+		l.poll(1, start.Add(at), pollOf("b", incarnation))
+	}
+	plan := func(at time.Duration) *move { return l.plan(held, start.Add(at)) }
+	poll(0, 1, false)
+	poll(5*time.Second, 2, false)
+	poll(moveSettle, 2, false)
+	qt.Assert(t, plan(moveSettle), qt.IsNil) // "b" restarted
+	now := 5*time.Second + moveSettle
+	poll(now, 2, false)
+	first := plan(now)
+	qt.Assert(t, first.target, qt.Equals, "b")
+	qt.Assert(t, l.resign("a")[0].Group, qt.Equals, first.group)
+	qt.Assert(t, l.resign("b"), qt.HasLen, 0)
+	qt.Assert(t, l.choose(first.group, held[0], start.Add(now)), qt.IsNil) // the holder keeps it until it reports
+	now += moveInterval
+	poll(now, 2, false)
+	qt.Assert(t, plan(now), qt.IsNil) // one is under way
+	now += moveTimeout
+	poll(now, 2, false)
+	second := plan(now)
+	qt.Assert(t, second.group, qt.Not(qt.Equals), first.group)
+	held = held[:1] // the gap is 1
+	now += moveTimeout
+	poll(now, 2, false)
+	qt.Assert(t, plan(now), qt.IsNil)
+	now += moveRetry
+	poll(now, 2, true)
+	qt.Assert(t, plan(now).target, qt.Equals, "b")
+}
+
 // Guards against a group that gets one epoch after the other while its new
 // holder has not polled yet: a restarted instance reports until then that it
 // does not hold the group.
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -61,6 +61,7 @@
 	eventChangeFailed = event.Define(3001, "settings-refused", event.Info, "a settings change was not accepted")
 	eventAssigned     = event.Define(3002, "group-assigned", event.Info, "a scheduler group was assigned")
 	eventExpired      = event.Define(3003, "bookings-expired", event.Debug, "booking records passed their retention")
+	eventHandOver     = event.Define(3004, "group-hand-over", event.Info, "the holder of a scheduler group is asked to hand it over to an instance with fewer groups")
 )
 
 const (
