--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -76,7 +76,7 @@
 
 func (w *waiters) failAll(err error) { w.failBelow(1<<63, err) }
 
-// applyLoop applies committed entries in order and makes snapshots.
+// applyLoop applies committed entries in order and copies the state for snapshots.
 func (m *Member) applyLoop(ctx context.Context, snapshotIndex uint64) error {
 	for {
 		item, err := m.applies.Pop(ctx)
@@ -96,7 +96,7 @@
 		}
 		if m.applied.Load() >= snapshotIndex+uint64(m.options.SnapshotEvery) {
 			snapshotIndex = m.applied.Load()
-			m.snapshot(ctx, snapshotIndex)
+			m.freeze(ctx)
 		}
 	}
 }
@@ -113,6 +113,7 @@
 	m.state = next
 	m.mu.Unlock()
 	m.applied.Store(s.Index)
+	m.incoming.drop(s.Index)
 	m.waiters.failBelow(s.Index, ErrUnknown)
 	return nil
 }
@@ -139,14 +140,28 @@
 	return nil
 }
 
-// snapshot writes the state; the apply loop is its only writer, so that readers
-// go on meanwhile.
-func (m *Member) snapshot(ctx context.Context, index uint64) {
+// freeze hands a copy of the state to snapshotLoop; the apply loop is its only
+// writer, so that readers go on meanwhile. A copy that is not encoded yet is
+// replaced by this newer one.
+func (m *Member) freeze(ctx context.Context) {
 	start := time.Now()
-	data := m.state.Snapshot()
-	m.metrics.snapshot.Record(time.Since(start))
-	// A snapshot that is not stored yet is replaced by this newer one.
-	if m.snapshots.Push(ctx, stateSnapshot{index, data}) == nil {
-		m.signal()
+	_ = m.frozen.Push(ctx, m.state.Freeze())
+	m.metrics.freeze.Record(time.Since(start))
+}
+
+// snapshotLoop encodes copies of the state, which takes much longer than to make
+// them, while entries are applied.
+func (m *Member) snapshotLoop(ctx context.Context) error {
+	for {
+		f, err := m.frozen.Pop(ctx)
+		if err != nil {
+			return nil
+		}
+		start := time.Now()
+		data := f.Snapshot()
+		m.metrics.snapshot.Record(time.Since(start))
+		if m.snapshots.Push(ctx, stateSnapshot{f.Index(), data}) == nil {
+			m.signal()
+		}
 	}
 }
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -164,6 +164,14 @@
 	return err
 }
 
+func (l memLink) Snapshot(ctx context.Context, to string, r *consensusv1.SnapshotChunk) (*consensusv1.SnapshotProgress, error) {
+	r = proto.Clone(r).(*consensusv1.SnapshotChunk)
+	return exchange(ctx, l, to, func(ctx context.Context, m *Member) (*consensusv1.SnapshotProgress, error) {
+		next, err := m.HandleSnapshot(ctx, l.from, r)
+		return &consensusv1.SnapshotProgress{NextOffset: next}, err
+	})
+}
+
 func (l memLink) Status(ctx context.Context, to string) (*controlv1.StatusResponse, error) {
 	return exchange(ctx, l, to, func(_ context.Context, m *Member) (*controlv1.StatusResponse, error) { return m.Status(), nil })
 }
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -25,6 +25,7 @@
 	proposals *ring.Ring[proposal]
 	orders    *ring.Ring[order]
 	applies   *ring.Ring[applyItem]
+	frozen    *ring.Ring[*state.Frozen]
 	snapshots *ring.Ring[stateSnapshot]
 	wake      chan struct{}
 
@@ -34,6 +35,7 @@
 	applied  atomic.Uint64
 	waiters  waiters
 	peers    peers
+	incoming incoming
 	leads    leads
 	live     *liveness
 	changing chan struct{} // holds a token while a settings change is in flight
@@ -61,6 +63,7 @@
 		proposals: ring.New[proposal]("control proposals", proposalCapacity, ring.Reject),
 		orders:    ring.New[order]("control orders", 64, ring.Reject),
 		applies:   ring.New[applyItem]("control applies", applyCapacity, ring.Block),
+		frozen:    ring.New[*state.Frozen]("control frozen states", 1, ring.DropOldest),
 		snapshots: ring.New[stateSnapshot]("control snapshots", 1, ring.DropOldest),
 		wake:      make(chan struct{}, 1),
 		state:     state.New(),
@@ -72,6 +75,7 @@
 	}
 	m.peers.senders = make(map[uint64]*sender)
 	m.peers.learned = make(map[uint64]string)
+	m.peers.transfers = make(map[uint64]*transfer)
 	m.status.Store(&consensus.Status{})
 	return m
 }
@@ -168,11 +172,12 @@
 	defer cancel()
 	m.opened = time.Now()
 	m.formed.Store(true)
-	ended := make(chan error, 4)
+	ended := make(chan error, 5)
 	var wg sync.WaitGroup
 	for _, duty := range []func() error{
 		func() error { return m.loop(ctx, node, log) },
 		func() error { return m.applyLoop(ctx, snapshotIndex) },
+		func() error { return m.snapshotLoop(ctx) },
 		func() error { return m.joinLoop(ctx) },
 		func() error { return m.choresLoop(ctx) },
 	} {
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -9,6 +9,7 @@
 type memberMetrics struct {
 	save       tally.Timer
 	snapshot   tally.Timer
+	freeze     tally.Timer
 	committed  tally.Counter
 	stepFailed tally.Counter
 	feeds      tally.Counter
@@ -27,6 +28,7 @@
 	return memberMetrics{
 		save:       s.Timer("log_save"),
 		snapshot:   s.Timer("snapshot_encode"),
+		freeze:     s.Timer("state_freeze"),
 		committed:  s.Counter("entries_committed"),
 		stepFailed: s.Counter("step_failed"),
 		feeds:      s.Counter("feed_polls"),
@@ -51,7 +53,7 @@
 	m.live.mu.Lock()
 	m.metrics.instances.Update(float64(len(m.live.instances)))
 	m.live.mu.Unlock()
-	for _, s := range []ring.Stats{m.inbox.Stats(), m.proposals.Stats(), m.orders.Stats(), m.applies.Stats(), m.snapshots.Stats()} {
+	for _, s := range []ring.Stats{m.inbox.Stats(), m.proposals.Stats(), m.orders.Stats(), m.applies.Stats(), m.frozen.Stats(), m.snapshots.Stats()} {
 		scope := m.metrics.scope.Tagged(map[string]string{"ring": s.Name})
 		scope.Gauge("ring_length").Update(float64(s.Length))
 		scope.Gauge("ring_dropped").Update(float64(s.Dropped))
--- a/internal/control/network.go
+++ b/internal/control/network.go
@@ -15,6 +15,7 @@
 // Network carries calls from this member to others.
 type Network interface {
 	Step(ctx context.Context, address string, r *consensusv1.StepRequest) error
+	Snapshot(ctx context.Context, address string, r *consensusv1.SnapshotChunk) (*consensusv1.SnapshotProgress, error)
 	Status(ctx context.Context, address string) (*controlv1.StatusResponse, error)
 	Member(ctx context.Context, address string, r *controlv1.MemberRequest) (*controlv1.MemberResponse, error)
 }
@@ -31,6 +32,15 @@
 	return err
 }
 
+// Snapshot implements Network. A chunk that the receiver has already is ignored.
+func (n rpcNetwork) Snapshot(ctx context.Context, address string, r *consensusv1.SnapshotChunk) (*consensusv1.SnapshotProgress, error) {
+	resp, err := consensusv1connect.NewPeerClient(n.pool.Peer(address).Client()).Snapshot(transport.Idempotent(ctx), connect.NewRequest(r))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
 // Status implements Network.
 func (n rpcNetwork) Status(ctx context.Context, address string) (*controlv1.StatusResponse, error) {
 	resp, err := controlv1connect.NewControlClient(n.pool.Peer(address).Client()).Status(transport.Idempotent(ctx), connect.NewRequest(&controlv1.StatusRequest{}))
--- a/internal/control/sender.go
+++ b/internal/control/sender.go
@@ -31,8 +31,10 @@
 	mu      sync.Mutex
 	senders map[uint64]*sender
 	learned map[uint64]string
-	wg      sync.WaitGroup
-	stopped bool
+	// transfers are the snapshots under way, by receiver.
+	transfers map[uint64]*transfer
+	wg        sync.WaitGroup
+	stopped   bool
 }
 
 func (p *peers) learnedAddress(id uint64) string {
@@ -58,6 +60,10 @@
 // send queues a message. A full queue drops the oldest one, which consensus
 // repeats if it matters.
 func (m *Member) send(ctx context.Context, msg consensus.Message) {
+	if msg.Type == consensus.MsgSnapshot {
+		m.sendSnapshot(ctx, msg)
+		return
+	}
 	m.peers.mu.Lock()
 	s, ok := m.peers.senders[msg.To]
 	if !ok && !m.peers.stopped {
@@ -136,20 +142,13 @@
 
 // HandleStep takes messages of another member, whose address is from.
 func (m *Member) HandleStep(ctx context.Context, from string, r *consensusv1.StepRequest) error {
-	if r.GetCluster() != m.options.Cluster {
-		m.options.Events.Emit(eventForeignMessage, event.F("cluster", r.GetCluster()), event.F("address", from))
-		return ErrClusterMismatch
-	}
-	if !m.formed.Load() {
-		return ErrStopped
+	if err := m.admit(from, r.GetCluster()); err != nil {
+		return err
 	}
 	for _, p := range r.GetMessages() {
-		msg, err := wire.ToMessage(p)
+		msg, err := m.receive(from, p)
 		if err != nil {
-			return Error.Wrap(err)
-		}
-		if from != "" && m.peers.learnedAddress(msg.From) != from {
-			m.peers.learn(msg.From, from)
+			return err
 		}
 		if err := m.inbox.Push(ctx, msg); err != nil {
 			return Error.Wrap(err)
@@ -158,3 +157,27 @@
 	m.signal()
 	return nil
 }
+
+// admit refuses calls of other clusters, and all before this member is ready.
+func (m *Member) admit(from, cluster string) error {
+	if cluster != m.options.Cluster {
+		m.options.Events.Emit(eventForeignMessage, event.F("cluster", cluster), event.F("address", from))
+		return ErrClusterMismatch
+	}
+	if !m.formed.Load() {
+		return ErrStopped
+	}
+	return nil
+}
+
+// receive converts a message and remembers where its sender is reached.
+func (m *Member) receive(from string, p *consensusv1.Message) (consensus.Message, error) {
+	msg, err := wire.ToMessage(p)
+	if err != nil {
+		return msg, Error.Wrap(err)
+	}
+	if from != "" && m.peers.learnedAddress(msg.From) != from {
+		m.peers.learn(msg.From, from)
+	}
+	return msg, nil
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -78,6 +78,15 @@
 	return connect.NewResponse(&consensusv1.StepResponse{}), nil
 }
 
+// Snapshot implements consensusv1connect.PeerHandler.
+func (s *Service) Snapshot(ctx context.Context, r *connect.Request[consensusv1.SnapshotChunk]) (*connect.Response[consensusv1.SnapshotProgress], error) {
+	next, err := s.member.HandleSnapshot(ctx, r.Header().Get(transport.SenderHeader), r.Msg)
+	if err != nil {
+		return nil, failure(err)
+	}
+	return connect.NewResponse(&consensusv1.SnapshotProgress{NextOffset: next}), nil
+}
+
 // Change implements controlv1connect.ControlHandler.
 func (s *Service) Change(ctx context.Context, r *connect.Request[controlv1.ChangeRequest]) (*connect.Response[controlv1.ChangeResponse], error) {
 	return respond(s.member.Change(ctx, r.Msg))
--- a/internal/control/state/bench_test.go
+++ b/internal/control/state/bench_test.go
@@ -89,6 +89,11 @@
 		}
 		b.ReportMetric(float64(len(snapshot)), "bytes")
 	})
+	b.Run("freeze", func(b *testing.B) {
+		for b.Loop() {
+			s.Freeze()
+		}
+	})
 	b.Run("restore", func(b *testing.B) {
 		for b.Loop() {
 			if _, err := Restore(snapshot); err != nil {
--- a/internal/control/state/bookings.go
+++ b/internal/control/state/bookings.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"slices"
 
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
@@ -199,10 +200,12 @@
 	r.closed = append(kept, closedAttempt{id: attempt})
 }
 
-// close marks an attempt as released.
+// close marks an attempt as released. A frozen copy may share the list, so that
+// elements are replaced in a new one.
 func (r *record) close(attempt string) {
 	for i := range r.closed {
 		if r.closed[i].id == attempt {
+			r.closed = slices.Clone(r.closed)
 			r.closed[i].released = true
 			return
 		}
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -176,7 +176,7 @@
 
 // Guards the invariants of bookings and settings under random commands, and a
 // snapshot at any point that loses something: the restored state must answer
-// every later command in the same way.
+// every later command in the same way, and a frozen one must stay what it was.
 func TestRandomCommands(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := New()
@@ -186,7 +186,12 @@
 			cmd := command(t, s.Version())
 			twin := s
 			if rapid.IntRange(0, 4).Draw(t, "restart") == 0 {
-				snapshot := s.Snapshot()
+				snapshot, frozen := s.Snapshot(), s.Freeze()
+				defer func() {
+					if !bytes.Equal(snapshot, frozen.Snapshot()) {
+						t.Fatal("frozen state has changed")
+					}
+				}()
 				restored, err := Restore(snapshot)
 				if err != nil {
 					t.Fatal(err)
--- a/internal/rpc/consensusv1/consensusv1connect/consensus.connect.go
+++ b/internal/rpc/consensusv1/consensusv1connect/consensus.connect.go
@@ -36,11 +36,14 @@
 const (
 	// PeerStepProcedure is the fully-qualified name of the Peer's Step RPC.
 	PeerStepProcedure = "/auburnstep.consensus.v1.Peer/Step"
+	// PeerSnapshotProcedure is the fully-qualified name of the Peer's Snapshot RPC.
+	PeerSnapshotProcedure = "/auburnstep.consensus.v1.Peer/Snapshot"
 )
 
 // PeerClient is a client for the auburnstep.consensus.v1.Peer service.
 type PeerClient interface {
 	Step(context.Context, *connect.Request[consensusv1.StepRequest]) (*connect.Response[consensusv1.StepResponse], error)
+	Snapshot(context.Context, *connect.Request[consensusv1.SnapshotChunk]) (*connect.Response[consensusv1.SnapshotProgress], error)
 }
 
 // NewPeerClient constructs a client for the auburnstep.consensus.v1.Peer service. By default, it
@@ -60,12 +63,19 @@
 			connect.WithSchema(peerMethods.ByName("Step")),
 			connect.WithClientOptions(opts...),
 		),
+		snapshot: connect.NewClient[consensusv1.SnapshotChunk, consensusv1.SnapshotProgress](
+			httpClient,
+			baseURL+PeerSnapshotProcedure,
+			connect.WithSchema(peerMethods.ByName("Snapshot")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerClient implements PeerClient.
 type peerClient struct {
-	step *connect.Client[consensusv1.StepRequest, consensusv1.StepResponse]
+	step     *connect.Client[consensusv1.StepRequest, consensusv1.StepResponse]
+	snapshot *connect.Client[consensusv1.SnapshotChunk, consensusv1.SnapshotProgress]
 }
 
 // Step calls auburnstep.consensus.v1.Peer.Step.
@@ -73,9 +83,15 @@
 	return c.step.CallUnary(ctx, req)
 }
 
+// Snapshot calls auburnstep.consensus.v1.Peer.Snapshot.
+func (c *peerClient) Snapshot(ctx context.Context, req *connect.Request[consensusv1.SnapshotChunk]) (*connect.Response[consensusv1.SnapshotProgress], error) {
+	return c.snapshot.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the auburnstep.consensus.v1.Peer service.
 type PeerHandler interface {
 	Step(context.Context, *connect.Request[consensusv1.StepRequest]) (*connect.Response[consensusv1.StepResponse], error)
+	Snapshot(context.Context, *connect.Request[consensusv1.SnapshotChunk]) (*connect.Response[consensusv1.SnapshotProgress], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -91,10 +107,18 @@
 		connect.WithSchema(peerMethods.ByName("Step")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerSnapshotHandler := connect.NewUnaryHandler(
+		PeerSnapshotProcedure,
+		svc.Snapshot,
+		connect.WithSchema(peerMethods.ByName("Snapshot")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/auburnstep.consensus.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerStepProcedure:
 			peerStepHandler.ServeHTTP(w, r)
+		case PeerSnapshotProcedure:
+			peerSnapshotHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -107,3 +131,7 @@
 func (UnimplementedPeerHandler) Step(context.Context, *connect.Request[consensusv1.StepRequest]) (*connect.Response[consensusv1.StepResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.consensus.v1.Peer.Step is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Snapshot(context.Context, *connect.Request[consensusv1.SnapshotChunk]) (*connect.Response[consensusv1.SnapshotProgress], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.consensus.v1.Peer.Snapshot is not implemented"))
+}
