auburnctl: send large loads as several changes; name a change before it is sent

Cause: a difference of any size went as one change. Settings of 33,000 customers are 8.3 MB of operations; over loopback with 3 members that change took 1.9 s in a trial, at the edge of the 2 s of one call, and above 16 MiB members refuse a change. An operator who interrupted apply did not know the drawn change id.

The whole is validated first. Output, help and pages say that this is not one atomic change. A load that ends early gives exit code 10, and running apply again sends the rest, because the difference is taken anew.

Ruled out: a larger bound on one change, since one entry blocks heartbeats to a member for its whole transmission (0.7 s for 8.3 MB at 100 Mb/s; an election takes 0.5 s). The id is printed first, on stderr with -o json.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -17,6 +17,7 @@
 	Prune    bool     `help:"Remove all that is not declared, so that the tree equals the declarations."`
 	ChangeID string   `placeholder:"ID" help:"Identity of the change, the same for a resend. Drawn at random by default."`
 	Actor    string   `env:"AUBURNSTEP_ACTOR" placeholder:"NAME" help:"Who makes the change. The system user by default."`
+	Bytes    int      `name:"change-bytes" default:"4194304" placeholder:"N" help:"Size of the largest change. A larger difference is sent as several changes, which are not one atomic change. Default: 4194304."`
 	Wait     bool     `default:"true" negatable:"" help:"Wait until every live entry has the new version."`
 }
 
@@ -24,6 +25,10 @@
 func (applyCmd) Help() string {
 	return `The difference between the declarations and the present settings is sent as one change, which is accepted as a whole or not at all. If others changed the settings meanwhile, nothing is changed.
 
+A difference above --change-bytes, such as a first load of tens of thousands of customers, is sent as several changes in turn. Together they are not one atomic change: each is valid by itself, is accepted or refused by itself, and comes into force by itself. If the command ends early, the changes accepted so far stay in force, and running it again sends the rest.
+
+The id of each change is printed before the change is sent, with -o json on stderr, so that auburnctl result can ask for it after an interruption.
+
 Examples:
 
   auburnctl apply -f examples/cerapulita --dry-run
@@ -33,7 +38,9 @@
 
 // applyOutput is the JSON form of the outcome of a change.
 type applyOutput struct {
-	ChangeID   string           `json:"change_id,omitempty"`
+	ChangeID string `json:"change_id,omitempty"`
+	// Changes lists the changes of a load that was sent as several.
+	Changes    []string         `json:"changes,omitempty"`
 	Outcome    string           `json:"outcome"`
 	Version    uint64           `json:"version"`
 	Diff       []string         `json:"diff"`
@@ -50,6 +57,9 @@
 
 // Run applies the declarations.
 func (c *applyCmd) Run(s *session) error {
+	if c.Bytes <= 0 || c.Bytes > maxChangeBytes {
+		return exit(CodeUsage, "--change-bytes must be from 1 to %d", maxChangeBytes)
+	}
 	declared, err := settings.Load(c.File...)
 	if err != nil {
 		return exit(CodeInvalid, "%w", err)
@@ -66,9 +76,16 @@
 	if _, err := tree.Apply(ops); err != nil {
 		return exit(CodeInvalid, "%w", declared.Locate(err))
 	}
-	if c.DryRun {
+	parts, err := split(tree, ops, c.Bytes)
+	if err != nil {
+		return exit(CodeInvalid, "%w", err)
+	}
+	switch {
+	case c.DryRun:
 		out.Outcome = "dry run"
-		return c.dryRun(s, ops, out)
+		return c.dryRun(s, parts, out)
+	case len(parts) > 1:
+		return c.sendParts(s, parts, out)
 	}
 	return c.send(s, ops, out)
 }
@@ -89,8 +106,13 @@
 }
 
 // dryRun asks the leader as well, whose rules may be those of another version.
-func (c *applyCmd) dryRun(s *session, ops []*controlv1.Operation, out applyOutput) error {
-	req := &controlv1.ChangeRequest{Change: c.change(s, ops, out.Version), DryRun: true}
+// Of several changes it is asked for the first, since the others do not start
+// from the present settings.
+func (c *applyCmd) dryRun(s *session, parts [][]*controlv1.Operation, out applyOutput) error {
+	if len(parts) > 1 {
+		s.notef("%s\n", partsNote(len(parts)))
+	}
+	req := &controlv1.ChangeRequest{Change: c.change(s, parts[0], out.Version), DryRun: true}
 	res, failed := ask(s, controlv1connect.ControlClient.Change, req, changeLeader)
 	if failed != nil {
 		return readError(failed)
@@ -108,11 +130,10 @@
 	if c.Wait {
 		w.learn()
 	}
-	res, failed := ask(s, controlv1connect.ControlClient.Change, &controlv1.ChangeRequest{Change: change}, changeLeader)
-	if failed != nil {
-		return changeError(change.ChangeId, failed)
+	result, err := c.submit(s, change)
+	if err != nil {
+		return err
 	}
-	result := res.GetResult()
 	base := out.Version
 	out.Version = result.GetVersion()
 	out.Outcome = strings.ToLower(result.GetOutcome().String())
@@ -121,18 +142,29 @@
 		return c.accepted(s, out, w)
 	case controlv1.ChangeResult_UNCHANGED:
 		return c.print(s, out)
-	case controlv1.ChangeResult_CONFLICT:
+	default:
 		out.Conflicts = conflictOutputs(result.GetConflicts())
 		if err := c.print(s, out); err != nil {
 			return err
 		}
 		return exit(CodeConflict, "conflict: the settings are at version %d, the change was made from %d; nothing was changed, apply again under a new change id",
 			out.Version, base)
-	default:
-		return exit(CodeInvalid, "the leader refuses the change: %s", result.GetMessage())
 	}
 }
 
+// submit names a change, sends it and returns its result, which is not INVALID.
+func (c *applyCmd) submit(s *session, change *controlv1.Change) (*controlv1.ChangeResult, error) {
+	s.notef("sending change %s\n", change.ChangeId)
+	res, failed := ask(s, controlv1connect.ControlClient.Change, &controlv1.ChangeRequest{Change: change}, changeLeader)
+	if failed != nil {
+		return nil, changeError(change.ChangeId, failed)
+	}
+	if r := res.GetResult(); r.GetOutcome() == controlv1.ChangeResult_INVALID {
+		return nil, exit(CodeInvalid, "the leader refuses the change: %s", r.GetMessage())
+	}
+	return res.GetResult(), nil
+}
+
 // changeError says whether a change without an answer may have been applied.
 func changeError(id string, failed *callError) error {
 	if failed.sent {
@@ -160,7 +192,11 @@
 func (c *applyCmd) accepted(s *session, out applyOutput, w *waiter) error {
 	if !s.json() {
 		printDiff(s, out.Diff)
-		s.printf("accepted: version %d, change %s\n", out.Version, out.ChangeID)
+		if len(out.Changes) > 0 {
+			s.printf("accepted: version %d, %d changes\n", out.Version, len(out.Changes))
+		} else {
+			s.printf("accepted: version %d, change %s\n", out.Version, out.ChangeID)
+		}
 	}
 	var waitErr error
 	if c.Wait {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -81,6 +81,8 @@
 	switch args[0] {
 	case "lose":
 		f.lose = n
+	case "bar":
+		f.bar = n
 	case "refuse":
 		f.refuse = n
 	case "intrude":
--- a/internal/cli/codes.go
+++ b/internal/cli/codes.go
@@ -18,6 +18,7 @@
 	CodeUnreachable = 7
 	CodePartial     = 8
 	CodeNotFound    = 9
+	CodeIncomplete  = 10
 )
 
 var codeTexts = []string{
@@ -31,6 +32,7 @@
 	CodeUnreachable: "no server answered; nothing was changed",
 	CodePartial:     "the answer is incomplete, some instances could not be reached",
 	CodeNotFound:    "no such node, instance or change",
+	CodeIncomplete:  "only some changes of a large load were accepted; run apply again to send the rest",
 }
 
 func codeHelp() string {
--- a/internal/cli/docs.go
+++ b/internal/cli/docs.go
@@ -20,6 +20,11 @@
 every live entry has the new version; an entry that loses contact counts as live for 3 s, after which it refuses
 requests by itself.
 
+A difference above ` + "`--change-bytes`" + ` (4 MiB) is sent as several changes. Such a load is not one atomic change: each change is
+valid by itself and comes into force by itself, and if the command ends early (exit code 10) those accepted so far
+stay in force. Running ` + "`apply`" + ` again sends what is left. Bring a large first load in before callers are admitted, and raise
+` + "`--timeout`" + ` for it.
+
 ## Exit codes
 
 | code | meaning |
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -33,6 +33,7 @@
 
 	// Faults.
 	lose    int  // answers of Change to lose after the change is applied
+	bar     int  // changes to accept before all calls of Change are cut off, -1 for no bound
 	refuse  int  // calls of Change to cut off before anything happens
 	intrude bool // another change gets in before the next
 	lag     int  // answers of Status in which nord-b-1 reports an old version
@@ -44,7 +45,7 @@
 }
 
 func newFleet() *fleet {
-	f := &fleet{tree: settings.New(), version: 1, results: map[string]*controlv1.ChangeResult{}, addresses: map[string]string{}}
+	f := &fleet{tree: settings.New(), version: 1, bar: -1, results: map[string]*controlv1.ChangeResult{}, addresses: map[string]string{}}
 	for _, name := range []string{"nord-a-1", "nord-b-1"} {
 		server := httptest.NewServer(f.handler(name))
 		f.addresses[name] = strings.TrimPrefix(server.URL, "http://")
@@ -107,7 +108,7 @@
 		return connect.NewResponse(&controlv1.ChangeResponse{LeaderAddress: l}), nil
 	}
 	f.calls++
-	if f.refuse > 0 {
+	if f.refuse > 0 || f.bar == 0 {
 		f.refuse--
 		panic(http.ErrAbortHandler)
 	}
@@ -143,6 +144,7 @@
 	}
 	f.tree, f.gone = next, f.vanish
 	f.version++
+	f.bar = max(f.bar-1, min(f.bar, 0))
 	return &controlv1.ChangeResult{ChangeId: c.GetChangeId(), Outcome: controlv1.ChangeResult_ACCEPTED, Version: f.version}
 }
 
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -16,6 +16,15 @@
 
 func (s *session) printf(format string, args ...any) { fmt.Fprintf(s.Stdout, format, args...) }
 
+// notef reports progress: on stdout, or on stderr where stdout is JSON.
+func (s *session) notef(format string, args ...any) {
+	out := s.Stdout
+	if s.json() {
+		out = s.Stderr
+	}
+	fmt.Fprintf(out, format, args...)
+}
+
 // printJSON writes a value as indented JSON.
 func (s *session) printJSON(v any) error {
 	enc := json.NewEncoder(s.Stdout)
