control: close two races between an answer on its way and a reassignment

A holder that polls but reports not to hold its group (its lease lapsed because answers were lost, or it had not heard of its epoch for 2.2 s) was replaced at once. An answer to its last poll that was still on its way could make it act for up to 2 s beside its successor. Reports now say with given_up when the process will never act under the epoch; only that frees a group at once. Otherwise the holder gets 2.2 s to hear; then answers no longer name it, and the group is free another 2.2 s later. 2. An assignment whose outcome stayed unknown for 1 s was proposed again. Between the two entries the first holder could be named and act. The group now stays revoked until the outcome of the first proposal is decided, and that is settled.

Tests: the cases of TestHolderIsReplaced that stood for a resigned or restarted process now report given_up, as such processes do; a case for a lapsed lease was added. TestNewHolderIsGivenTime demanded a new assignment after 2.2 s, which is race 1; it now demands the two steps, and none while a proposal is under way. Conclusion: a silent new holder costs 4.4 s in place of 2.2 s; resignations, restarts and crashes cost what they did.

--- a/internal/control/chores.go
+++ b/internal/control/chores.go
@@ -113,21 +113,33 @@
 		m.mu.RLock()
 		a := m.state.Assignment(group)
 		m.mu.RUnlock()
-		if _, ok := m.lease(); !ok {
+		term, ok := m.lease()
+		if !ok {
 			return
 		}
 		next := m.live.choose(group, a, time.Now())
 		if next == nil {
 			continue
 		}
+		// The group stays revoked until the outcome is decided, also if this call
+		// ends before. A second proposal meanwhile could follow a first one that
+		// was applied, and whose holder acts by then.
+		resolved := func() {
+			m.mu.RLock()
+			epoch := m.state.Assignment(group).GetEpoch()
+			m.mu.RUnlock()
+			if epoch == a.GetEpoch() {
+				epoch = 0
+			}
+			m.live.settle(term, group, epoch, time.Now())
+		}
 		call, cancel := context.WithTimeout(ctx, defaultCallTimeout)
-		r, err := m.propose(call, &controlv1.Command{Command: &controlv1.Command_Assign{Assign: &controlv1.AssignGroup{
-			Group: group, Instance: next.Instance, Address: next.PeerAddress}}})
+		r, err := m.proposeThen(call, &controlv1.Command{Command: &controlv1.Command_Assign{Assign: &controlv1.AssignGroup{
+			Group: group, Instance: next.Instance, Address: next.PeerAddress}}}, resolved)
 		cancel()
 		if errors.Is(err, ErrUnknown) {
-			return // The group stays revoked and is assigned again.
+			return
 		}
-		m.live.settle(group, r.Assignment.GetEpoch(), time.Now())
 		if err == nil {
 			m.options.Events.Emit(eventAssigned, event.F("group", group), event.F("holder", next.Instance), event.F("epoch", r.Assignment.Epoch))
 		}
--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -267,8 +267,13 @@
 		if a.Instance != c.instance || reported[a.Group] || c.yielding[a.Group] == a.Epoch {
 			continue
 		}
-		// Epoch 0 tells that this process does not act as holder.
-		r.Groups = append(r.Groups, &controlv1.GroupReport{Group: a.Group, Epoch: held[a.Group].Epoch})
+		g := &controlv1.GroupReport{Group: a.Group, Epoch: held[a.Group].Epoch}
+		// Epoch 0 alone tells that the lease has lapsed or did not begin yet; the
+		// next answer may make this process the holder under the same epoch.
+		if g.Epoch == 0 && (c.resigned.Load() || c.disowned[a.Group] == a.Epoch) {
+			g.GivenUp = a.Epoch
+		}
+		r.Groups = append(r.Groups, g)
 	}
 	return r
 }
--- a/internal/control/liveness.go
+++ b/internal/control/liveness.go
@@ -28,6 +28,8 @@
 	reports map[string]*controlv1.GroupReport
 	// held is the last epoch that the incarnation reported to hold, by group.
 	held map[string]uint64
+	// idle is since when the incarnation reports not to hold a group.
+	idle map[string]time.Time
 }
 
 // liveness is the leader's memory of instances. It starts empty with each term.
@@ -41,6 +43,9 @@
 	revoking map[string]uint64
 	// assigned holds the epoch and time of the assignments of this term.
 	assigned map[string]assignment
+	// withdrawn holds the epochs that answers no longer name, and since when,
+	// because their holder polls but does not act as such.
+	withdrawn map[string]assignment
 	// moves are the planned hand-overs of groups.
 	moves moves
 
@@ -50,7 +55,7 @@
 	listedAt      time.Time
 }
 
-// assignment is an epoch that this leader gave out.
+// assignment is an epoch that this leader gave out or withdrew.
 type assignment struct {
 	epoch uint64
 	at    time.Time
@@ -58,7 +63,7 @@
 
 func newLiveness() *liveness {
 	return &liveness{
-		instances: make(map[string]*instance), revoking: make(map[string]uint64), assigned: make(map[string]assignment),
+		instances: make(map[string]*instance), revoking: make(map[string]uint64), assigned: make(map[string]assignment), withdrawn: make(map[string]assignment),
 		moves: moves{abandoned: make(map[string]time.Time)},
 	}
 }
@@ -70,6 +75,7 @@
 		clear(l.instances)
 		clear(l.revoking)
 		clear(l.assigned)
+		clear(l.withdrawn)
 		l.moves = moves{abandoned: make(map[string]time.Time)}
 		l.listed = nil
 	}
@@ -83,11 +89,11 @@
 	l.enter(term, now)
 	name := r.GetSelf().GetInstance()
 	if name == "" {
-		return maps.Clone(l.revoking)
+		return l.left()
 	}
 	i := l.instances[name]
 	if i == nil || i.incarnation != r.GetIncarnation() {
-		i = &instance{incarnation: r.GetIncarnation(), since: now, held: make(map[string]uint64)}
+		i = &instance{incarnation: r.GetIncarnation(), since: now, held: make(map[string]uint64), idle: make(map[string]time.Time)}
 		l.instances[name] = i
 	}
 	i.info, i.last = r.GetSelf(), now
@@ -97,9 +103,26 @@
 		i.reports[g.GetGroup()] = g
 		if g.GetEpoch() != 0 {
 			i.held[g.GetGroup()] = g.GetEpoch()
+			delete(i.idle, g.GetGroup())
+			if l.withdrawn[g.GetGroup()].epoch == g.GetEpoch() {
+				delete(l.withdrawn, g.GetGroup())
+			}
+		} else if _, ok := i.idle[g.GetGroup()]; !ok {
+			i.idle[g.GetGroup()] = now
+		}
+	}
+	return l.left()
+}
+
+// left returns the epochs of groups that answers leave out.
+func (l *liveness) left() map[string]uint64 {
+	out := maps.Clone(l.revoking)
+	for group, w := range l.withdrawn {
+		if _, ok := out[group]; !ok {
+			out[group] = w.epoch
 		}
 	}
-	return maps.Clone(l.revoking)
+	return out
 }
 
 // warm reports whether the leader has led long enough to know all instances.
@@ -148,6 +171,9 @@
 func (l *liveness) choose(group string, a *controlv1.Assignment, now time.Time) *controlv1.EntryInfo {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if _, revoking := l.revoking[group]; revoking {
+		return nil // A proposal is under way; see settle.
+	}
 	if a.GetInstance() == "" {
 		if !l.warm(now) {
 			return nil
@@ -167,10 +193,14 @@
 
 // settle ends the revocation of a group. The epoch is that of its new holder,
 // or 0 if the group keeps the former one.
-func (l *liveness) settle(group string, epoch uint64, now time.Time) {
+func (l *liveness) settle(term uint64, group string, epoch uint64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if term != l.term {
+		return // Decided in an earlier term, which enter has forgotten.
+	}
 	delete(l.revoking, group)
+	delete(l.withdrawn, group)
 	if epoch != 0 {
 		l.assigned[group] = assignment{epoch, now}
 	}
@@ -180,27 +210,37 @@
 // more. Answers of former leaders were sent before this term began, since no
 // leader answers after its lease, and may have renewed the holder until then.
 func (l *liveness) replaceable(group string, a *controlv1.Assignment, now time.Time) bool {
-	if _, revoking := l.revoking[group]; revoking {
-		return true // Decided before; the proposal had no known outcome.
-	}
 	i := l.instances[a.Instance]
 	if i == nil {
 		return now.Sub(l.began) >= holdTime
 	}
 	if r := i.reports[group]; r != nil && r.GetEpoch() == 0 {
-		// The instance says that it does not hold the group and will not under
-		// this epoch. If this very process held it before, that is enough; if it
-		// is a new process, the former one is waited for. A holder that never
-		// reported the epoch may just not have heard of it yet.
-		if i.held[group] == a.Epoch {
-			return true
+		if r.GetGivenUp() == a.Epoch {
+			// This process will not act under the epoch. If it held it before, that
+			// is enough; a new process may be the successor of one that did, whose
+			// lease is waited for.
+			return i.held[group] == a.Epoch || now.Sub(i.since) >= holdTime
 		}
-		unheard := l.assigned[group].epoch == a.Epoch && now.Sub(l.assigned[group].at) < holdTime
-		return !unheard && now.Sub(i.since) >= holdTime
+		return l.withdraw(group, a.Epoch, i, now)
 	}
 	return now.Sub(i.last) >= holdTime
 }
 
+// withdraw takes a group from a holder that polls, but has not heard of its epoch
+// or of the renewal of its lease. An answer on its way may still make it act, so
+// that it gets time to hear. After that no answer names it, and once the last one
+// that did has ended, the group is free.
+func (l *liveness) withdraw(group string, epoch uint64, i *instance, now time.Time) bool {
+	if w, ok := l.withdrawn[group]; ok && w.epoch == epoch {
+		return now.Sub(w.at) >= holdTime
+	}
+	unheard := l.assigned[group].epoch == epoch && now.Sub(l.assigned[group].at) < holdTime
+	if !unheard && now.Sub(i.idle[group]) >= holdTime {
+		l.withdrawn[group] = assignment{epoch, now}
+	}
+	return false
+}
+
 // rendezvous returns the live instance with the highest hash for a group, so
 // that few groups move when instances come and go.
 func (l *liveness) rendezvous(group string, now time.Time) *controlv1.EntryInfo {
--- a/internal/control/liveness_test.go
+++ b/internal/control/liveness_test.go
@@ -21,7 +21,11 @@
 	const group = "lotes/0"
 	held := &controlv1.Assignment{Group: group, Instance: "a", Epoch: 3}
 	report := func(epoch uint64) *controlv1.GroupReport {
-		return &controlv1.GroupReport{Group: group, Epoch: epoch}
+		r := &controlv1.GroupReport{Group: group, Epoch: epoch}
+		if epoch == 0 {
+			r.GivenUp = 3
+		}
+		return r
 	}
 	start := time.Now()
 	at := func(d time.Duration) time.Time { return start.Add(d) }
@@ -49,6 +53,10 @@
 			l.poll(1, at(0), pollOf("a", 1, report(3)))
 			l.poll(1, at(time.Second), pollOf("a", 2, report(0)))
 		}, time.Second + late, "any"},
+		{"lease of the holder lapsed, it may resume", held, func(l *liveness) {
+			l.poll(1, at(0), pollOf("a", 1, report(3)))
+			l.poll(1, at(late), pollOf("a", 1, &controlv1.GroupReport{Group: group}))
+		}, 2*late - time.Millisecond, ""},
 		{"first assignment before all were heard", nil, func(*liveness) {}, directoryWarmup - time.Millisecond, ""},
 		{"first assignment", nil, func(*liveness) {}, directoryWarmup, "b"},
 		{"draining instances are not chosen", nil, func(l *liveness) {
@@ -82,7 +90,7 @@
 	a := &controlv1.Assignment{Group: "g/0", Instance: "a", Epoch: 3}
 	qt.Assert(t, l.choose("g/0", a, start.Add(holdTime)).GetInstance(), qt.Equals, "b")
 	qt.Assert(t, l.poll(1, start.Add(holdTime), pollOf("a", 1))["g/0"], qt.Equals, uint64(3))
-	l.settle("g/0", 0, start.Add(holdTime))
+	l.settle(1, "g/0", 0, start.Add(holdTime))
 	qt.Assert(t, l.poll(1, start.Add(holdTime), pollOf("a", 1)), qt.HasLen, 0)
 }
 
@@ -134,7 +142,7 @@
 func TestNewHolderIsGivenTime(t *testing.T) {
 	l := newLiveness()
 	start := time.Now()
-	released := &controlv1.GroupReport{Group: "g/0"}
+	released := &controlv1.GroupReport{Group: "g/0", GivenUp: 3}
 	poll := func(at time.Duration) {
 		r := pollOf("a", 1)
 		r.Groups = append(r.Groups, released)
@@ -145,13 +153,23 @@
 	former := &controlv1.Assignment{Group: "g/0", Instance: "a", Epoch: 3}
 	now := start.Add(holdTime)
 	qt.Assert(t, l.choose("g/0", former, now).GetInstance(), qt.Equals, "a")
-	l.settle("g/0", 4, now)
+	l.settle(1, "g/0", 4, now)
 	next := &controlv1.Assignment{Group: "g/0", Instance: "a", Epoch: 4}
 	for later := 100 * time.Millisecond; later < holdTime; later += 100 * time.Millisecond {
 		poll(holdTime + later)
 		qt.Assert(t, l.choose("g/0", next, now.Add(later)), qt.IsNil)
 	}
-	qt.Assert(t, l.choose("g/0", next, now.Add(holdTime)), qt.IsNotNil)
+	// From then on no answer names it. Until the leases of earlier answers have
+	// ended it may act.
+	qt.Assert(t, l.choose("g/0", next, now.Add(holdTime)), qt.IsNil)
+	for later := holdTime; later < 2*holdTime; later += 100 * time.Millisecond {
+		poll(holdTime + later)
+		qt.Assert(t, l.poll(1, now.Add(later), pollOf("b", 1))["g/0"], qt.Equals, uint64(4))
+		qt.Assert(t, l.choose("g/0", next, now.Add(later)), qt.IsNil)
+	}
+	qt.Assert(t, l.choose("g/0", next, now.Add(2*holdTime)), qt.IsNotNil)
+	// While the proposal is under way there is no second one.
+	qt.Assert(t, l.choose("g/0", next, now.Add(4*holdTime)), qt.IsNil)
 }
 
 // Guards the lease outside the consensus loop: it ends by time alone, and it
