--- a/internal/control/chores.go
+++ b/internal/control/chores.go
@@ -43,14 +43,20 @@
 	}
 }
 
-// groupNames returns the names of all scheduler groups of the services.
+// groupNames returns the names of all scheduler groups of the services, and of
+// the group of model placement where a service uses it.
 func groupNames(x *settings.Index) []string {
 	var out []string
+	placement := false
 	for _, s := range x.Services() {
+		placement = placement || s.Engine && s.Placement.Enabled
 		for n := range s.Groups {
 			out = append(out, fmt.Sprintf("%s/%d", s.Name, n))
 		}
 	}
+	if placement {
+		out = append(out, settings.PlacementGroup)
+	}
 	return out
 }
 
@@ -95,13 +101,15 @@
 	return longest
 }
 
-// planMove starts a planned hand-over if the groups are spread unevenly.
+// planMove starts a planned hand-over if the groups are spread unevenly. The group
+// of model placement stays where it is: its holder does not report when an order
+// under way has ended.
 func (m *Member) planMove() {
 	d := m.derive()
 	m.mu.RLock()
 	assignments := m.state.Assignments()
 	m.mu.RUnlock()
-	assignments = slices.DeleteFunc(assignments, func(a *controlv1.Assignment) bool { return !d.wanted[a.Group] })
+	assignments = slices.DeleteFunc(assignments, func(a *controlv1.Assignment) bool { return !d.wanted[a.Group] || a.Group == settings.PlacementGroup })
 	if move := m.live.plan(assignments, time.Now()); move != nil {
 		m.options.Events.Emit(eventHandOver, event.F("group", move.group), event.F("holder", move.holder), event.F("target", move.target))
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -137,6 +137,34 @@
 	}
 }
 
+// TestNoOrdersFromCallers guards against a caller that reaches the order path of
+// an engine, or passes the marks of an order on to an endpoint.
+func TestNoOrdersFromCallers(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	open := engine()
+	open.Fencing = fakeengine.FencingIgnore // It takes every order that reaches it.
+	e, p := b.Engine(t, open), b.Engine(t, plainService())
+	order := call{
+		body:   `{"kind":"unload_model","model":"wax-1"}`,
+		header: map[string]string{"X-Fencing-Number": "9"},
+	}
+	for _, path := range []string{
+		"/services/auburn-pool/v1/orders", "/services/auburn-pool//v1/orders", "/services/auburn-pool/%2e%2e/v1/orders",
+		"/services/rota-app/../auburn-pool/v1/orders", "/services/rota-app/%2e%2e/auburn-pool/v1/orders",
+		"/services/auburn%2dpool/v1/orders", "/v1/orders", "/v1/chat/completions/../orders",
+	} {
+		for _, class := range []string{"crew-chat", "lookup"} {
+			order.path, order.header["X-Auburnstep-Class"] = path, class
+			order.send(t, b)
+		}
+	}
+	qt.Check(t, e.Orders(), qt.HasLen, 0)
+	qt.Check(t, p.Orders(), qt.HasLen, 0)
+	order.path = "/services/rota-app/v1/orders"
+	_, text := order.send(t, b)
+	qt.Check(t, strings.Contains(strings.ToLower(text), "fencing"), qt.IsFalse)
+}
+
 // TestStaleSettings guards against serving on settings that may no longer be in force.
 func TestStaleSettings(t *testing.T) {
 	b := testkit.Start(t, declarations)
@@ -251,6 +279,25 @@
 	qt.Check(t, len(p.Ledger()), qt.Equals, 1)
 }
 
+// TestDuplicateInFlight guards against a duplicate that is sent away although
+// the first request ends a moment later.
+func TestDuplicateInFlight(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	p := b.Engine(t, plainService())
+	p.Inject(fakeengine.Fault{Kind: fakeengine.FaultLate, Delay: 300 * time.Millisecond, Count: 1})
+	answers := make(chan string, 2)
+	for range 2 {
+		go func() {
+			res, text := booking("twice", "statue 3").send(t, b)
+			answers <- res.Status + " " + text
+		}()
+	}
+	first := <-answers
+	qt.Check(t, strings.HasPrefix(first, "201"), qt.IsTrue, qt.Commentf("%s", first))
+	qt.Check(t, <-answers, qt.Equals, first)
+	qt.Check(t, len(p.Ledger()), qt.Equals, 1)
+}
+
 // TestRecordsOfCustomers guards against a customer that reads or blocks the
 // record of another one by using its idempotency key.
 func TestRecordsOfCustomers(t *testing.T) {
