control: end the feeds of TestGroupsAreHandedOver before its cluster

make test failed in this test: all assertions had passed, but the feeds were ended by t.Cleanup after the cluster, and a call begun in between stayed blocked in the bubble. The feeds now end first, as in the other tests.

--- a/internal/control/feeds_test.go
+++ b/internal/control/feeds_test.go
@@ -106,10 +106,15 @@
 		c := newCluster(t, 16, 3)
 		defer c.stop()
 		all := feeds{}
+		var ends []func()
+		defer func() { // before the cluster stops
+			for _, end := range ends {
+				end()
+			}
+		}()
 		join := func(name string) {
 			f, end := c.feed(name, nil)
-			t.Cleanup(end)
-			all[name] = f
+			all[name], ends = f, append(ends, end)
 		}
 		join("e0")
 		withService(c)
