entry: bound the wait for the body of a refused request

Cause: net/http reads up to 256 KiB of an unread body before it sends an answer, and only the reading of accepted bodies had a deadline. A caller without a key could keep connections and goroutines for ever by announcing a body and sending none. The deadline of 60 s now starts when the request arrives.

Ruled out: Connection: close on refusals, which makes callers that are asked to retry open a new connection. Without the deadline the new test gets no answer within 10 s; with it, after the 50 ms that it sets.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -84,6 +84,7 @@
 // to the scheduler of the endpoint's group and confirms it only when the
 // scheduler has it.
 func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	setReadDeadline(w, s.bodyTimeout)
 	if !s.endpointAllowed(r) {
 		writeError(w, verdict.Refused(http.StatusUnauthorized, "invalid_endpoint_token", "the endpoint token is missing or not valid"))
 		return
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,9 +88,11 @@
 // Server serves callers. It is a kernel.Service.
 type Server struct {
 	kernel.Base
-	o        Options
-	http     *http.Server
-	inFlight atomic.Int64
+	o    Options
+	http *http.Server
+	// bodyTimeout bounds the reading of one request body.
+	bodyTimeout time.Duration
+	inFlight    atomic.Int64
 	// bodies and requests bound what callers' requests hold at once.
 	bodies, requests *pool
 	metrics          requestMetrics
@@ -106,7 +108,7 @@
 		o.Draining = new(atomic.Bool)
 	}
 	m := newRequestMetrics(o.Scope)
-	s := &Server{o: o, metrics: m,
+	s := &Server{o: o, metrics: m, bodyTimeout: bodyTimeout,
 		bodies:   &pool{total: cmp.Or(o.BodyMemory, DefaultBodyMemory), gauge: m.scope.Gauge("memory_bytes")},
 		requests: &pool{total: cmp.Or(o.MaxRequests, DefaultMaxRequests), gauge: m.scope.Gauge("in_flight")},
 	}
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+// TestRefusedBodyThatNeverComes guards against a refused request that keeps its
+// connection for ever, because net/http waits for the body before it answers.
+func TestRefusedBodyThatNeverComes(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	b.Entry.SetBodyTimeout(50 * time.Millisecond)
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.URL, "http://"))
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, err = fmt.Fprint(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	status, err := bufio.NewReader(c).ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, status, qt.Equals, "HTTP/1.1 401 Unauthorized\r\n")
+}
+
 // TestRetryWithoutTime guards against a retry that wastes tokens because it
 // cannot deliver a first one before the deadline, and against a retry that is
 // held back by a history that is too short or was quicker once.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -51,6 +51,9 @@
 		defer s.inFlight.Add(-1)
 		q := &request{id: uuid.NewString(), start: time.Now()}
 		w.Header().Set(HeaderRequestID, q.id)
+		if r.ContentLength != 0 {
+			setReadDeadline(w, s.bodyTimeout)
+		}
 		var err *verdict.Error
 		// A handler that breaks an answer off panics.
 		defer func() { s.account(q, err) }()
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -35,9 +35,8 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// readBody reads the body of an announcement, at most limit bytes within bodyTimeout.
+// readBody reads the body of an announcement, at most limit bytes.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *verdict.Error) {
-	defer setReadDeadline(w)()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
 	switch {
@@ -46,16 +45,21 @@
 	case err != nil:
 		return nil, unreadable(err)
 	}
+	clearReadDeadline(w)
 	return body, nil
 }
 
-// setReadDeadline bounds the reading of a body and returns what ends the bound:
-// the server watches for a closed connection while the request runs, which an
-// expired read deadline would report falsely.
-func setReadDeadline(w http.ResponseWriter) (reset func()) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	return func() { _ = control.SetReadDeadline(time.Time{}) }
+// setReadDeadline bounds the reading of a body. The bound also holds for the
+// part of up to 256 KiB that net/http reads of a refused body before it answers.
+func setReadDeadline(w http.ResponseWriter, timeout time.Duration) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
+}
+
+// clearReadDeadline ends the bound once the body was read: the server watches
+// for a closed connection while the request runs, which an expired read deadline
+// would report falsely.
+func clearReadDeadline(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 }
 
 func unreadable(err error) *verdict.Error {
@@ -68,5 +72,6 @@
 }
 
 func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	setReadDeadline(w, s.bodyTimeout)
 	writeError(w, verdict.Refused(http.StatusNotFound, "unknown_path", "there is no "+r.Method+" "+r.URL.Path))
 }
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -187,7 +187,8 @@
 	return x.ClassPolicy(service.Name, name, customer)
 }
 
-// readBounded reads at most limit bytes of a request body within bodyTimeout.
+// readBounded reads at most limit bytes of a request body, within the deadline
+// that was set when the request arrived.
 // Memory is reserved before it is used: for a body of known length before the
 // first byte is read.
 func readBounded(w http.ResponseWriter, r *http.Request, limit int64, memory *room) ([]byte, *verdict.Error) {
@@ -201,7 +202,6 @@
 	if !memory.grow(size) {
 		return nil, noMemory()
 	}
-	defer setReadDeadline(w)()
 	// One byte more than announced lets the reader see the end without growing.
 	buf := make([]byte, 0, size+1)
 	for {
@@ -211,6 +211,7 @@
 		case int64(len(buf)) > limit:
 			return nil, tooLarge(limit)
 		case err == io.EOF:
+			clearReadDeadline(w)
 			return buf, nil
 		case err != nil:
 			return nil, unreadable(err)
