--- a/internal/scheduler/grants.go
+++ b/internal/scheduler/grants.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"strconv"
 	"time"
 )
@@ -38,6 +39,8 @@
 	reserved  bool
 	probe     bool
 	adopted   bool
+	// again says that the endpoint was in Avoid when the grant was given.
+	again bool
 }
 
 // ended remembers a grant that is over.
@@ -63,6 +66,7 @@
 		customer: w.customer, model: w.request.Model, tier: w.request.Tier, epoch: c.config.Epoch, granted: now,
 		until: now.Add(grantUnused), work: w.work, cost: w.cost,
 		uncached: c.uncached(w, ep), load: ep.inFlight + 1, reserved: reserved,
+		again: slices.Contains(w.request.Avoid, ep.spec.ID),
 	}
 	if ep.health.ejected {
 		g.probe, ep.health.probing = true, true
@@ -98,6 +102,7 @@
 	g.endpoint.inFlight++
 	c.inFlight++
 	if g.reserved {
+		c.lane.held = g
 		c.reservedInFlight++
 	}
 	g.customer.inFlight++
@@ -114,6 +119,7 @@
 	g.endpoint.inFlight--
 	c.inFlight--
 	if g.reserved {
+		c.endLane(now, g)
 		c.reservedInFlight--
 	}
 	if g.probe {
