fakeengine: send announcements one after the other

Cause: the announcement of leaving and a renewal ran at the same time, so that one made before leaving could arrive last.

--- a/internal/fakeengine/announce.go
+++ b/internal/fakeengine/announce.go
@@ -62,6 +62,10 @@
 	incarnation uint64
 	kick        chan struct{}
 
+	// rounds keeps an announcement made before another one from arriving after
+	// it: entries would take a leaving endpoint for one that stays.
+	rounds sync.Mutex
+
 	mu      sync.Mutex
 	entries []string
 	next    int
@@ -123,6 +127,8 @@
 // round announces to the first entry that takes it and returns the time to the
 // next renewal. The entry that took the last announcement comes first.
 func (a *announcer) round() time.Duration {
+	a.rounds.Lock()
+	defer a.rounds.Unlock()
 	a.mu.Lock()
 	targets := append(append([]string(nil), a.entries...), a.server.cfg.Announce...)
 	first := a.next
