--- a/internal/control/chores.go
+++ b/internal/control/chores.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"auburnstep.example/auburnstep/internal/event"
@@ -30,6 +31,7 @@
 		m.live.mu.Lock()
 		m.live.enter(term, now)
 		m.live.mu.Unlock()
+		m.planMove()
 		m.assignGroups(ctx)
 		call, cancel := context.WithTimeout(ctx, defaultCallTimeout)
 		m.promote(call)
@@ -99,27 +101,53 @@
 	return longest
 }
 
+// planMove starts a planned hand-over if the groups are spread unevenly. The group
+// of model placement stays where it is: its holder does not report when an order
+// under way has ended.
+func (m *Member) planMove() {
+	d := m.derive()
+	m.mu.RLock()
+	assignments := m.state.Assignments()
+	m.mu.RUnlock()
+	assignments = slices.DeleteFunc(assignments, func(a *controlv1.Assignment) bool { return !d.wanted[a.Group] || a.Group == settings.PlacementGroup })
+	if move := m.live.plan(assignments, time.Now()); move != nil {
+		m.options.Events.Emit(eventHandOver, event.F("group", move.group), event.F("holder", move.holder), event.F("target", move.target))
+	}
+}
+
 // assignGroups gives groups without a live holder to other instances.
 func (m *Member) assignGroups(ctx context.Context) {
 	for _, group := range m.derive().groups {
 		m.mu.RLock()
 		a := m.state.Assignment(group)
 		m.mu.RUnlock()
-		if _, ok := m.lease(); !ok {
+		term, ok := m.lease()
+		if !ok {
 			return
 		}
 		next := m.live.choose(group, a, time.Now())
 		if next == nil {
 			continue
 		}
+		// The group stays revoked until the outcome is decided, also if this call
+		// ends before. A second proposal meanwhile could follow a first one that
+		// was applied, and whose holder acts by then.
+		resolved := func() {
+			m.mu.RLock()
+			epoch := m.state.Assignment(group).GetEpoch()
+			m.mu.RUnlock()
+			if epoch == a.GetEpoch() {
+				epoch = 0
+			}
+			m.live.settle(term, group, epoch, time.Now())
+		}
 		call, cancel := context.WithTimeout(ctx, defaultCallTimeout)
-		r, err := m.propose(call, &controlv1.Command{Command: &controlv1.Command_Assign{Assign: &controlv1.AssignGroup{
-			Group: group, Instance: next.Instance, Address: next.PeerAddress}}})
+		r, err := m.proposeThen(call, &controlv1.Command{Command: &controlv1.Command_Assign{Assign: &controlv1.AssignGroup{
+			Group: group, Instance: next.Instance, Address: next.PeerAddress}}}, resolved)
 		cancel()
 		if errors.Is(err, ErrUnknown) {
-			return // The group stays revoked and is assigned again.
+			return
 		}
-		m.live.settle(group, r.Assignment.GetEpoch(), time.Now())
 		if err == nil {
 			m.options.Events.Emit(eventAssigned, event.F("group", group), event.F("holder", next.Instance), event.F("epoch", r.Assignment.Epoch))
 		}
