--- a/internal/fakeengine/answer.go
+++ b/internal/answers/answers.go
@@ -1,11 +1,12 @@
-// Package fakeengine is a small stand-in for a model engine or a plain service.
-// Its answers are a pure function of the prompt, so that a test can tell whether
-// an answer is whole and belongs to its own request.
-package fakeengine
+// Package answers defines the answers of stand-in endpoints as a pure function of
+// the request, so that the load tool and tests can tell whether an answer is
+// whole and belongs to its own request.
+package answers
 
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"regexp"
 	"strconv"
 	"strings"
@@ -93,3 +94,18 @@
 
 // CountTokens returns the number of tokens in a prompt or an answer.
 func CountTokens(text string) int { return len(strings.Fields(text)) }
+
+// Echo is the answer to a lookup and to a booking. Digest is of the body of the
+// request, or of its path and query where it has none.
+type Echo struct {
+	Path     string `json:"path"`
+	Query    string `json:"query,omitempty"`
+	Digest   string `json:"digest"`
+	Sequence int    `json:"sequence,omitempty"`
+}
+
+// DigestOf returns the digest that an Echo carries for data.
+func DigestOf(data string) string {
+	sum := sha256.Sum256([]byte(data))
+	return hex.EncodeToString(sum[:8])
+}
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/openai"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
@@ -34,52 +35,6 @@
 	announceTimeout = time.Second
 )
 
-// Announcement is the body of POST /endpoints/v1/announce.
-type Announcement struct {
-	ID                string   `json:"id"`
-	Incarnation       uint64   `json:"incarnation"`
-	Service           string   `json:"service"`
-	Kind              string   `json:"kind"`
-	Address           string   `json:"address"`
-	Models            []string `json:"models"`
-	Adapters          []string `json:"adapters"`
-	Loading           []string `json:"loading"`
-	Slots             uint32   `json:"slots"`
-	TokensPerSecond   float32  `json:"tokens_per_second"`
-	FailureDomain     string   `json:"failure_domain"`
-	ChecksOrders      bool     `json:"checks_orders"`
-	RefusesOldFencing bool     `json:"refuses_old_fencing"`
-	LeaseMS           uint32   `json:"lease_ms"`
-	Leaving           bool     `json:"leaving"`
-	Load              *struct {
-		Running      uint32  `json:"running"`
-		Waiting      uint32  `json:"waiting"`
-		KVUsed       float32 `json:"kv_used"`
-		MeasuredAtMS int64   `json:"measured_at_ms"`
-	} `json:"load"`
-	// CacheEvents are the changes of the prefix cache since the announcement
-	// that was last confirmed. They may be late and have gaps.
-	CacheEvents []CacheEvent `json:"cache_events"`
-}
-
-// CacheEvent is one change of an engine's prefix cache. A prefix is the hash of
-// the model and the text up to it, as openai.ChatRequest.Prefixes makes it.
-type CacheEvent struct {
-	Sequence uint64 `json:"sequence"`
-	// Kind is stored, removed, or cleared, after which all earlier events are void.
-	Kind   string `json:"kind"`
-	Prefix string `json:"prefix"`
-}
-
-// AnnounceReply tells an endpoint when to announce itself again, and where.
-type AnnounceReply struct {
-	RenewAfterMS int64     `json:"renew_after_ms"`
-	Entries      []Address `json:"entries"`
-	// Resync asks for all cached prefixes in the next announcement, after an
-	// event of kind cleared, because events are missing.
-	Resync bool `json:"resync"`
-}
-
 // announce serves POST /endpoints/v1/announce. It passes the announcement on
 // to the scheduler of the endpoint's group and confirms it only when the
 // scheduler has it.
@@ -94,7 +49,7 @@
 		writeError(w, refusal)
 		return
 	}
-	var a Announcement
+	var a endpointapi.Announcement
 	if err := json.Unmarshal(body, &a); err != nil {
 		writeError(w, verdict.Refused(http.StatusBadRequest, "invalid_announcement", "the body is not an announcement: "+err.Error()))
 		return
@@ -108,7 +63,7 @@
 	if a.Leaving {
 		s.o.Events.Emit(eventLeaving, event.F("endpoint", a.ID), event.F("service", a.Service))
 	}
-	writeJSON(w, AnnounceReply{RenewAfterMS: renewAfter.Milliseconds(), Entries: s.addresses().Entries, Resync: resync})
+	writeJSON(w, endpointapi.AnnounceReply{RenewAfterMS: renewAfter.Milliseconds(), Entries: s.addresses().Entries, Resync: resync})
 }
 
 // endpointAllowed checks the endpoint's token. Without configured tokens only
@@ -129,12 +84,12 @@
 
 // forward passes an announcement to the scheduler of its group and reports
 // whether the scheduler asks for the whole list of cached prefixes.
-func (s *Server) forward(ctx context.Context, a *Announcement) (resync bool, refusal *verdict.Error) {
+func (s *Server) forward(ctx context.Context, a *endpointapi.Announcement) (resync bool, refusal *verdict.Error) {
 	service, ok := s.o.View.Index().Service(a.Service)
 	if !ok {
 		return false, verdict.Refused(http.StatusNotFound, "unknown_service", "service "+quote(a.Service)+" does not exist in the settings")
 	}
-	if refusal := a.check(service); refusal != nil {
+	if refusal := checkAnnouncement(a, service); refusal != nil {
 		return false, refusal
 	}
 	group := GroupOf(service, a.ID)
@@ -145,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	res, err := s.o.Dial(holder).Announce(ctx, connect.NewRequest(&schedulerv1.AnnounceRequest{
-		Group: group, Endpoints: []*schedulerv1.Endpoint{a.endpoint()},
+		Group: group, Endpoints: []*schedulerv1.Endpoint{endpointMessage(a)},
 	}))
 	if err != nil {
 		return false, verdict.Overloaded("no_scheduler", "the scheduler of group "+group+" did not take the announcement", time.Second).WithCause(err)
@@ -160,7 +115,7 @@
 }
 
 // check refuses an announcement that could not be used.
-func (a *Announcement) check(service *settings.ServicePolicy) *verdict.Error {
+func checkAnnouncement(a *endpointapi.Announcement, service *settings.ServicePolicy) *verdict.Error {
 	bad := func(message string) *verdict.Error {
 		return verdict.Refused(http.StatusBadRequest, "invalid_announcement", message)
 	}
@@ -174,40 +129,43 @@
 		return bad("\"kind\" is " + quote(a.Kind) + "; service " + service.Name + " has kind " + kind)
 	}
 	if a.Slots < 1 || a.Slots > maxSlots {
-		return bad("\"slots\" is " + strconv.Itoa(int(a.Slots)) + "; allowed are 1 to " + strconv.Itoa(maxSlots))
+		return bad("\"slots\" is " + strconv.Itoa(a.Slots) + "; allowed are 1 to " + strconv.Itoa(maxSlots))
+	}
+	if a.LeaseMS < 0 || a.LeaseMS > maxLease.Milliseconds() {
+		return bad("\"lease_ms\" is " + strconv.FormatInt(a.LeaseMS, 10) + "; allowed are 0 to " + strconv.FormatInt(maxLease.Milliseconds(), 10))
 	}
-	if time.Duration(a.LeaseMS)*time.Millisecond > maxLease {
-		return bad("\"lease_ms\" is above the limit of " + strconv.Itoa(int(maxLease.Milliseconds())))
+	if l := a.Load; l != nil && (l.Running < 0 || l.Waiting < 0 || l.KVUsed < 0) {
+		return bad("\"load\" holds a negative number")
 	}
 	return nil
 }
 
 func kindOf(service *settings.ServicePolicy) string {
 	if service.Engine {
-		return "engine"
+		return endpointapi.KindEngine
 	}
-	return "plain"
+	return endpointapi.KindPlain
 }
 
-func (a *Announcement) endpoint() *schedulerv1.Endpoint {
+func endpointMessage(a *endpointapi.Announcement) *schedulerv1.Endpoint {
 	e := &schedulerv1.Endpoint{
 		Id: a.ID, Incarnation: a.Incarnation, Service: a.Service, Kind: a.Kind, Address: a.Address, Models: a.Models,
-		Adapters: a.Adapters, Loading: a.Loading, Slots: a.Slots, TokensPerSecond: a.TokensPerSecond, FailureDomain: a.FailureDomain,
-		ChecksOrders: a.ChecksOrders, RefusesOldFencing: a.RefusesOldFencing, LeaseMs: a.LeaseMS, Leaving: a.Leaving,
+		Adapters: a.Adapters, Loading: a.Loading, Slots: uint32(a.Slots), TokensPerSecond: float32(a.TokensPerSecond), FailureDomain: a.FailureDomain,
+		ChecksOrders: a.ChecksOrders, RefusesOldFencing: a.RefusesOldFencing, LeaseMs: uint32(a.LeaseMS), Leaving: a.Leaving,
 	}
 	if e.LeaseMs == 0 {
 		e.LeaseMs = uint32(defaultLease.Milliseconds())
 	}
 	if a.Load != nil {
 		e.Load = &schedulerv1.Load{
-			Running: a.Load.Running, Waiting: a.Load.Waiting, KvUsed: a.Load.KVUsed, MeasuredAtMs: a.Load.MeasuredAtMS,
+			Running: uint32(a.Load.Running), Waiting: uint32(a.Load.Waiting), KvUsed: float32(a.Load.KVUsed), MeasuredAtMs: a.Load.MeasuredAtMS,
 		}
 	}
 	for _, c := range a.CacheEvents {
 		// An unreadable prefix matches nothing; its number still counts.
 		prefix, _ := strconv.ParseUint(c.Prefix, 16, 64)
 		e.CacheEvents = append(e.CacheEvents, &schedulerv1.CacheEvent{
-			Sequence: c.Sequence, Prefix: prefix, Stored: c.Kind == "stored", Cleared: c.Kind == "cleared",
+			Sequence: c.Sequence, Prefix: prefix, Stored: c.Kind == endpointapi.CacheStored, Cleared: c.Kind == endpointapi.CacheCleared,
 		})
 	}
 	return e
--- a/internal/entry/entries.go
+++ b/internal/entry/entries.go
@@ -7,19 +7,13 @@
 	"sync"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
-// Address is one address that callers may use.
-type Address struct {
-	Address       string `json:"address"`
-	FailureDomain string `json:"failure_domain"`
-	Weight        uint32 `json:"weight"`
-}
-
 // AddressList is the answer of GET /v1/entries.
 type AddressList struct {
-	Entries []Address `json:"entries"`
+	Entries []endpointapi.Address `json:"entries"`
 	// KeepSeconds is how long a caller may use the list before it asks again.
 	KeepSeconds int `json:"keep_seconds"`
 }
@@ -31,7 +25,7 @@
 }
 
 func (s *Server) addresses() AddressList {
-	list := AddressList{Entries: []Address{}, KeepSeconds: KeepSeconds}
+	list := AddressList{Entries: []endpointapi.Address{}, KeepSeconds: KeepSeconds}
 	for _, e := range s.o.View.Instances() {
 		if e.Draining || (e.Instance == s.o.Instance && s.o.Draining.Load()) {
 			continue
@@ -41,8 +35,8 @@
 	return list
 }
 
-func address(e *controlv1.EntryInfo) Address {
-	return Address{Address: e.Address, FailureDomain: e.FailureDomain, Weight: max(e.Weight, 1)}
+func address(e *controlv1.EntryInfo) endpointapi.Address {
+	return endpointapi.Address{Address: e.Address, FailureDomain: e.FailureDomain, Weight: max(e.Weight, 1)}
 }
 
 // modelMemory is how long a model that was announced stays known without a
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -14,6 +14,8 @@
 	openai "github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
+	"auburnstep.example/auburnstep/internal/answers"
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/fakeengine"
 	"auburnstep.example/auburnstep/internal/settings"
 	"auburnstep.example/auburnstep/internal/testkit"
@@ -65,7 +67,7 @@
 }
 
 func plainService() fakeengine.Config {
-	return fakeengine.Config{Kind: fakeengine.KindPlain, Service: "rota-app", Slots: 8}
+	return fakeengine.Config{Kind: endpointapi.KindPlain, Service: "rota-app", Slots: 8}
 }
 
 type call struct {
@@ -189,7 +191,7 @@
 	}
 	whole, err := client.Chat.Completions.New(context.Background(), params)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, whole.Choices[0].Message.Content, qt.Equals, fakeengine.Answer("wax the lion", 12))
+	qt.Check(t, whole.Choices[0].Message.Content, qt.Equals, answers.Answer("wax the lion", 12))
 	qt.Check(t, whole.Usage.CompletionTokens, qt.Equals, int64(12))
 
 	stream := client.Chat.Completions.NewStreaming(context.Background(), params)
@@ -200,7 +202,7 @@
 		}
 	}
 	qt.Assert(t, stream.Err(), qt.IsNil)
-	qt.Check(t, text.String(), qt.Equals, fakeengine.Answer("wax the lion", 12))
+	qt.Check(t, text.String(), qt.Equals, answers.Answer("wax the lion", 12))
 
 	models, err := client.Models.List(context.Background())
 	qt.Assert(t, err, qt.IsNil)
@@ -233,7 +235,7 @@
 			}
 			qt.Assert(t, strings.HasPrefix(got, "200 OK"), qt.IsTrue, qt.Commentf("%s", got))
 			qt.Assert(t, json.Unmarshal([]byte(strings.TrimPrefix(got, "200 OK")), &answer), qt.IsNil)
-			qt.Check(t, answer.Choices[0].Message.Content, qt.Equals, fakeengine.Answer("polish", 60))
+			qt.Check(t, answer.Choices[0].Message.Content, qt.Equals, answers.Answer("polish", 60))
 		})
 	}
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/grants"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
@@ -60,9 +61,6 @@
 	return target
 }
 
-// headerFencing marks orders to engines, which callers never give.
-const headerFencing = "X-Fencing-Number"
-
 // plainHeader returns the headers that endpoints may see. The customer's key
 // stays inside the system.
 func plainHeader(h http.Header) http.Header {
@@ -70,7 +68,7 @@
 	out.Del("Authorization")
 	out.Del(HeaderClass)
 	out.Del(HeaderRequestID)
-	out.Del(headerFencing)
+	out.Del(endpointapi.HeaderFencing)
 	return out
 }
 
--- a/internal/fakeengine/announce.go
+++ b/internal/fakeengine/announce.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"auburnstep.example/auburnstep/internal/endpointapi"
 )
 
 const (
@@ -22,14 +24,14 @@
 	lag time.Duration
 
 	mu      sync.Mutex
-	samples []Load
+	samples []endpointapi.Load
 }
 
 func newLagged(lag time.Duration) *lagged { return &lagged{lag: lag} }
 
 // add notes a measurement and returns the one that is due. A measurement is kept
 // for the lag.
-func (l *lagged) add(now Load) Load {
+func (l *lagged) add(now endpointapi.Load) endpointapi.Load {
 	if l.lag <= 0 {
 		return now
 	}
@@ -46,13 +48,13 @@
 }
 
 // load returns the load report that is published now.
-func (s *Server) load() Load {
+func (s *Server) load() endpointapi.Load {
 	running, waiting := s.batch.counts()
-	if s.cfg.Kind == KindPlain {
+	if s.cfg.Kind == endpointapi.KindPlain {
 		n := int(s.inFlight.Load())
 		running, waiting = min(n, s.cfg.Slots), max(n-s.cfg.Slots, 0)
 	}
-	return s.loads.add(Load{Running: running, Waiting: waiting, KVUsed: s.cache.used(), MeasuredAtMS: time.Now().UnixMilli()})
+	return s.loads.add(endpointapi.Load{Running: running, Waiting: waiting, KVUsed: s.cache.used(), MeasuredAtMS: time.Now().UnixMilli()})
 }
 
 // announcer keeps the endpoint announced at one of the entries.
@@ -150,7 +152,7 @@
 }
 
 // learn takes the entry list of an answer and stays with the entry that gave it.
-func (a *announcer) learn(reply AnnounceReply, from string) {
+func (a *announcer) learn(reply endpointapi.AnnounceReply, from string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(reply.Entries) > 0 {
@@ -168,8 +170,8 @@
 	}
 }
 
-func (a *announcer) send(entry string) (AnnounceReply, error) {
-	var reply AnnounceReply
+func (a *announcer) send(entry string) (endpointapi.AnnounceReply, error) {
+	var reply endpointapi.AnnounceReply
 	announcement := a.announcement()
 	announcement.CacheEvents = a.cacheEvents()
 	body, err := json.Marshal(announcement)
@@ -201,7 +203,7 @@
 
 // cacheEvents returns the events since the last confirmed announcement, or the
 // whole list if it was asked for.
-func (a *announcer) cacheEvents() []CacheEvent {
+func (a *announcer) cacheEvents() []endpointapi.CacheEvent {
 	a.mu.Lock()
 	resync, after := a.resync, a.sequence
 	a.mu.Unlock()
@@ -211,7 +213,7 @@
 	return a.server.cache.after(after).Events
 }
 
-func (a *announcer) confirm(events []CacheEvent, resync bool) {
+func (a *announcer) confirm(events []endpointapi.CacheEvent, resync bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.resync = resync
@@ -220,16 +222,17 @@
 	}
 }
 
-func (a *announcer) announcement() Announcement { return a.server.Announcement() }
+func (a *announcer) announcement() endpointapi.Announcement { return a.server.Announcement() }
 
 // Announcement returns what the endpoint announces at this moment.
-func (s *Server) Announcement() Announcement {
-	return Announcement{
+func (s *Server) Announcement() endpointapi.Announcement {
+	load := s.load()
+	return endpointapi.Announcement{
 		ID: s.cfg.ID, Incarnation: s.announce.incarnation, Service: s.cfg.Service, Kind: s.cfg.Kind, Address: s.cfg.Advertise,
 		Models: nonNil(s.orders.models()), Adapters: nonNil(s.orders.adapters()), Loading: s.orders.loading(), Slots: s.cfg.Slots,
 		TokensPerSecond: s.cfg.TokensPerSecond, FailureDomain: s.cfg.FailureDomain,
 		ChecksOrders: s.cfg.OrderToken != "", RefusesOldFencing: s.cfg.Fencing == FencingRefuse,
-		LeaseMS: s.cfg.Lease.Milliseconds(), Leaving: s.leavingSince.Load() != 0, Load: s.load(),
+		LeaseMS: s.cfg.Lease.Milliseconds(), Leaving: s.leavingSince.Load() != 0, Load: &load,
 	}
 }
 
--- a/internal/fakeengine/batch.go
+++ b/internal/fakeengine/batch.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"auburnstep.example/auburnstep/internal/answers"
 )
 
 // sequence is one request in the engine.
@@ -12,7 +14,7 @@
 	id       string
 	priority int
 	arrival  uint64
-	script   Script
+	script   answers.Script
 	from     int
 	total    int
 	// prefill is the part of a step's time still needed before the first token.
@@ -26,7 +28,7 @@
 	once      sync.Once
 }
 
-func newSequence(id string, priority int, script Script, from, total int) *sequence {
+func newSequence(id string, priority int, script answers.Script, from, total int) *sequence {
 	s := &sequence{
 		id: id, priority: priority, script: script, from: from, total: total,
 		ready: make(chan struct{}, 1), cancelled: make(chan struct{}),
--- a/internal/fakeengine/cache.go
+++ b/internal/fakeengine/cache.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/openai"
 )
 
@@ -15,17 +16,10 @@
 // prefix cache, for which openai.ChatRequest.Prefixes has one hash.
 const blockTokens = 256
 
-// CacheEvent says that a block was stored in the prefix cache or removed from it.
-type CacheEvent struct {
-	Sequence uint64 `json:"sequence"`
-	Kind     string `json:"kind"`
-	Prefix   string `json:"prefix"`
-}
-
 // CacheEvents is the answer to a poll of cache events.
 type CacheEvents struct {
-	Events []CacheEvent `json:"events"`
-	Next   uint64       `json:"next"`
+	Events []endpointapi.CacheEvent `json:"events"`
+	Next   uint64                   `json:"next"`
 }
 
 // KV is an export of cached blocks.
@@ -34,7 +28,7 @@
 }
 
 type storedEvent struct {
-	CacheEvent
+	endpointapi.CacheEvent
 	at time.Time
 }
 
@@ -83,13 +77,13 @@
 }
 
 // all returns the whole content as events: cleared, then one for each block.
-func (c *prefixCache) all() []CacheEvent {
+func (c *prefixCache) all() []endpointapi.CacheEvent {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := []CacheEvent{{Sequence: c.last, Kind: "cleared"}}
+	out := []endpointapi.CacheEvent{{Sequence: c.last, Kind: endpointapi.CacheCleared}}
 	for e := c.order.Front(); e != nil; e = e.Next() {
 		c.last++
-		out = append(out, CacheEvent{c.last, "stored", e.Value.(string)})
+		out = append(out, endpointapi.CacheEvent{Sequence: c.last, Kind: endpointapi.CacheStored, Prefix: e.Value.(string)})
 	}
 	return out
 }
@@ -100,12 +94,12 @@
 		return
 	}
 	c.blocks[block] = c.order.PushFront(block)
-	c.publish("stored", block)
+	c.publish(endpointapi.CacheStored, block)
 	for c.order.Len() > c.cfg.CacheBlocks {
 		oldest := c.order.Back()
 		name := c.order.Remove(oldest).(string)
 		delete(c.blocks, name)
-		c.publish("removed", name)
+		c.publish(endpointapi.CacheRemoved, name)
 	}
 }
 
@@ -114,7 +108,7 @@
 	if gap := c.cfg.CacheEventGap; gap > 0 && c.last%uint64(gap) == 0 {
 		return
 	}
-	c.events = append(c.events, storedEvent{CacheEvent{c.last, kind, block}, time.Now()})
+	c.events = append(c.events, storedEvent{endpointapi.CacheEvent{Sequence: c.last, Kind: kind, Prefix: block}, time.Now()})
 	if len(c.events) > maxCacheEvents {
 		c.events = append([]storedEvent(nil), c.events[len(c.events)-maxCacheEvents/2:]...)
 	}
@@ -125,7 +119,7 @@
 	due := time.Now().Add(-c.cfg.CacheEventLag)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := CacheEvents{Events: []CacheEvent{}, Next: n}
+	out := CacheEvents{Events: []endpointapi.CacheEvent{}, Next: n}
 	for _, e := range c.events {
 		if e.Sequence > n && !e.at.After(due) {
 			out.Events = append(out.Events, e.CacheEvent)
--- a/internal/fakeengine/chat.go
+++ b/internal/fakeengine/chat.go
@@ -11,6 +11,8 @@
 
 	"github.com/google/uuid"
 
+	"auburnstep.example/auburnstep/internal/answers"
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/openai"
 )
 
@@ -29,7 +31,7 @@
 
 func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
 	s.arrive()
-	var req ChatRequest
+	var req answers.ChatRequest
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxChatBody))
 	if err == nil {
 		err = json.Unmarshal(body, &req)
@@ -57,7 +59,7 @@
 		s.cancelled.Add(1)
 		return
 	}
-	w.Header().Set(HeaderRequestID, job.id)
+	w.Header().Set(endpointapi.HeaderRequestID, job.id)
 	err = s.answer(r.Context(), w, job, req.Stream)
 	if err == nil {
 		s.completed.Add(1)
@@ -70,23 +72,23 @@
 	}
 }
 
-func (s *Server) newRun(r *http.Request, req ChatRequest, body []byte) *run {
-	id := r.Header.Get(HeaderRequestID)
+func (s *Server) newRun(r *http.Request, req answers.ChatRequest, body []byte) *run {
+	id := r.Header.Get(endpointapi.HeaderRequestID)
 	if id == "" {
 		id = uuid.NewString()
 	}
-	prompt := PromptOf(req.Messages)
-	priority, _ := strconv.Atoi(r.Header.Get(HeaderPriority))
-	offset, _ := strconv.Atoi(r.Header.Get(HeaderResumeOffset))
-	total := Length(prompt, req.Limit())
+	prompt := answers.PromptOf(req.Messages)
+	priority, _ := strconv.Atoi(r.Header.Get(endpointapi.HeaderPriority))
+	offset, _ := strconv.Atoi(r.Header.Get(endpointapi.HeaderResumeOffset))
+	total := answers.Length(prompt, req.Limit())
 	offset = min(max(offset, 0), total)
 	if offset > 0 {
 		s.resumed.Add(1)
 	}
 	job := &run{
-		sequence:     newSequence(id, priority, ScriptOf(prompt), offset, total),
+		sequence:     newSequence(id, priority, answers.ScriptOf(prompt), offset, total),
 		model:        req.Model,
-		promptTokens: CountTokens(prompt),
+		promptTokens: answers.CountTokens(prompt),
 	}
 	cached := 0
 	// A body that only the stand-in accepts has no cached prefix.
@@ -120,11 +122,11 @@
 		o := s.batch.other(job.sequence)
 		id, script = o.id, o.script
 	}
-	body, err := json.Marshal(Completion{
-		ID: id, Object: "chat.completion", Created: time.Now().Unix(), Model: job.model, Offset: job.from,
-		Choices: []Choice{{Message: AnswerMessage{Role: "assistant", Content: script.Answer(job.from, job.total)}, FinishReason: "stop"}},
-		Usage:   job.usage(),
-	})
+	message := openai.Message{Role: "assistant", Content: script.Answer(job.from, job.total)}
+	body, err := json.Marshal(Completion{Offset: job.from, Completion: openai.Completion{
+		ID: id, Object: "chat.completion", Created: time.Now().Unix(), Model: job.model, Usage: job.usage(),
+		Choices: []openai.CompletionChoice{{Message: message, FinishReason: "stop"}},
+	}})
 	if err != nil {
 		return err
 	}
@@ -140,8 +142,8 @@
 	return err
 }
 
-func (j *run) usage() Usage {
-	return Usage{PromptTokens: j.promptTokens, CompletionTokens: j.total, TotalTokens: j.promptTokens + j.total}
+func (j *run) usage() openai.Usage {
+	return openai.Usage{PromptTokens: j.promptTokens, CompletionTokens: j.total, TotalTokens: j.promptTokens + j.total}
 }
 
 // awaitTokens waits for tokens beyond sent and returns how many there are.
@@ -229,7 +231,7 @@
 	return b
 }
 
-func appendChunk(b []byte, id, model string, created int64, offset int, script Script, opening bool) []byte {
+func appendChunk(b []byte, id, model string, created int64, offset int, script answers.Script, opening bool) []byte {
 	b = appendHead(b, id, model, created, offset)
 	b = append(b, `,"choices":[{"index":0,"delta":{`...)
 	if opening {
--- a/internal/fakeengine/config.go
+++ b/internal/fakeengine/config.go
@@ -4,17 +4,13 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"auburnstep.example/auburnstep/internal/endpointapi"
 )
 
 // Error is the class of errors of this package.
 var Error = errs.Class("fakeengine")
 
-// Kinds of endpoint.
-const (
-	KindEngine = "engine"
-	KindPlain  = "plain"
-)
-
 // How the engine treats an order with an old fencing number.
 const (
 	FencingRefuse = "refuse"
@@ -72,7 +68,7 @@
 		c.Listen = "127.0.0.1:0"
 	}
 	if c.Kind == "" {
-		c.Kind = KindEngine
+		c.Kind = endpointapi.KindEngine
 	}
 	if c.Service == "" {
 		c.Service = "auburn-pool"
@@ -101,7 +97,7 @@
 // Validate checks the configuration.
 func (c Config) Validate() error {
 	switch {
-	case c.Kind != KindEngine && c.Kind != KindPlain:
+	case c.Kind != endpointapi.KindEngine && c.Kind != endpointapi.KindPlain:
 		return Error.New("kind %q is not engine or plain", c.Kind)
 	case c.Fencing != FencingRefuse && c.Fencing != FencingIgnore:
 		return Error.New("fencing %q is not refuse or ignore", c.Fencing)
--- a/internal/fakeengine/orders.go
+++ b/internal/fakeengine/orders.go
@@ -6,39 +6,13 @@
 	"slices"
 	"strconv"
 	"sync"
-)
 
-// Kinds of order.
-const (
-	OrderLoadModel     = "load_model"
-	OrderUnloadModel   = "unload_model"
-	OrderLoadAdapter   = "load_adapter"
-	OrderUnloadAdapter = "unload_adapter"
-	OrderSetRole       = "set_role"
+	"auburnstep.example/auburnstep/internal/endpointapi"
 )
 
-// Order asks an engine to change what it has loaded, or its role.
-type Order struct {
-	Kind    string `json:"kind"`
-	Model   string `json:"model,omitempty"`
-	Adapter string `json:"adapter,omitempty"`
-	Version string `json:"version,omitempty"`
-	Role    string `json:"role,omitempty"`
-}
-
-// OrderReply says what an engine has loaded after an order.
-type OrderReply struct {
-	Models   []string `json:"models"`
-	Adapters []string `json:"adapters"`
-	Role     string   `json:"role,omitempty"`
-	Fencing  uint64   `json:"fencing"`
-	// Loading lists models whose weights are being loaded.
-	Loading []string `json:"loading"`
-}
-
 // AppliedOrder is an order that was carried out, with its fencing number.
 type AppliedOrder struct {
-	Order
+	endpointapi.Order
 	Fencing uint64 `json:"fencing"`
 }
 
@@ -47,7 +21,7 @@
 	cfg Config
 
 	mu      sync.Mutex
-	state   OrderReply
+	state   endpointapi.OrderReply
 	applied []AppliedOrder
 	any     bool
 	// loaded is called after a load that took time.
@@ -58,7 +32,7 @@
 	return &orderBook{
 		cfg:   cfg,
 		any:   len(cfg.Models) == 0,
-		state: OrderReply{Models: slices.Clone(cfg.Models), Adapters: slices.Clone(cfg.Adapters)},
+		state: endpointapi.OrderReply{Models: slices.Clone(cfg.Models), Adapters: slices.Clone(cfg.Adapters)},
 	}
 }
 
@@ -82,28 +56,28 @@
 }
 
 // apply carries out an order. It is false for an old fencing number.
-func (o *orderBook) apply(order Order, fencing uint64) (OrderReply, bool) {
+func (o *orderBook) apply(order endpointapi.Order, fencing uint64) (endpointapi.OrderReply, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.cfg.Fencing == FencingRefuse {
 		if fencing < o.state.Fencing {
-			return OrderReply{}, false
+			return endpointapi.OrderReply{}, false
 		}
 		o.state.Fencing = fencing
 	}
 	o.applied = append(o.applied, AppliedOrder{order, fencing})
 	switch order.Kind {
-	case OrderLoadModel:
+	case endpointapi.OrderLoadModel:
 		o.load(order.Model)
-	case OrderUnloadModel:
+	case endpointapi.OrderUnloadModel:
 		o.state.Models = without(o.state.Models, order.Model)
 		o.state.Loading = without(o.state.Loading, order.Model)
 		o.any = false
-	case OrderLoadAdapter:
+	case endpointapi.OrderLoadAdapter:
 		o.state.Adapters = with(o.state.Adapters, order.Adapter)
-	case OrderUnloadAdapter:
+	case endpointapi.OrderUnloadAdapter:
 		o.state.Adapters = without(o.state.Adapters, order.Adapter)
-	case OrderSetRole:
+	case endpointapi.OrderSetRole:
 		o.state.Role = order.Role
 	}
 	reply := o.state
@@ -134,18 +108,18 @@
 		writeError(w, http.StatusForbidden, "order_token", "the order carries no valid token")
 		return
 	}
-	fencing, err := strconv.ParseUint(r.Header.Get(HeaderFencing), 10, 64)
+	fencing, err := strconv.ParseUint(r.Header.Get(endpointapi.HeaderFencing), 10, 64)
 	if err != nil && s.cfg.Fencing == FencingRefuse {
 		writeError(w, http.StatusBadRequest, "fencing_number", "the fencing number is missing or not a number")
 		return
 	}
-	var order Order
+	var order endpointapi.Order
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPlainBody)).Decode(&order); err != nil {
 		writeError(w, http.StatusBadRequest, "invalid_body", err.Error())
 		return
 	}
 	switch order.Kind {
-	case OrderLoadModel, OrderUnloadModel, OrderLoadAdapter, OrderUnloadAdapter, OrderSetRole:
+	case endpointapi.OrderLoadModel, endpointapi.OrderUnloadModel, endpointapi.OrderLoadAdapter, endpointapi.OrderUnloadAdapter, endpointapi.OrderSetRole:
 	default:
 		writeError(w, http.StatusBadRequest, "invalid_order", "the kind of the order is unknown")
 		return
--- a/internal/fakeengine/plain.go
+++ b/internal/fakeengine/plain.go
@@ -1,12 +1,13 @@
 package fakeengine
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"sync"
 	"time"
+
+	"auburnstep.example/auburnstep/internal/answers"
+	"auburnstep.example/auburnstep/internal/endpointapi"
 )
 
 // maxPlainBody bounds the body of a plain call.
@@ -21,21 +22,6 @@
 	Body     string `json:"body"`
 }
 
-// Echo is the answer to a lookup and to a booking. Digest is of the body of the
-// request, or of its path and query where it has none.
-type Echo struct {
-	Path     string `json:"path"`
-	Query    string `json:"query,omitempty"`
-	Digest   string `json:"digest"`
-	Sequence int    `json:"sequence,omitempty"`
-}
-
-// DigestOf returns the digest that an Echo carries for data.
-func DigestOf(data string) string {
-	sum := sha256.Sum256([]byte(data))
-	return hex.EncodeToString(sum[:8])
-}
-
 // ledger is the memory of a plain service.
 type ledger struct {
 	mu   sync.Mutex
@@ -78,11 +64,11 @@
 		s.refuse(w, http.StatusBadRequest, "invalid_body", err.Error())
 		return
 	}
-	echo := Echo{Path: r.URL.Path, Query: r.URL.RawQuery, Digest: DigestOf(r.URL.RequestURI())}
+	echo := answers.Echo{Path: r.URL.Path, Query: r.URL.RawQuery, Digest: answers.DigestOf(r.URL.RequestURI())}
 	if r.Method == http.MethodPost {
-		echo.Digest = DigestOf(string(body))
+		echo.Digest = answers.DigestOf(string(body))
 		echo.Sequence = s.ledger.add(Booking{
-			Path: r.URL.Path, Key: r.Header.Get("Idempotency-Key"), Request: r.Header.Get(HeaderRequestID), Body: string(body),
+			Path: r.URL.Path, Key: r.Header.Get("Idempotency-Key"), Request: r.Header.Get(endpointapi.HeaderRequestID), Body: string(body),
 		})
 	}
 	if !s.pausePlain(r) || !s.delayLate(r.Context()) {
@@ -107,13 +93,13 @@
 	}
 }
 
-func (s *Server) answerPlain(w http.ResponseWriter, r *http.Request, echo Echo) {
-	id := r.Header.Get(HeaderRequestID)
+func (s *Server) answerPlain(w http.ResponseWriter, r *http.Request, echo answers.Echo) {
+	id := r.Header.Get(endpointapi.HeaderRequestID)
 	if _, hit := s.faults.draw(FaultCrossed); hit {
-		id, echo.Digest = "other-"+id, DigestOf("other")
+		id, echo.Digest = "other-"+id, answers.DigestOf("other")
 	}
 	if id != "" {
-		w.Header().Set(HeaderRequestID, id)
+		w.Header().Set(endpointapi.HeaderRequestID, id)
 	}
 	_, truncated := s.faults.draw(FaultTruncated)
 	if _, reset := s.faults.draw(FaultReset); truncated || reset {
--- a/internal/fakeengine/server.go
+++ b/internal/fakeengine/server.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/endpointapi"
+	"auburnstep.example/auburnstep/internal/openai"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
 
@@ -178,7 +180,7 @@
 	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Stats()) })
 	inner := http.NewServeMux()
 	inner.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.load()) })
-	if s.cfg.Kind == KindEngine {
+	if s.cfg.Kind == endpointapi.KindEngine {
 		s.routeEngine(inner)
 	} else {
 		s.routePlain(inner)
@@ -261,7 +263,7 @@
 	if status >= http.StatusInternalServerError {
 		kind = "server_error"
 	}
-	writeJSON(w, status, ErrorBody{Error: ErrorDetail{Message: message, Type: kind, Code: code}})
+	writeJSON(w, status, openai.ErrorBody{Error: openai.ErrorDetail{Message: message, Type: kind, Code: code}})
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/internal/fakeengine/server_test.go
+++ b/internal/fakeengine/server_test.go
@@ -15,11 +15,13 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	chatapi "auburnstep.example/auburnstep/internal/openai"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"go.uber.org/goleak"
+
+	"auburnstep.example/auburnstep/internal/answers"
+	"auburnstep.example/auburnstep/internal/endpointapi"
+	chatapi "auburnstep.example/auburnstep/internal/openai"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -64,15 +66,15 @@
 
 func TestLength(t *testing.T) {
 	c := qt.New(t)
-	c.Check(Length("p", 7), qt.Equals, 7)
-	c.Check(Length("p "+LengthMark(5), 7), qt.Equals, 5)
-	c.Check(Length("p "+LengthMark(9), 7), qt.Equals, 7)
-	c.Check(Length("p", 0), qt.Equals, Length("p", 0))
-	c.Check(Check("p", 3, Answer("p", 3)), qt.IsTrue)
-	c.Check(Check("p", 3, Answer("p", 2)), qt.IsFalse)
-	c.Check(Check("p", 3, Answer("q", 3)), qt.IsFalse)
-	c.Check(CountTokens(Answer("p", 9)), qt.Equals, 9)
-	c.Check(ScriptOf("p").Answer(0, 4)+ScriptOf("p").Answer(4, 9), qt.Equals, Answer("p", 9))
+	c.Check(answers.Length("p", 7), qt.Equals, 7)
+	c.Check(answers.Length("p "+answers.LengthMark(5), 7), qt.Equals, 5)
+	c.Check(answers.Length("p "+answers.LengthMark(9), 7), qt.Equals, 7)
+	c.Check(answers.Length("p", 0), qt.Equals, answers.Length("p", 0))
+	c.Check(answers.Check("p", 3, answers.Answer("p", 3)), qt.IsTrue)
+	c.Check(answers.Check("p", 3, answers.Answer("p", 2)), qt.IsFalse)
+	c.Check(answers.Check("p", 3, answers.Answer("q", 3)), qt.IsFalse)
+	c.Check(answers.CountTokens(answers.Answer("p", 9)), qt.Equals, 9)
+	c.Check(answers.ScriptOf("p").Answer(0, 4)+answers.ScriptOf("p").Answer(4, 9), qt.Equals, answers.Answer("p", 9))
 }
 
 // TestWithOpenAIClient checks the API against a client of another project.
@@ -86,14 +88,14 @@
 	}
 	whole, err := client.Chat.Completions.New(c.Context(), params)
 	c.Assert(err, qt.IsNil)
-	c.Check(whole.Choices[0].Message.Content, qt.Equals, Answer("s\nu", 12))
+	c.Check(whole.Choices[0].Message.Content, qt.Equals, answers.Answer("s\nu", 12))
 	stream := client.Chat.Completions.NewStreaming(c.Context(), params)
 	var acc openai.ChatCompletionAccumulator
 	for stream.Next() {
 		c.Check(acc.AddChunk(stream.Current()), qt.IsTrue)
 	}
 	c.Assert(stream.Err(), qt.IsNil)
-	c.Check(acc.Choices[0].Message.Content, qt.Equals, Answer("s\nu", 12))
+	c.Check(acc.Choices[0].Message.Content, qt.Equals, answers.Answer("s\nu", 12))
 	c.Check(acc.Choices[0].FinishReason, qt.Equals, "stop")
 	_, err = client.Models.Get(c.Context(), "m")
 	c.Check(err, qt.ErrorMatches, ".*404.*", qt.Commentf("single models are not served"))
@@ -182,11 +184,11 @@
 	chat := `{"model":"m","max_tokens":2,"messages":[{"role":"user","content":[{"type":"text","text":"p"}]}]}`
 	status, body := send(c, "POST", s.URL()+"/v1/chat/completions", chat)
 	c.Check(status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf(body))
-	status, body = send(c, "POST", s.URL()+"/v1/chat/completions", chat, HeaderResumeOffset, "1")
+	status, body = send(c, "POST", s.URL()+"/v1/chat/completions", chat, endpointapi.HeaderResumeOffset, "1")
 	c.Check(status, qt.Equals, http.StatusOK)
 	var whole Completion
 	c.Assert(json.Unmarshal([]byte(body), &whole), qt.IsNil)
-	c.Check(whole.Choices[0].Message.Content, qt.Equals, ScriptOf("p").Answer(1, 2))
+	c.Check(whole.Choices[0].Message.Content, qt.Equals, answers.ScriptOf("p").Answer(1, 2))
 	status, _ = send(c, "POST", s.URL()+"/fault", "odd")
 	c.Check(status, qt.Equals, http.StatusBadRequest)
 	status, _ = send(c, "DELETE", s.URL()+"/v1/requests/none", "")
@@ -241,7 +243,7 @@
 			s := start(c, test.cfg)
 			order := func(fencing string) int {
 				status, _ := send(c, "POST", s.URL()+"/v1/orders", `{"kind":"load_model","model":"n"}`,
-					HeaderFencing, fencing, "Authorization", "Bearer "+test.token)
+					endpointapi.HeaderFencing, fencing, "Authorization", "Bearer "+test.token)
 				return status
 			}
 			c.Check(order(test.fencing), qt.Equals, test.status)
@@ -255,19 +257,19 @@
 type entry struct {
 	*httptest.Server
 	mu   sync.Mutex
-	seen []Announcement
-	list []EntryAddress
+	seen []endpointapi.Announcement
+	list []endpointapi.Address
 }
 
 func newEntry(c *qt.C, renew time.Duration) *entry {
 	e := &entry{}
 	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var a Announcement
+		var a endpointapi.Announcement
 		_ = json.NewDecoder(r.Body).Decode(&a)
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.seen = append(e.seen, a)
-		writeJSON(w, http.StatusOK, AnnounceReply{RenewAfterMS: renew.Milliseconds(), Entries: e.list})
+		writeJSON(w, http.StatusOK, endpointapi.AnnounceReply{RenewAfterMS: renew.Milliseconds(), Entries: e.list})
 	}))
 	c.Cleanup(e.Close)
 	return e
@@ -275,10 +277,10 @@
 
 func (e *entry) address() string { return e.Listener.Addr().String() }
 
-func (e *entry) announcements() []Announcement {
+func (e *entry) announcements() []endpointapi.Announcement {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]Announcement(nil), e.seen...)
+	return append([]endpointapi.Announcement(nil), e.seen...)
 }
 
 // TestAnnounce checks renewal, the change to an entry learned from an answer
@@ -286,7 +288,7 @@
 func TestAnnounce(t *testing.T) {
 	c := qt.New(t)
 	first, second := newEntry(c, time.Millisecond), newEntry(c, time.Millisecond)
-	first.list = []EntryAddress{{Address: "127.0.0.1:1"}, {Address: second.address()}}
+	first.list = []endpointapi.Address{{Address: "127.0.0.1:1"}, {Address: second.address()}}
 	second.list = first.list
 	s := start(c, Config{Announce: []string{"127.0.0.1:1", first.address()}, Service: "svc", Slots: 3})
 	eventually(c, "renewal", func() bool { return len(first.announcements()) > 2 })
@@ -312,7 +314,7 @@
 	eventually(c, "start", func() bool { running, _ := s.batch.counts(); return running == 1 })
 	c.Assert(s.Leave(context.Background()), qt.IsNil)
 	body := <-done
-	c.Check(body, qt.Contains, Answer("p", 20))
+	c.Check(body, qt.Contains, answers.Answer("p", 20))
 }
 
 func TestLaggedLoad(t *testing.T) {
@@ -320,7 +322,7 @@
 	l := newLagged(100 * time.Millisecond)
 	var got []int
 	for ms := int64(0); ms <= 300; ms += 50 {
-		got = append(got, l.add(Load{Running: int(ms), MeasuredAtMS: ms}).Running)
+		got = append(got, l.add(endpointapi.Load{Running: int(ms), MeasuredAtMS: ms}).Running)
 	}
 	c.Check(got, qt.DeepEquals, []int{0, 0, 0, 50, 100, 150, 200})
 }
@@ -329,7 +331,7 @@
 // caller got no answer.
 func TestPlainLedger(t *testing.T) {
 	c := qt.New(t)
-	s := start(c, Config{Kind: KindPlain})
+	s := start(c, Config{Kind: endpointapi.KindPlain})
 	send(c, "POST", s.URL()+"/bookings", "a", "Idempotency-Key", "k")
 	s.Inject(Fault{Kind: FaultReset, Count: 1})
 	resp, err := httpClient.Post(s.URL()+"/bookings", "text/plain", bytes.NewReader([]byte("b")))
@@ -341,7 +343,7 @@
 	_, body := send(c, "GET", s.URL()+"/ledger", "")
 	c.Check(body, qt.JSONEquals, []Booking{{1, "/bookings", "k", "", "a"}, {2, "/bookings", "", "", "b"}})
 	_, body = send(c, "GET", s.URL()+"/crews?day=1", "")
-	c.Check(body, qt.JSONEquals, Echo{Path: "/crews", Query: "day=1", Digest: DigestOf("/crews?day=1")})
+	c.Check(body, qt.JSONEquals, answers.Echo{Path: "/crews", Query: "day=1", Digest: answers.DigestOf("/crews?day=1")})
 }
 
 // TestCrash checks that a crash ends the listener and all connections.
--- a/internal/load/bench.go
+++ b/internal/load/bench.go
@@ -12,7 +12,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"auburnstep.example/auburnstep/internal/fakeengine"
+	"auburnstep.example/auburnstep/internal/answers"
 )
 
 // BenchOptions set up a comparison of chat streams through a daemon with streams
@@ -211,7 +211,7 @@
 	s := readStream(resp.Body, start)
 	out := sample{first: s.first, total: time.Since(start), tokens: s.tokens}
 	_, _ = io.Copy(io.Discard, resp.Body)
-	return s.judge(fakeengine.Answer(prompt, p.options.Tokens)), out, nil
+	return s.judge(answers.Answer(prompt, p.options.Tokens)), out, nil
 }
 
 func (p *benchPath) result() PathReport {
--- a/internal/load/booking.go
+++ b/internal/load/booking.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/answers"
 	"auburnstep.example/auburnstep/internal/fakeengine"
 )
 
@@ -44,8 +45,8 @@
 	send := func() plainAnswer {
 		answer := r.plain(ctx, http.MethodPost, a.class.Path, body, key, a)
 		if answer.outcome == Whole {
-			var echo fakeengine.Echo
-			if json.Unmarshal(answer.body, &echo) != nil || echo.Digest != fakeengine.DigestOf(body) {
+			var echo answers.Echo
+			if json.Unmarshal(answer.body, &echo) != nil || echo.Digest != answers.DigestOf(body) {
 				answer.outcome = Wrong
 			}
 		}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -16,6 +16,8 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	"auburnstep.example/auburnstep/internal/answers"
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/fakeengine"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
@@ -43,7 +45,7 @@
 	e.engine, err = fakeengine.Start(fakeengine.Config{QueueMax: 10000})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(e.engine.Close)
-	e.plain, err = fakeengine.Start(fakeengine.Config{Kind: fakeengine.KindPlain})
+	e.plain, err = fakeengine.Start(fakeengine.Config{Kind: endpointapi.KindPlain})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(e.plain.Close)
 	e.Server = httptest.NewServer(http.HandlerFunc(e.serve))
@@ -74,7 +76,7 @@
 	defer e.mu.Unlock()
 	if e.lose {
 		_, body := read(r)
-		_ = json.NewEncoder(w).Encode(fakeengine.Echo{Digest: fakeengine.DigestOf(body)})
+		_ = json.NewEncoder(w).Encode(answers.Echo{Digest: answers.DigestOf(body)})
 		return
 	}
 	if stored, ok := e.answers[key]; ok && !e.doubling {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"auburnstep.example/auburnstep/internal/fakeengine"
+	"auburnstep.example/auburnstep/internal/answers"
 )
 
 // Options set up a run.
@@ -189,7 +189,7 @@
 		}
 		fmt.Fprintf(&b, "w%d ", shared.IntN(1000))
 	}
-	fmt.Fprintf(&b, "%d-%d %s", r.options.Seed, a.index, fakeengine.LengthMark(a.tokens))
+	fmt.Fprintf(&b, "%d-%d %s", r.options.Seed, a.index, answers.LengthMark(a.tokens))
 	return b.String()
 }
 
@@ -203,9 +203,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(fakeengine.ChatRequest{
+	return json.Marshal(answers.ChatRequest{
 		Model: model, MaxTokens: maxTokens, Stream: stream,
-		Messages: []fakeengine.Message{{Role: "user", Content: content}},
+		Messages: []answers.Message{{Role: "user", Content: content}},
 	})
 }
 
@@ -229,7 +229,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return sample{outcome: ofStatus(resp)}
 	}
-	want := fakeengine.Answer(prompt, min(a.tokens, a.class.MaxTokens))
+	want := answers.Answer(prompt, min(a.tokens, a.class.MaxTokens))
 	if !stream {
 		return readWhole(resp.Body, want, start)
 	}
@@ -279,7 +279,7 @@
 	query := fmt.Sprintf("q=%d-%d", r.options.Seed, a.index)
 	answer := r.plain(ctx, http.MethodGet, a.class.Path+"?"+query, "", "", a)
 	if answer.outcome == Whole {
-		var echo fakeengine.Echo
+		var echo answers.Echo
 		if json.Unmarshal(answer.body, &echo) != nil || echo.Query != query {
 			answer.outcome = Wrong
 		}
--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/fakeengine"
 	"auburnstep.example/auburnstep/internal/hlc"
@@ -124,7 +125,7 @@
 	h := b.holder(7, "old", "new")
 	h.run(formerLoads + long)
 	for i := range 2 {
-		b.Check(b.orders(i), qt.DeepEquals, []fakeengine.AppliedOrder{{Order: fakeengine.Order{Kind: "load_model", Model: "m"}, Fencing: 7}})
+		b.Check(b.orders(i), qt.DeepEquals, []fakeengine.AppliedOrder{{Order: endpointapi.Order{Kind: "load_model", Model: "m"}, Fencing: 7}})
 	}
 	b.Check(b.store.Started(), qt.Equals, 2)
 	b.store.Finish()
@@ -300,7 +301,7 @@
 	unload := strings.NewReader(`{"kind":"unload_model","model":"m"}`)
 	r, err := http.NewRequest(http.MethodPost, b.fleet.engines[1].URL()+orderPath, unload)
 	b.Assert(err, qt.IsNil)
-	r.Header.Set(HeaderFencing, "1")
+	r.Header.Set(endpointapi.HeaderFencing, "1")
 	_, err = http.DefaultClient.Do(r)
 	b.Assert(err, qt.IsNil)
 	h.run(reportWithin + 2*Interval)
@@ -397,8 +398,8 @@
 	b.fleet.partial = ""
 	h.run(3 * Interval)
 	b.Check(b.orders(0), qt.DeepEquals, []fakeengine.AppliedOrder{
-		{Order: fakeengine.Order{Kind: "unload_model", Model: "x"}, Fencing: 1},
-		{Order: fakeengine.Order{Kind: "load_model", Model: "m"}, Fencing: 1},
+		{Order: endpointapi.Order{Kind: "unload_model", Model: "x"}, Fencing: 1},
+		{Order: endpointapi.Order{Kind: "load_model", Model: "m"}, Fencing: 1},
 	})
 	b.store.Finish()
 	h.run(3 * time.Minute)
--- a/internal/placement/send.go
+++ b/internal/placement/send.go
@@ -11,14 +11,12 @@
 	"sync"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/upstream"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
 
-// HeaderFencing carries the epoch of the holder's lease.
-const HeaderFencing = "X-Fencing-Number"
-
 const (
 	orderPath = "/v1/orders"
 	maxAnswer = 1 << 20
@@ -85,7 +83,7 @@
 		order.Kind = "unload_model"
 	}
 	body, _ := json.Marshal(order) // Cannot fail: the body has only strings.
-	header := http.Header{"Content-Type": {"application/json"}, HeaderFencing: {strconv.FormatUint(lease.Epoch, 10)}}
+	header := http.Header{"Content-Type": {"application/json"}, endpointapi.HeaderFencing: {strconv.FormatUint(lease.Epoch, 10)}}
 	if t.endpoint.ChecksOrders && len(x.o.Tokens) > 0 {
 		header.Set("Authorization", "Bearer "+x.o.Tokens[t.tokens%len(x.o.Tokens)])
 	}
--- a/internal/proof/bookings_test.go
+++ b/internal/proof/bookings_test.go
@@ -14,6 +14,7 @@
 	"github.com/anishathalye/porcupine"
 	qt "github.com/frankban/quicktest"
 
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/fakeengine"
 )
 
@@ -97,7 +98,7 @@
 // scheduler among them.
 func TestBookingsThroughKills(t *testing.T) {
 	c := startCluster(t, 4, 0)
-	plain := c.endpoint(fakeengine.Config{Kind: fakeengine.KindPlain, Service: "rota-app", Slots: 16}, "rota-app/0")
+	plain := c.endpoint(fakeengine.Config{Kind: endpointapi.KindPlain, Service: "rota-app", Slots: 16}, "rota-app/0")
 	t.Logf("seed %d", bookingSeed)
 
 	stop := make(chan struct{})
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -14,14 +14,15 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/event"
 )
 
 // Headers of the endpoint API.
 const (
-	HeaderRequestID    = "X-Request-Id"
-	HeaderPriority     = "X-Priority"
-	HeaderResumeOffset = "X-Resume-Offset"
+	HeaderRequestID    = endpointapi.HeaderRequestID
+	HeaderPriority     = endpointapi.HeaderPriority
+	HeaderResumeOffset = endpointapi.HeaderResumeOffset
 	// HeaderTimeout is the time left for the request in milliseconds.
 	HeaderTimeout = "X-Auburnstep-Timeout-Ms"
 )
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"auburnstep.example/auburnstep/internal/answers"
 	"auburnstep.example/auburnstep/internal/fakeengine"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
@@ -33,9 +34,9 @@
 
 func chatBody(prompt string, maxTokens int) []byte {
 	content, _ := json.Marshal(prompt)
-	body, _ := json.Marshal(fakeengine.ChatRequest{
+	body, _ := json.Marshal(answers.ChatRequest{
 		Model: "m", Stream: true, MaxTokens: maxTokens,
-		Messages: []fakeengine.Message{{Role: "user", Content: content}},
+		Messages: []answers.Message{{Role: "user", Content: content}},
 	})
 	return body
 }
--- a/internal/upstream/plain_test.go
+++ b/internal/upstream/plain_test.go
@@ -15,6 +15,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"auburnstep.example/auburnstep/internal/answers"
+	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/fakeengine"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
@@ -29,14 +31,14 @@
 
 func TestDoPassesBodies(t *testing.T) {
 	c := qt.New(t)
-	fake := startFake(c, fakeengine.Config{Kind: fakeengine.KindPlain})
+	fake := startFake(c, fakeengine.Config{Kind: endpointapi.KindPlain})
 	client := startClient(c, Options{})
 	for _, length := range []int64{5, -1} {
 		text, err := readAnswer(client, booking(fake, strings.NewReader("hello"), length))
 		c.Assert(err, qt.IsNil)
-		var echo fakeengine.Echo
+		var echo answers.Echo
 		c.Assert(json.Unmarshal([]byte(text), &echo), qt.IsNil)
-		c.Check(echo.Digest, qt.Equals, fakeengine.DigestOf("hello"))
+		c.Check(echo.Digest, qt.Equals, answers.DigestOf("hello"))
 		c.Check(echo.Query, qt.Equals, "crew=2")
 	}
 	c.Check(len(fake.Ledger()), qt.Equals, 2)
@@ -99,7 +101,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			fake := startFake(c, fakeengine.Config{Kind: fakeengine.KindPlain})
+			fake := startFake(c, fakeengine.Config{Kind: endpointapi.KindPlain})
 			client := startClient(c, Options{})
 			if test.fault != "" {
 				fake.Inject(fakeengine.Fault{Kind: test.fault})
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	"auburnstep.example/auburnstep/internal/answers"
 	"auburnstep.example/auburnstep/internal/fakeengine"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
@@ -21,7 +22,7 @@
 	for _, n := range []int{1, 2, 500} {
 		text, err := chat(client, callTo(fake, "r", "a prompt", n))
 		c.Assert(err, qt.IsNil)
-		c.Check(text, qt.Equals, fakeengine.Answer("a prompt", n))
+		c.Check(text, qt.Equals, answers.Answer("a prompt", n))
 	}
 }
 
@@ -47,7 +48,7 @@
 			fake.Inject(test.fault)
 			text, err := chat(client, callTo(fake, "r1", "p", 20))
 			checkFailure(c, err, test.reason, test.verdict, test.blame)
-			whole := fakeengine.Answer("p", 20)
+			whole := answers.Answer("p", 20)
 			c.Check(len(text) < len(whole) && whole[:len(text)] == text, qt.IsTrue, qt.Commentf("%q", text))
 		})
 	}
@@ -89,7 +90,7 @@
 			delivered, whole = s.Delivered(), err == nil
 		}
 		c.Check(whole, qt.IsTrue)
-		c.Check(text, qt.Equals, fakeengine.Answer("a prompt", total))
+		c.Check(text, qt.Equals, answers.Answer("a prompt", total))
 	}
 }
 
