--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -108,7 +108,7 @@
 // reverse order: the entry drains first and the peer server goes last.
 func (d *Daemon) join() error {
 	for _, step := range []func() error{
-		d.joinMetrics, d.joinPeers, d.joinControl, d.joinFeed, d.joinScheduler, d.joinPlacement, d.joinEntry,
+		d.joinMetrics, d.joinPeers, d.joinControl, d.joinFeed, d.joinClients, d.joinPlacement, d.joinEntry,
 	} {
 		if err := step(); err != nil {
 			return err
@@ -173,6 +173,8 @@
 	return d.kernel.Register(ServiceControl, m)
 }
 
+// joinFeed adds the feed and the host of scheduler groups, which need each
+// other: the feed carries the leases and the reports of the groups.
 func (d *Daemon) joinFeed() error {
 	d.view = &view{draining: new(atomic.Bool), self: &controlv1.EntryInfo{
 		Instance: d.config.Instance, Address: d.config.Advertise, PeerAddress: d.config.PeerAdvertise,
@@ -184,19 +186,25 @@
 		Members: d.config.Peers, Caller: feed.NewCaller(d.pool), Self: d.view.info, Reports: d.host.Reports,
 		Events: d.events, Scope: d.metrics.Scope,
 	})
+	d.handlePeers()
+	if err := d.kernel.Register(ServiceFeed, d.view.feed); err != nil {
+		return err
+	}
+	return d.kernel.Register(ServiceScheduler, d.host)
+}
+
+// handlePeers serves the calls of other instances and of operators.
+func (d *Daemon) handlePeers() {
 	path, handler := schedulerv1connect.NewSchedulerHandler(d.host, d.peers.HandlerOptions())
 	d.peers.Handle(path, handler, transport.PeerRole, map[string]transport.Role{
 		schedulerv1connect.SchedulerStatusProcedure: transport.AnyRole,
 	})
 	path, handler = eventsv1connect.NewInstanceHandler(&instanceHandler{d}, d.peers.HandlerOptions())
 	d.peers.Handle(path, handler, transport.OperatorRole, nil)
-	if err := d.kernel.Register(ServiceFeed, d.view.feed); err != nil {
-		return err
-	}
-	return d.kernel.Register(ServiceScheduler, d.host)
 }
 
-func (d *Daemon) joinScheduler() error {
+// joinClients adds the entry's clients of schedulers and of booking records.
+func (d *Daemon) joinClients() error {
 	client := grants.New(d.config.Instance, d.view, d.dialScheduler, d.metrics.Scope)
 	if err := d.kernel.Register(ServiceGrants, client); err != nil {
 		return err
