control: leave the version in force on each instance out of the directory

Status still tells it. Ruled out: sending only changed entries, which would still send every entry once a change.

--- a/internal/control/liveness.go
+++ b/internal/control/liveness.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"auburnstep.example/auburnstep/internal/control/feed"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
@@ -140,14 +141,37 @@
 	if l.listed != nil && now.Sub(l.listedAt) < entriesAge {
 		return l.listed, l.listedVersion
 	}
+	out := l.alive(now)
+	for i, info := range out {
+		// The version in force on an instance is for operators. In the feed it
+		// would send the whole list again to everybody at each change.
+		out[i] = proto.CloneOf(info)
+		out[i].SettingsVersion = 0
+	}
+	l.listed, l.listedVersion, l.listedAt = out, feed.EntriesVersion(out), now
+	return out, l.listedVersion
+}
+
+// applied returns the live instances by name, with the version of the settings
+// that each has in force, or nothing before all were heard.
+func (l *liveness) applied(now time.Time) []*controlv1.EntryInfo {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.warm(now) {
+		return nil
+	}
+	return l.alive(now)
+}
+
+// alive returns the live instances by name. Callers hold the mutex.
+func (l *liveness) alive(now time.Time) []*controlv1.EntryInfo {
 	out := make([]*controlv1.EntryInfo, 0, len(l.instances))
 	for _, name := range slices.Sorted(maps.Keys(l.instances)) {
 		if i := l.instances[name]; i.live(now) {
 			out = append(out, i.info)
 		}
 	}
-	l.listed, l.listedVersion, l.listedAt = out, feed.EntriesVersion(out), now
-	return out, l.listedVersion
+	return out
 }
 
 // groupReports returns the reports of the present holders.
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -191,7 +191,7 @@
 		out.Members = []*controlv1.MemberStatus{{Id: s.ID, Instance: m.options.Instance, Address: m.options.Address}}
 	}
 	if leads {
-		out.Entries, _ = m.live.entries(time.Now())
+		out.Entries = m.live.applied(time.Now())
 		out.Groups = m.live.groupReports(out.Assignments)
 	}
 	return out
