--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -393,13 +393,13 @@
 	if rng.IntN(5) == 0 {
 		member = c.names[rng.IntN(len(c.names))]
 	}
-	patience := time.Second
+	timeout := time.Second
 	if rng.IntN(2) == 0 {
-		patience = time.Duration(2+rng.IntN(50)) * time.Millisecond
+		timeout = time.Duration(2+rng.IntN(50)) * time.Millisecond
 	}
 	return h.run(client, in, func() reply {
 		// Impatient callers make releases overtake begins.
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		r, err := c.link("client").Booking(ctx, member, bookingRequest(in))
 		if err != nil || r.State == controlv1.BookingResponse_STATE_UNSPECIFIED {
--- a/internal/control/chores.go
+++ b/internal/control/leader.go
@@ -14,11 +14,11 @@
 	"auburnstep.example/auburnstep/internal/settings"
 )
 
-// choresLoop does what only the leader does without being asked.
-func (m *Member) choresLoop(ctx context.Context) error {
+// leaderLoop does what only the leader does without being asked.
+func (m *Member) leaderLoop(ctx context.Context) error {
 	var expired, gauged time.Time
 	for {
-		if err := sleep(ctx, choresInterval); err != nil {
+		if err := sleep(ctx, leaderInterval); err != nil {
 			return nil
 		}
 		if time.Since(gauged) >= gaugeInterval {
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -180,7 +180,7 @@
 		func() error { return m.applyLoop(ctx, snapshotIndex) },
 		func() error { return m.snapshotLoop(ctx) },
 		func() error { return m.joinLoop(ctx) },
-		func() error { return m.choresLoop(ctx) },
+		func() error { return m.leaderLoop(ctx) },
 	} {
 		wg.Add(1)
 		go func() {
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -3,8 +3,8 @@
 //
 // One goroutine carries each duty: the consensus loop owns the consensus node
 // and the log, one sender per peer sends messages, the apply loop applies
-// committed entries and makes snapshots, and the leader's chores promote and
-// remove members, assign scheduler groups and expire booking records.
+// committed entries and makes snapshots, and the leader loop promotes and removes
+// members, assigns scheduler groups and expires booking records.
 package control
 
 import (
@@ -79,7 +79,7 @@
 	peerCapacity         = 512
 	maxMessagesPerStep   = 64
 	maxTicksCaughtUp     = 64
-	choresInterval       = 100 * time.Millisecond
+	leaderInterval       = 100 * time.Millisecond
 	gaugeInterval        = time.Second
 	expireInterval       = 10 * time.Second
 	expireBatch          = 1000
--- a/internal/placement/events.go
+++ b/internal/placement/events.go
@@ -16,8 +16,8 @@
 	eventFailed     = event.Define(4114, "placement-failed", event.Warn, "an order failed; the engine gets no further order for a while")
 	eventCancelled  = event.Define(4115, "placement-cancelled", event.Info, "an order was given up before it was sent")
 	eventSuperseded = event.Define(4116, "placement-superseded", event.Warn, "an engine has seen a higher fencing number; no further orders are sent under this lease")
-	eventBlind      = event.Define(4117, "placement-blind", event.Warn, "a scheduler did not answer; no new orders are made until all do")
-	eventSighted    = event.Define(4118, "placement-sighted", event.Info, "all schedulers answer again")
+	eventPaused     = event.Define(4117, "placement-paused", event.Warn, "a scheduler did not answer; no new orders are made until all do")
+	eventResumed    = event.Define(4118, "placement-resumed", event.Info, "all schedulers answer again")
 )
 
 // executorMetrics are the metrics of one executor.
--- a/internal/placement/executor.go
+++ b/internal/placement/executor.go
@@ -64,7 +64,7 @@
 	// taken is when this process first acted under the epoch.
 	taken      time.Time
 	superseded bool
-	blind      bool
+	partial    bool
 	planner    *Planner
 	weights    *weights
 	tasks      map[string]*task // by endpoint
@@ -95,12 +95,12 @@
 	if x.superseded {
 		return
 	}
-	picture := x.o.Fleet.Poll(ctx)
-	x.sight(&picture)
+	state := x.o.Fleet.Poll(ctx)
+	x.notePartial(&state)
 	now := x.o.Now()
-	x.observe(now, &picture)
-	x.follow(now, &picture)
-	x.begin(now, &picture)
+	x.observe(now, &state)
+	x.follow(now, &state)
+	x.begin(now, &state)
 	x.withhold(ctx)
 	x.send(ctx)
 	x.metrics.tasks.Update(float64(len(x.tasks)))
@@ -137,25 +137,25 @@
 // successor reports whether another process may have held the lease before.
 func (x *Executor) successor() bool { return x.epoch > 1 }
 
-// sight notes whether all schedulers answered.
-func (x *Executor) sight(p *Picture) {
-	blind := len(p.Partial) > 0
-	if blind {
+// notePartial records whether all schedulers answered.
+func (x *Executor) notePartial(p *FleetState) {
+	partial := len(p.Partial) > 0
+	if partial {
 		x.metrics.pollFail.Inc(1)
 	}
-	if blind == x.blind {
+	if partial == x.partial {
 		return
 	}
-	x.blind = blind
-	if blind {
-		x.o.Events.Emit(eventBlind, event.F("services", slices.Sorted(maps.Keys(p.Partial))))
+	x.partial = partial
+	if partial {
+		x.o.Events.Emit(eventPaused, event.F("services", slices.Sorted(maps.Keys(p.Partial))))
 	} else {
-		x.o.Events.Emit(eventSighted)
+		x.o.Events.Emit(eventResumed)
 	}
 }
 
 // observe takes over the loads that engines announce.
-func (x *Executor) observe(now time.Time, p *Picture) {
+func (x *Executor) observe(now time.Time, p *FleetState) {
 	announced := make(map[loadKey]bool)
 	for i := range p.Services {
 		s := &p.Services[i]
@@ -171,7 +171,7 @@
 }
 
 // follow advances the orders that are being carried out.
-func (x *Executor) follow(now time.Time, p *Picture) {
+func (x *Executor) follow(now time.Time, p *FleetState) {
 	for _, id := range slices.Sorted(maps.Keys(x.tasks)) {
 		t := x.tasks[id]
 		t.followed = false
@@ -226,9 +226,9 @@
 	return out
 }
 
-// begin plans and starts what the limits allow. While the picture is partial
+// begin plans and starts what the limits allow. While the state is partial
 // the loads that run are not all known, and nothing is started.
-func (x *Executor) begin(now time.Time, p *Picture) {
+func (x *Executor) begin(now time.Time, p *FleetState) {
 	var l limits
 	for i := range p.Services {
 		if policy := p.Services[i].Policy; policy.Enabled {
@@ -245,7 +245,7 @@
 		}
 		x.metrics.replicas(newView(s, pending))
 		for _, order := range x.planner.Plan(now, s, pending) {
-			if !x.blind {
+			if !x.partial {
 				x.start(now, s, order, l)
 			}
 		}
--- a/internal/placement/executor_test.go
+++ b/internal/placement/executor_test.go
@@ -31,7 +31,7 @@
 	withheld  atomic.Int64
 }
 
-func (f *fleet) Poll(context.Context) Picture {
+func (f *fleet) Poll(context.Context) FleetState {
 	s := f.service
 	s.Endpoints = nil
 	for _, e := range f.engines {
@@ -46,7 +46,7 @@
 		}
 		s.Endpoints = append(s.Endpoints, out)
 	}
-	p := Picture{Services: []Service{s}}
+	p := FleetState{Services: []Service{s}}
 	if f.partial != "" {
 		p.Partial = map[string]bool{f.partial: true}
 	}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -14,8 +14,8 @@
 	"auburnstep.example/auburnstep/internal/settings"
 )
 
-// Picture is what the schedulers know at one moment.
-type Picture struct {
+// FleetState is what the schedulers know at one moment.
+type FleetState struct {
 	// Services lists all engine services, those without placement too, since
 	// their loads use the same weight store.
 	Services []Service
@@ -23,7 +23,7 @@
 	Partial map[string]bool
 }
 
-func (p *Picture) service(name string) *Service {
+func (p *FleetState) service(name string) *Service {
 	for i := range p.Services {
 		if p.Services[i].Name == name {
 			return &p.Services[i]
@@ -34,7 +34,7 @@
 
 // Fleet reaches the schedulers.
 type Fleet interface {
-	Poll(ctx context.Context) Picture
+	Poll(ctx context.Context) FleetState
 	// Withhold keeps new requests for a model away from an endpoint for a while.
 	// It returns the epoch of the scheduler that does so.
 	Withhold(ctx context.Context, group, endpoint, model string, d time.Duration) (epoch uint64, err error)
@@ -70,10 +70,10 @@
 }
 
 // Poll implements Fleet.
-func (f *schedulers) Poll(ctx context.Context) Picture {
+func (f *schedulers) Poll(ctx context.Context) FleetState {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	p := Picture{Partial: make(map[string]bool)}
+	p := FleetState{Partial: make(map[string]bool)}
 	type answer struct {
 		service int
 		status  *schedulerv1.StatusResponse
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -21,7 +21,7 @@
   - {path: /services/rota-app, kind: service, set: {kind: plain}}
 `
 
-// TestFleet guards against a picture that lacks what endpoints announce, and
+// TestFleet guards against a fleet state that lacks what endpoints announce, and
 // against one that is taken as whole while a scheduler is new or silent.
 func TestFleet(t *testing.T) {
 	c := qt.New(t)
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -51,7 +51,7 @@
 	// announced says that the engine has announced the load.
 	announced bool
 	missing   time.Time
-	// followed says that this round compared the task with a whole picture.
+	// followed says that this round compared the task with a complete fleet state.
 	followed bool
 	// withheld is when the scheduler of the epoch last agreed to withhold.
 	withheld      time.Time
--- a/internal/placement/weights.go
+++ b/internal/placement/weights.go
@@ -113,7 +113,7 @@
 }
 
 // observe takes over what engines announce. Whole reports whether all endpoints
-// of a service are in the picture.
+// of a service are in the fleet state.
 func (w *weights) observe(now time.Time, announced map[loadKey]bool, whole func(service string) bool) {
 	for key := range announced {
 		if w.loads[key] == nil {
