--- a/internal/schedulerhost/group.go
+++ b/internal/schedulerhost/group.go
@@ -46,7 +46,7 @@
 	reported time.Time
 
 	granted, refused, rejected tally.Counter
-	waiting, inFlight          tally.Gauge
+	waiting, inFlight, queued  tally.Gauge
 }
 
 // waiter is one Acquire call that is being held.
@@ -72,7 +72,7 @@
 		ring:    ring.New[func(time.Time)]("group "+l.Group, commandCapacity, ring.Reject),
 		waiters: make(map[string]*waiter),
 		granted: scope.Counter("granted"), refused: scope.Counter("refused"), rejected: scope.Counter("calls_rejected"),
-		waiting: scope.Gauge("waiting"), inFlight: scope.Gauge("in_flight"),
+		waiting: scope.Gauge("waiting"), inFlight: scope.Gauge("in_flight"), queued: scope.Gauge("calls_queued"),
 	}
 	now := time.Now()
 	g.shared = sharesLimits(index, service)
@@ -233,6 +233,7 @@
 	g.report.Store(r)
 	g.waiting.Update(float64(r.Waiting))
 	g.inFlight.Update(float64(r.InFlight))
+	g.queued.Update(float64(g.ring.Stats().Length))
 }
 
 // noteEndpoints records which endpoints came and went since the last report.
