--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test lint demo soak policy capacity fuzz generate clean
+.PHONY: build test lint demo soak bench policy capacity fuzz generate clean
 
 build: ## Builds every program into bin/.
 	$(GO) build -o bin/ ./cmd/...
@@ -19,6 +19,9 @@
 soak: build ## Load with kills and freezes; SEED and SECONDS vary it.
 	./scripts/soak.sh $(or $(SEED),1) $(or $(SECONDS),40)
 
+bench: ## Added latency and throughput of one daemon, about 40 s.
+	./scripts/bench.sh
+
 policy: ## The tables of docs/policy.md, about 40 s.
 	$(GO) run ./cmd/auburnpolicy --seeds 1,2,3 --workers 4
 
