--- a/internal/control/feed/booking.go
+++ b/internal/control/feed/booking.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/uber-go/tally/v4"
 
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/kernel"
@@ -46,6 +47,7 @@
 	// pending counts calls that may still end in a background release and
 	// those that wait, so that there is room for each.
 	pending atomic.Int64
+	waiting tally.Gauge
 }
 
 // NewBookings returns a client that shares what the feed knows about members.
@@ -53,6 +55,7 @@
 	return &Bookings{
 		caller: c.options.Caller, router: newRouter(c.options.Members), view: c.View, events: c.options.Events,
 		releases: ring.New[*controlv1.ReleaseBooking]("booking releases", maxReleases, ring.Reject),
+		waiting:  c.options.Scope.Gauge("booking_releases_queued"),
 	}
 }
 
@@ -103,6 +106,7 @@
 // Start implements kernel.Service: it sends queued releases.
 func (b *Bookings) Start(ctx context.Context) error {
 	for {
+		b.waiting.Update(float64(b.releases.Stats().Length))
 		r, err := b.releases.Pop(ctx)
 		if err != nil {
 			return nil
