--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/control/state"
 	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
@@ -69,7 +69,7 @@
 				return addresses(s), nil
 			}
 		}
-		if err := sleep(ctx, m.options.Tick); err != nil {
+		if err := kernel.Sleep(ctx, m.options.Tick); err != nil {
 			return nil, err
 		}
 	}
@@ -102,7 +102,7 @@
 			warned = true
 			m.options.Events.Emit(eventFoundingWaits, event.F("answered", len(founders)), event.F("needed", len(initial)))
 		}
-		if err := sleep(ctx, joinInterval); err != nil {
+		if err := kernel.Sleep(ctx, joinInterval); err != nil {
 			return nil, err
 		}
 	}
@@ -142,7 +142,7 @@
 func (m *Member) joinLoop(ctx context.Context) error {
 	announced := false
 	for {
-		if err := sleep(ctx, joinInterval); err != nil {
+		if err := kernel.Sleep(ctx, joinInterval); err != nil {
 			return nil
 		}
 		s := m.status.Load()
@@ -211,14 +211,3 @@
 	}
 	return out
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -18,6 +18,7 @@
 	"auburnstep.example/auburnstep/internal/control/feed"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/hlc"
+	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/rpc/consensusv1"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
@@ -103,7 +104,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if sleep(ctx, delay) != nil {
+	if kernel.Sleep(ctx, delay) != nil {
 		return nil, ctx.Err()
 	}
 	if m == nil {
@@ -365,7 +366,7 @@
 		if err == nil && resp.Result != nil {
 			return resp.Result, nil
 		}
-		_ = sleep(ctx, 20*time.Millisecond)
+		_ = kernel.Sleep(ctx, 20*time.Millisecond)
 	}
 	return nil, fmt.Errorf("%w: %w", errLost, context.Cause(ctx))
 }
--- a/internal/control/feed/booking.go
+++ b/internal/control/feed/booking.go
@@ -120,7 +120,7 @@
 		}
 		b.events.Emit(eventReleaseDelayed, event.Customer(r.GetKey().GetCustomer()))
 		b.later(r)
-		if pause(ctx, releaseWait) != nil {
+		if kernel.Sleep(ctx, releaseWait) != nil {
 			return nil
 		}
 	}
@@ -129,7 +129,7 @@
 // Stop implements kernel.Service: queued releases are sent until ctx ends.
 func (b *Bookings) Stop(ctx context.Context) error {
 	for b.Pending() > 0 {
-		if pause(ctx, bookingWait) != nil {
+		if kernel.Sleep(ctx, bookingWait) != nil {
 			return Error.New("%d booking records were not released", b.Pending())
 		}
 	}
@@ -168,19 +168,8 @@
 			b.router.failed(address)
 			last = err
 		}
-		if pause(ctx, bookingWait) != nil {
+		if kernel.Sleep(ctx, bookingWait) != nil {
 			return nil, Error.Wrap(fmt.Errorf("%w: %w", ErrUnknown, last))
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -18,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"auburnstep.example/auburnstep/internal/consensus"
+	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
@@ -350,7 +351,7 @@
 				member = c.leader()
 			}
 		}
-		_ = sleep(ctx, time.Duration(100+rng.IntN(600))*time.Millisecond)
+		_ = kernel.Sleep(ctx, time.Duration(100+rng.IntN(600))*time.Millisecond)
 	}
 }
 
@@ -384,7 +385,7 @@
 				}
 			}
 		}
-		_ = sleep(ctx, time.Duration(50+rng.IntN(400))*time.Millisecond)
+		_ = kernel.Sleep(ctx, time.Duration(50+rng.IntN(400))*time.Millisecond)
 	}
 }
 
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -10,6 +10,7 @@
 
 	"auburnstep.example/auburnstep/internal/control/feed"
 	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/settings"
 )
@@ -18,7 +19,7 @@
 func (m *Member) leaderLoop(ctx context.Context) error {
 	var expired, gauged time.Time
 	for {
-		if err := sleep(ctx, leaderInterval); err != nil {
+		if err := kernel.Sleep(ctx, leaderInterval); err != nil {
 			return nil
 		}
 		if time.Since(gauged) >= gaugeInterval {
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -9,6 +9,7 @@
 
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
@@ -91,7 +92,7 @@
 		case err != nil && !errors.Is(err, consensus.ErrChangePending):
 			return err
 		}
-		if err := sleep(ctx, m.options.Tick); err != nil {
+		if err := kernel.Sleep(ctx, m.options.Tick); err != nil {
 			return fmt.Errorf("%w: %w", ErrUnknown, err)
 		}
 	}
@@ -145,7 +146,7 @@
 		return
 	}
 	for m.status.Load().Role == consensus.Leader {
-		if sleep(ctx, m.options.Tick) != nil {
+		if kernel.Sleep(ctx, m.options.Tick) != nil {
 			return
 		}
 	}
--- a/internal/control/prove.go
+++ b/internal/control/prove.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
@@ -154,7 +155,7 @@
 		if ok {
 			return nil
 		}
-		if time.Now().After(end) || sleep(ctx, catchUpPause) != nil {
+		if time.Now().After(end) || kernel.Sleep(ctx, catchUpPause) != nil {
 			return errNoLeader()
 		}
 	}
--- a/internal/control/prove_test.go
+++ b/internal/control/prove_test.go
@@ -11,6 +11,7 @@
 
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/control/feed"
+	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
@@ -27,7 +28,7 @@
 	l.asked = append(l.asked, r.Polls)
 	p := &controlv1.ProveResponse{Index: l.proof.Index, Revoking: l.proof.Revoking, Resign: l.proof.Resign}
 	l.mu.Unlock()
-	return p, sleep(ctx, 40*time.Millisecond)
+	return p, kernel.Sleep(ctx, 40*time.Millisecond)
 }
 
 // Guards against a follower that answers from an older state than the leader's,
--- a/internal/control/transfer.go
+++ b/internal/control/transfer.go
@@ -13,6 +13,7 @@
 
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/consensus/wire"
+	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/rpc/consensusv1"
 )
 
@@ -94,7 +95,7 @@
 		case err != nil:
 			failures++
 			m.metrics.stepFailed.Inc(1)
-			if sleep(ctx, chunkPause) != nil {
+			if kernel.Sleep(ctx, chunkPause) != nil {
 				return
 			}
 			next, c.Data = 0, nil
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/oklog/run"
 	"github.com/zeebo/errs"
@@ -154,3 +155,15 @@
 	}
 	return group.Err()
 }
+
+// Sleep waits for d, or until ctx ends and then returns its error.
+func Sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
