schedulerhost: go on renewing shares after a full ring

Found by reading, not by a run: the renewal of shares of customers' limits ended for good when one command met the full ring of its group, so that after a burst customers with limits would have waited until the group moved. It now ends only with the group. Both periodic loops and the pause of the grant client use kernel.Sleep instead of timers of their own. No test fills the ring of a group that shares limits.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -272,10 +272,5 @@
 
 // pause waits for a jittered duration around mean, or until ctx ends.
 func pause(ctx context.Context, mean time.Duration) {
-	t := time.NewTimer(mean/2 + rand.N(mean))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	_ = kernel.Sleep(ctx, mean/2+rand.N(mean))
 }
--- a/internal/schedulerhost/group.go
+++ b/internal/schedulerhost/group.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/limit"
 	"auburnstep.example/auburnstep/internal/ring"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
@@ -133,14 +134,7 @@
 
 // tick is the duty that drives the core's timeouts.
 func (g *group) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for kernel.Sleep(ctx, tickInterval) == nil {
 		if err := g.ring.Push(ctx, g.onTick); err == ring.ErrClosed {
 			return
 		}
--- a/internal/schedulerhost/shares.go
+++ b/internal/schedulerhost/shares.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/limit"
+	"auburnstep.example/auburnstep/internal/ring"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
 	"auburnstep.example/auburnstep/internal/settings"
 )
@@ -35,19 +38,14 @@
 // renewShares keeps the shares of this group current. When the owner can not be
 // reached the shares run out, and customers with limits wait until it is back.
 func (g *group) renewShares(ctx context.Context) {
-	ticker := time.NewTicker(shareInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for kernel.Sleep(ctx, shareInterval) == nil {
 		var demands []limit.Demand
-		if g.do(ctx, func(time.Time) { demands = g.core.Demands() }) != nil {
+		err := g.do(ctx, func(time.Time) { demands = g.core.Demands() })
+		if errors.Is(err, ring.ErrClosed) {
 			return
 		}
-		if len(demands) == 0 {
+		// A full ring passes; the next round asks again.
+		if err != nil || len(demands) == 0 {
 			continue
 		}
 		shares, err := g.askShares(ctx, demands)
