feed: remove the unpacked form of the whole tree

No member has sent it since the tree is packed once for each version, and the capacity tool still counted it, so that its number of whole trees was always 0.

--- a/internal/capacity/feed.go
+++ b/internal/capacity/feed.go
@@ -42,7 +42,7 @@
 		c.directories.Add(1)
 		c.directory.Store(int64(proto.Size(&controlv1.FeedResponse{Assignments: resp.Assignments, Entries: resp.Entries, Members: resp.Members})))
 	}
-	if resp.GetSnapshot() != nil {
+	if len(resp.GetPackedSnapshot()) > 0 {
 		c.snapshots.Add(1)
 	}
 	if len(resp.GetChanges()) > 0 {
--- a/internal/control/feed/client_test.go
+++ b/internal/control/feed/client_test.go
@@ -67,10 +67,10 @@
 		{"gap", &controlv1.FeedResponse{SettingsVersion: 7, Changes: []*controlv1.VersionedChange{change(7)}}, 0},
 		{"missing changes", &controlv1.FeedResponse{SettingsVersion: 6}, 0},
 		{"older version", &controlv1.FeedResponse{SettingsVersion: 4}, 0},
-		{"older snapshot", &controlv1.FeedResponse{SettingsVersion: 4, Snapshot: &controlv1.Settings{Version: 4}}, 0},
-		{"same snapshot", &controlv1.FeedResponse{SettingsVersion: 5, Snapshot: &controlv1.Settings{Version: 5}}, 5},
-		{"newer snapshot", &controlv1.FeedResponse{SettingsVersion: 9, Snapshot: &controlv1.Settings{Version: 9}}, 9},
-		{"broken snapshot", &controlv1.FeedResponse{SettingsVersion: 9, Snapshot: &controlv1.Settings{Version: 9, Nodes: []*controlv1.Node{{Path: "x"}}}}, 0},
+		{"older snapshot", &controlv1.FeedResponse{SettingsVersion: 4, PackedSnapshot: Pack(&controlv1.Settings{Version: 4})}, 0},
+		{"same snapshot", &controlv1.FeedResponse{SettingsVersion: 5, PackedSnapshot: Pack(&controlv1.Settings{Version: 5})}, 5},
+		{"newer snapshot", &controlv1.FeedResponse{SettingsVersion: 9, PackedSnapshot: Pack(&controlv1.Settings{Version: 9})}, 9},
+		{"broken snapshot", &controlv1.FeedResponse{SettingsVersion: 9, PackedSnapshot: Pack(&controlv1.Settings{Version: 9, Nodes: []*controlv1.Node{{Path: "x"}}})}, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			next, err := at.advance(test.r)
--- a/internal/control/feed/view.go
+++ b/internal/control/feed/view.go
@@ -49,10 +49,10 @@
 // does not continue the view; the caller then asks for the whole tree.
 func (v *View) advance(r *controlv1.FeedResponse) (*View, error) {
 	next := *v
-	s := r.GetSnapshot()
-	if len(r.GetPackedSnapshot()) > 0 {
+	var s *controlv1.Settings
+	if packed := r.GetPackedSnapshot(); len(packed) > 0 {
 		var err error
-		if s, err = Unpack(r.GetPackedSnapshot()); err != nil {
+		if s, err = Unpack(packed); err != nil {
 			return nil, err
 		}
 	}
