Serve the platform's path: routing table, directory, dispatch, router and adapter

Cause: auburnstep could not run on the users' platform; there was no adapter, no routing by host and prefix, and discovery needed scheduler leases.

Change: a routing table that is replaced as a whole by a higher version, in the replicated state and the feed; a directory of endpoints and entries that every control member holds and every entry merges; pure placement and admission in internal/dispatch; internal/router, which relays whole answers and event streams; internal/httpconn, which tells whether a request left; platform/, which translates. Placement is decided at the entries with shared loads, not by the leased scheduler groups, which leave 2 to 3.3 s without grants after a loss.

--- a/cmd/auburnstepd/main.go
+++ b/cmd/auburnstepd/main.go
@@ -5,6 +5,13 @@
 	"os"
 
 	"auburnstep.example/auburnstep/internal/daemon"
+	"auburnstep.example/auburnstep/platform"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	// The platform starts the daemon with a settings file instead of flags.
+	if len(os.Args) == 2 && os.Args[1] == "platform" {
+		os.Exit(platform.Main(os.Stdout, os.Stderr))
+	}
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -199,6 +199,16 @@
 	})
 }
 
+func (l memLink) PutRouting(ctx context.Context, to string, r *controlv1.PutRoutingRequest) (*controlv1.PutRoutingResponse, error) {
+	return exchange(ctx, l, to, func(ctx context.Context, m *Member) (*controlv1.PutRoutingResponse, error) {
+		return m.PutRouting(ctx, proto.Clone(r).(*controlv1.PutRoutingRequest))
+	})
+}
+
+func (l memLink) Routing(ctx context.Context, to string, _ *controlv1.RoutingRequest) (*controlv1.RoutingResponse, error) {
+	return exchange(ctx, l, to, func(_ context.Context, m *Member) (*controlv1.RoutingResponse, error) { return m.Routing() })
+}
+
 func (l memLink) Booking(ctx context.Context, to string, r *controlv1.BookingRequest) (*controlv1.BookingResponse, error) {
 	return exchange(ctx, l, to, func(ctx context.Context, m *Member) (*controlv1.BookingResponse, error) {
 		return m.Booking(ctx, proto.Clone(r).(*controlv1.BookingRequest))
--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -34,6 +34,8 @@
 	eventFeedBack     = event.Define(3101, "feed-fresh", event.Info, "the feed of the control members is fresh")
 	eventFeedRejected = event.Define(3102, "feed-rejected", event.Warn, "an answer of a control member does not continue the known settings")
 	eventInForce      = event.Define(3103, "settings-in-force", event.Info, "a settings version is in force on this instance")
+
+	eventRoutingInForce = event.Define(3105, "routing-in-force", event.Info, "a routing table is in force on this instance")
 )
 
 // Options configures a Client.
@@ -246,6 +248,7 @@
 	view := c.view.Load()
 	r := &controlv1.FeedRequest{
 		Self: c.options.Self(), Incarnation: c.incarnation, SettingsVersion: view.Version, AssignmentsVersion: c.directory,
+		RoutingVersion: view.RoutingVersion(),
 	}
 	if c.reset {
 		r.SettingsVersion, r.AssignmentsVersion = 0, 0
@@ -313,11 +316,15 @@
 		c.inherit(next)
 	}
 	c.yield(r.GetResign())
-	changed := c.renew(next, sent) || next.Version != old.Version || len(r.GetMembers()) > 0 || first
+	changed := c.renew(next, sent) || next.Version != old.Version || len(r.GetMembers()) > 0 || first ||
+		next.Routing != old.Routing
 	c.view.Store(next)
 	if next.Version != old.Version {
 		c.options.Events.Emit(eventInForce, event.F("version", next.Version))
 	}
+	if next.Routing != old.Routing {
+		c.options.Events.Emit(eventRoutingInForce, event.F("version", next.RoutingVersion()), event.F("before", old.RoutingVersion()))
+	}
 	if changed {
 		c.notify()
 	}
--- a/internal/control/feed/view.go
+++ b/internal/control/feed/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"auburnstep.example/auburnstep/internal/routing"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/settings"
 )
@@ -19,6 +20,8 @@
 	Entries []*controlv1.EntryInfo
 	// Groups holds the latest report of each group.
 	Groups []*controlv1.GroupReport
+	// Routing is the routing table in force, or nil before the first one is known.
+	Routing *routing.Index
 	// Members lists the addresses of the control members.
 	Members []string
 	// FreshUntil is when the view ends unless a poll renews it. It carries a
@@ -78,8 +81,33 @@
 	if next.Version != r.GetSettingsVersion() {
 		return nil, Error.New("answer of version %d leads to version %d", r.GetSettingsVersion(), next.Version)
 	}
+	if err := next.advanceRouting(r.GetRouting()); err != nil {
+		return nil, err
+	}
 	if next.Tree != v.Tree {
 		next.Index = next.Tree.Index()
 	}
 	return &next, nil
 }
+
+// RoutingVersion returns the version of the routing table, 0 for none.
+func (v *View) RoutingVersion() uint64 {
+	if v.Routing == nil {
+		return 0
+	}
+	return v.Routing.Table.Version
+}
+
+// advanceRouting takes over a routing table. Its version never falls, so that
+// an instance does not return to an older table.
+func (v *View) advanceRouting(t *controlv1.RoutingTable) error {
+	if t.GetVersion() <= v.RoutingVersion() {
+		return nil
+	}
+	table, err := routing.Decode(t.GetDocument())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	v.Routing = routing.NewIndex(table)
+	return nil
+}
--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -74,7 +74,11 @@
 	changes, ok := m.state.ChangesSince(r.GetSettingsVersion())
 	assignments, known := m.state.AssignedBy(p.Index)
 	members := m.state.Members()
+	routing := m.state.Routing()
 	m.mu.RUnlock()
+	if routing.GetVersion() > r.GetRoutingVersion() {
+		out.Routing = routing
+	}
 	if !known {
 		return nil, errNoLeader()
 	}
--- a/internal/control/network.go
+++ b/internal/control/network.go
@@ -19,6 +19,8 @@
 	Prove(ctx context.Context, address string, r *controlv1.ProveRequest) (*controlv1.ProveResponse, error)
 	Status(ctx context.Context, address string) (*controlv1.StatusResponse, error)
 	Member(ctx context.Context, address string, r *controlv1.MemberRequest) (*controlv1.MemberResponse, error)
+	PutRouting(ctx context.Context, address string, r *controlv1.PutRoutingRequest) (*controlv1.PutRoutingResponse, error)
+	Routing(ctx context.Context, address string, r *controlv1.RoutingRequest) (*controlv1.RoutingResponse, error)
 }
 
 // NewNetwork returns the network over the connections of a pool. The pool must
@@ -69,3 +71,21 @@
 	}
 	return resp.Msg, nil
 }
+
+// PutRouting implements Network. A repeated table changes nothing.
+func (n rpcNetwork) PutRouting(ctx context.Context, address string, r *controlv1.PutRoutingRequest) (*controlv1.PutRoutingResponse, error) {
+	resp, err := controlv1connect.NewControlClient(n.pool.Peer(address).Client()).PutRouting(transport.Idempotent(ctx), connect.NewRequest(r))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// Routing implements Network.
+func (n rpcNetwork) Routing(ctx context.Context, address string, r *controlv1.RoutingRequest) (*controlv1.RoutingResponse, error) {
+	resp, err := controlv1connect.NewControlClient(n.pool.Peer(address).Client()).Routing(transport.Idempotent(ctx), connect.NewRequest(r))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
--- /dev/null
+++ b/internal/control/routing.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"context"
+	"fmt"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/routing"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+)
+
+var (
+	eventRouting        = event.Define(3005, "routing-accepted", event.Info, "a routing table was accepted")
+	eventRoutingRefused = event.Define(3006, "routing-failed", event.Warn, "a routing table was not accepted, or its outcome is not known")
+)
+
+// PutRouting puts a routing table into the log and returns the version in force
+// once a majority has stored it. A table that is not newer than the present one
+// changes nothing and is answered with the present version. The table is
+// validated here as well, so that an invalid one never reaches the log.
+func (m *Member) PutRouting(ctx context.Context, r *controlv1.PutRoutingRequest) (*controlv1.PutRoutingResponse, error) {
+	t := r.GetTable()
+	table, err := routing.Decode(t.GetDocument())
+	if err == nil && table.Version != t.GetVersion() {
+		err = fmt.Errorf("the table has version %d, the request %d", table.Version, t.GetVersion())
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	if proto.Size(t) > maxCommandBytes {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("a routing table has at most %d bytes", maxCommandBytes))
+	}
+	term, ok := m.lease()
+	if !ok {
+		a, err := m.redirect()
+		return &controlv1.PutRoutingResponse{LeaderAddress: a}, err
+	}
+	if present := m.routingVersion(); present >= t.GetVersion() && m.held(term) {
+		return &controlv1.PutRoutingResponse{Version: present}, nil
+	}
+	ctx, cancel := withDeadline(ctx)
+	defer cancel()
+	applied, err := m.propose(ctx, &controlv1.Command{Command: &controlv1.Command_Routing{Routing: t}})
+	if err != nil {
+		m.options.Events.Emit(eventRoutingRefused, event.F("version", t.GetVersion()), event.F("error", err))
+		return nil, failure(err)
+	}
+	m.options.Events.Emit(eventRouting, event.F("version", t.GetVersion()), event.F("in_force", applied.Routing.GetVersion()))
+	return &controlv1.PutRoutingResponse{Version: applied.Routing.GetVersion()}, nil
+}
+
+// Routing returns the routing table in force, as known to a leader within its lease.
+func (m *Member) Routing() (*controlv1.RoutingResponse, error) {
+	term, ok := m.lease()
+	if !ok {
+		a, err := m.redirect()
+		return &controlv1.RoutingResponse{LeaderAddress: a}, err
+	}
+	m.mu.RLock()
+	t := m.state.Routing()
+	m.mu.RUnlock()
+	if !m.held(term) {
+		return nil, errNoLeader()
+	}
+	return &controlv1.RoutingResponse{Table: t}, nil
+}
+
+func (m *Member) routingVersion() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Routing().GetVersion()
+}
+
+// AcceptRouting puts a routing table in force by the leader, whichever member it is.
+func (m *Member) AcceptRouting(ctx context.Context, t *controlv1.RoutingTable) (version uint64, err error) {
+	r := &controlv1.PutRoutingRequest{Table: t}
+	out, err := m.PutRouting(ctx, r)
+	if err == nil && out.GetLeaderAddress() != "" {
+		out, err = m.options.Network.PutRouting(ctx, out.GetLeaderAddress(), r)
+	}
+	if err == nil && out.GetLeaderAddress() != "" {
+		err = errNoLeader() // The leader has changed meanwhile.
+	}
+	return out.GetVersion(), err
+}
+
+// CurrentRouting returns the routing table in force as the leader knows it,
+// whichever member leads; nil before the first table.
+func (m *Member) CurrentRouting(ctx context.Context) (*controlv1.RoutingTable, error) {
+	out, err := m.Routing()
+	if err == nil && out.GetLeaderAddress() != "" {
+		out, err = m.options.Network.Routing(ctx, out.GetLeaderAddress(), &controlv1.RoutingRequest{})
+	}
+	if err == nil && out.GetLeaderAddress() != "" {
+		err = errNoLeader()
+	}
+	return out.GetTable(), err
+}
+
+// Members returns the addresses of the control members.
+func (m *Member) Members() []string {
+	var out []string
+	for _, a := range m.members() {
+		out = append(out, a.Address)
+	}
+	return out
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -32,12 +32,14 @@
 func (s *Service) Register(server *transport.Server) {
 	path, h := controlv1connect.NewControlHandler(s, server.HandlerOptions())
 	server.Handle(path, h, transport.AnyRole, map[string]transport.Role{
-		controlv1connect.ControlFeedProcedure:     transport.PeerRole,
-		controlv1connect.ControlProveProcedure:    transport.PeerRole,
-		controlv1connect.ControlBookingProcedure:  transport.PeerRole,
-		controlv1connect.ControlChangeProcedure:   transport.OperatorRole,
-		controlv1connect.ControlResultProcedure:   transport.OperatorRole,
-		controlv1connect.ControlSettingsProcedure: transport.OperatorRole,
+		controlv1connect.ControlFeedProcedure:       transport.PeerRole,
+		controlv1connect.ControlProveProcedure:      transport.PeerRole,
+		controlv1connect.ControlBookingProcedure:    transport.PeerRole,
+		controlv1connect.ControlChangeProcedure:     transport.OperatorRole,
+		controlv1connect.ControlResultProcedure:     transport.OperatorRole,
+		controlv1connect.ControlSettingsProcedure:   transport.OperatorRole,
+		controlv1connect.ControlPutRoutingProcedure: transport.AnyRole,
+		controlv1connect.ControlRoutingProcedure:    transport.AnyRole,
 	})
 	path, h = consensusv1connect.NewPeerHandler(s, server.HandlerOptions())
 	server.Handle(path, h, transport.PeerRole, nil)
@@ -120,6 +122,16 @@
 	return respond(s.member.Booking(ctx, r.Msg))
 }
 
+// PutRouting implements controlv1connect.ControlHandler.
+func (s *Service) PutRouting(ctx context.Context, r *connect.Request[controlv1.PutRoutingRequest]) (*connect.Response[controlv1.PutRoutingResponse], error) {
+	return respond(s.member.PutRouting(ctx, r.Msg))
+}
+
+// Routing implements controlv1connect.ControlHandler.
+func (s *Service) Routing(context.Context, *connect.Request[controlv1.RoutingRequest]) (*connect.Response[controlv1.RoutingResponse], error) {
+	return respond(s.member.Routing())
+}
+
 // Status implements controlv1connect.ControlHandler.
 func (s *Service) Status(context.Context, *connect.Request[controlv1.StatusRequest]) (*connect.Response[controlv1.StatusResponse], error) {
 	return connect.NewResponse(s.member.Status()), nil
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -13,8 +13,12 @@
 	"auburnstep.example/auburnstep/internal/settings"
 )
 
-// snapshotFormat is the first byte of a snapshot.
-const snapshotFormat = 1
+// snapshotFormat is the first byte of a snapshot. Snapshots of format 1, which
+// end before the routing table, are read as well.
+const (
+	snapshotFormat         = 2
+	snapshotFormatNoRoutes = 1
+)
 
 // Snapshot returns the whole state in a form that is the same for equal states.
 // The last 8 bytes are a checksum.
@@ -44,6 +48,10 @@
 	for _, id := range sortedKeys(s.members) {
 		e.message(s.members[id])
 	}
+	e.bool(s.routing != nil)
+	if s.routing != nil {
+		e.message(s.routing)
+	}
 	return binary.BigEndian.AppendUint64(e.buf, xxhash.Sum64(e.buf))
 }
 
@@ -147,8 +155,9 @@
 // decode reads a snapshot without its checksum. The state keeps parts of body.
 func decode(body []byte) (*State, error) {
 	d := &decoder{buf: body}
-	if f := d.uint(); f != snapshotFormat {
-		return nil, corrupt("format %d is unknown", f)
+	format := d.uint()
+	if format != snapshotFormat && format != snapshotFormatNoRoutes {
+		return nil, corrupt("format %d is unknown", format)
 	}
 	s := New()
 	s.index = d.uint()
@@ -183,6 +192,10 @@
 		d.message(m)
 		s.members[m.Id] = m
 	}
+	if format != snapshotFormatNoRoutes && d.bool() {
+		s.routing = &controlv1.RoutingTable{}
+		d.message(s.routing)
+	}
 	if d.bad || len(d.buf) != 0 {
 		return nil, corrupt("the encoding is wrong")
 	}
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -44,6 +44,8 @@
 	Change     *controlv1.ChangeResult
 	Booking    *controlv1.BookingResponse
 	Assignment *controlv1.Assignment
+	// Routing is the routing table in force afterwards.
+	Routing *controlv1.RoutingTable
 	// Expired is the number of records that became tombstones or were dropped.
 	Expired int
 }
@@ -73,6 +75,8 @@
 	assignedAt map[string]uint64
 	restored   uint64
 	members    map[uint64]*controlv1.MemberAddress
+	// routing is the routing table in force, or nil; see applyRouting.
+	routing *controlv1.RoutingTable
 }
 
 // New returns the empty state.
@@ -106,6 +110,9 @@
 		return Result{Assignment: s.assign(c.Assign)}
 	case *controlv1.Command_Member:
 		s.setMember(c.Member)
+	case *controlv1.Command_Routing:
+		s.applyRouting(c.Routing)
+		return Result{Routing: s.routing}
 	}
 	return Result{}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -162,17 +162,22 @@
 	if d.config.Data == "" {
 		return nil
 	}
-	seed := fnv.New64a()
-	_, _ = seed.Write([]byte(d.config.Instance))
 	m := control.NewMember(control.Options{
 		Cluster: d.config.Cluster, Instance: d.config.Instance, Address: d.config.PeerAdvertise,
 		InitialMembers: d.config.InitialMembers, Peers: d.config.Peers, Storage: control.NewDirStorage(d.config.Data),
-		Network: control.NewNetwork(d.pool), Events: d.events, Scope: d.metrics.Scope, Seed: int64(seed.Sum64()),
+		Network: control.NewNetwork(d.pool), Events: d.events, Scope: d.metrics.Scope, Seed: instanceSeed(d.config.Instance),
 	})
 	control.NewService(m).Register(d.peers)
 	return d.kernel.Register(ServiceControl, m)
 }
 
+// instanceSeed varies random choices between instances.
+func instanceSeed(instance string) int64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(instance))
+	return int64(h.Sum64())
+}
+
 // joinFeed adds the feed and the host of scheduler groups, which need each
 // other: the feed carries the leases and the reports of the groups.
 func (d *Daemon) joinFeed() error {
--- /dev/null
+++ b/internal/directory/merge.go
@@ -0,0 +1,98 @@
+package directory
+
+import (
+	"maps"
+	"slices"
+
+	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
+)
+
+// Snapshot is an entry's view of all endpoints. It is immutable.
+type Snapshot struct {
+	// Endpoints holds the endpoints that have not left, by id.
+	Endpoints map[string]*directoryv1.Endpoint
+	// Entries is the number of live entries, at least 1.
+	Entries int
+}
+
+// view is what one member told in its last answers.
+type view struct {
+	epoch, cursor uint64
+	endpoints     map[string]*directoryv1.Endpoint
+	entries       uint32
+}
+
+// apply takes over an answer and reports whether anything changed.
+func (v *view) apply(r *directoryv1.SyncResponse) bool {
+	changed := v.epoch != r.Epoch || len(r.Endpoints) > 0 || v.entries != r.Entries
+	if v.epoch != r.Epoch {
+		v.endpoints = make(map[string]*directoryv1.Endpoint)
+	}
+	v.epoch, v.cursor, v.entries = r.Epoch, r.Cursor, r.Entries
+	for _, e := range r.Endpoints {
+		v.endpoints[e.Id] = e
+	}
+	return changed
+}
+
+// merge joins the views of members. Of one endpoint the latest incarnation
+// counts and in it the latest announcement; it has left if any member heard so,
+// and it is silent only if no member hears of it. Of two endpoints at one
+// address only the one that started later can be there.
+func merge(views []*view) *Snapshot {
+	all := make(map[string]*directoryv1.Endpoint)
+	entries := uint32(1)
+	for _, v := range views {
+		entries = max(entries, v.entries)
+		for id, e := range v.endpoints {
+			all[id] = later(all[id], e)
+		}
+	}
+	out := &Snapshot{Endpoints: make(map[string]*directoryv1.Endpoint, len(all)), Entries: int(entries)}
+	byAddress := make(map[string]string, len(all))
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		e := all[id]
+		if e.Gone {
+			continue
+		}
+		if other, taken := byAddress[e.Address]; taken {
+			if all[other].Incarnation > e.Incarnation {
+				continue
+			}
+			delete(out.Endpoints, other)
+		}
+		byAddress[e.Address] = id
+		out.Endpoints[id] = e
+	}
+	return out
+}
+
+// later returns the one of two announcements of an endpoint that holds.
+func later(a, b *directoryv1.Endpoint) *directoryv1.Endpoint {
+	switch {
+	case a == nil:
+		return b
+	case a.Gone && a.Incarnation == 0:
+		return a // It left at a member that had not heard of it.
+	case b.Gone && b.Incarnation == 0:
+		return b
+	case a.Incarnation != b.Incarnation:
+		if a.Incarnation > b.Incarnation {
+			return a
+		}
+		return b
+	case a.Gone != b.Gone:
+		if a.Gone {
+			return a
+		}
+		return b
+	case a.Silent != b.Silent:
+		if a.Silent {
+			return b
+		}
+		return a
+	case a.Sequence >= b.Sequence:
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/directory/registry.go
@@ -0,0 +1,217 @@
+// Package directory finds endpoints and entries. Endpoints announce themselves
+// to any control member; each member keeps what it heard in a Registry, and
+// each entry polls all members and merges their registries. No member needs the
+// others or a leader for it, so that discovery goes on while there is none.
+package directory
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
+)
+
+const (
+	// announceLease is how long an endpoint counts as heard of after an
+	// announcement. Endpoints announce about once a second; three may be lost.
+	announceLease = 4 * time.Second
+	// forgetAfter is how long the record of a silent or gone endpoint is kept, so
+	// that a delayed announcement does not bring it back.
+	forgetAfter = 2 * time.Minute
+	// entryLease is how long an entry is listed after its last poll. Entries
+	// poll every PollInterval; four polls in a row may be lost.
+	entryLease = 1500 * time.Millisecond
+	// maxEndpoints bounds the records of one member: eight times the 600 of the
+	// two-year target, at about 300 bytes each.
+	maxEndpoints = 4800
+)
+
+// Registry is what one member has heard. It is pure and not safe for concurrent use.
+type Registry struct {
+	epoch     uint64
+	revision  uint64
+	endpoints map[string]*endpointRecord
+	entries   map[string]*entryRecord
+}
+
+type endpointRecord struct {
+	endpoint *directoryv1.Endpoint
+	// revision is that of the last change other than a renewal.
+	revision uint64
+	heard    time.Time
+}
+
+type entryRecord struct {
+	entry *directoryv1.Entry
+	loads []*directoryv1.Load
+	heard time.Time
+}
+
+// NewRegistry returns an empty registry. The epoch tells apart two starts of a member.
+func NewRegistry(epoch uint64) *Registry {
+	return &Registry{epoch: epoch, endpoints: make(map[string]*endpointRecord), entries: make(map[string]*entryRecord)}
+}
+
+// Verdict tells what an announcement changed.
+type Verdict int
+
+// Outcomes of Announce.
+const (
+	Renewed Verdict = iota
+	Changed
+	// Stale announcements are older than what is known, or come from an
+	// incarnation that has left.
+	Stale
+	// Full means that the registry holds as many endpoints as it may.
+	Full
+)
+
+// Announce records an announcement. Announcements of one incarnation count only
+// in rising order, since a delayed one may arrive after its successor, and none
+// counts after the incarnation has left.
+func (r *Registry) Announce(now time.Time, e *directoryv1.Endpoint) Verdict {
+	rec := r.endpoints[e.Id]
+	if rec == nil {
+		if len(r.endpoints) >= maxEndpoints {
+			return Full
+		}
+		rec = &endpointRecord{endpoint: &directoryv1.Endpoint{Id: e.Id, Incarnation: -1}}
+		r.endpoints[e.Id] = rec
+	}
+	known := rec.endpoint
+	switch {
+	case e.Incarnation < known.Incarnation,
+		e.Incarnation == known.Incarnation && (known.Gone || e.Sequence < known.Sequence):
+		return Stale
+	}
+	rec.heard = now
+	changed := differs(known, e)
+	rec.endpoint = e
+	if !changed {
+		return Renewed
+	}
+	r.touch(rec)
+	return Changed
+}
+
+// differs compares all but the sequence, and the cold time only between zero
+// and more.
+func differs(a, b *directoryv1.Endpoint) bool {
+	x, y := proto.CloneOf(a), proto.CloneOf(b)
+	x.Sequence, y.Sequence = 0, 0
+	x.ColdLeftMs, y.ColdLeftMs = min(x.ColdLeftMs, 1), min(y.ColdLeftMs, 1)
+	return !proto.Equal(x, y)
+}
+
+// Leave marks an incarnation of an endpoint as gone; incarnation 0 stands for
+// the present one. An unknown endpoint is remembered as gone as well, because
+// its announcements may have gone to other members. It reports whether anything
+// changed.
+func (r *Registry) Leave(now time.Time, id string, incarnation int64) bool {
+	rec := r.endpoints[id]
+	if rec == nil {
+		if len(r.endpoints) >= maxEndpoints {
+			return false
+		}
+		rec = &endpointRecord{endpoint: &directoryv1.Endpoint{Id: id, Incarnation: incarnation}}
+		r.endpoints[id] = rec
+	}
+	known := rec.endpoint
+	if known.Gone && known.Incarnation >= incarnation || incarnation != 0 && incarnation < known.Incarnation {
+		return false
+	}
+	rec.endpoint = proto.CloneOf(known)
+	rec.endpoint.Gone = true
+	rec.endpoint.Incarnation = max(incarnation, known.Incarnation)
+	rec.heard = now
+	r.touch(rec)
+	return true
+}
+
+func (r *Registry) touch(rec *endpointRecord) {
+	r.revision++
+	rec.revision = r.revision
+}
+
+// Expire marks endpoints that were not heard of for their lease as silent and
+// forgets those without a sign for long. It returns the newly silent ones.
+func (r *Registry) Expire(now time.Time) (silent []*directoryv1.Endpoint) {
+	for id, rec := range r.endpoints {
+		age := now.Sub(rec.heard)
+		if age > forgetAfter {
+			delete(r.endpoints, id)
+			continue
+		}
+		if age > announceLease && !rec.endpoint.Silent && !rec.endpoint.Gone {
+			rec.endpoint = proto.CloneOf(rec.endpoint)
+			rec.endpoint.Silent = true
+			r.touch(rec)
+			silent = append(silent, rec.endpoint)
+		}
+	}
+	maps.DeleteFunc(r.entries, func(_ string, e *entryRecord) bool { return now.Sub(e.heard) > forgetAfter })
+	return silent
+}
+
+// Sync records the poll of an entry and returns what changed since its cursor.
+func (r *Registry) Sync(now time.Time, q *directoryv1.SyncRequest) *directoryv1.SyncResponse {
+	if self := q.GetSelf(); self.GetInstance() != "" {
+		r.entries[self.Instance] = &entryRecord{entry: self, loads: q.GetLoads(), heard: now}
+	}
+	cursor := q.GetCursor()
+	if q.GetEpoch() != r.epoch {
+		cursor = 0
+	}
+	out := &directoryv1.SyncResponse{Epoch: r.epoch, Cursor: r.revision, Entries: uint32(len(r.Entries(now)))}
+	for _, rec := range r.endpoints {
+		if rec.revision > cursor {
+			out.Endpoints = append(out.Endpoints, rec.endpoint)
+		}
+	}
+	slices.SortFunc(out.Endpoints, func(a, b *directoryv1.Endpoint) int { return cmp.Compare(a.Id, b.Id) })
+	if q.GetWantLoads() {
+		out.Loads = r.loads(now, q.GetSelf().GetInstance())
+	}
+	return out
+}
+
+// loads sums the loads of all live entries but one.
+func (r *Registry) loads(now time.Time, but string) []*directoryv1.Load {
+	sums := make(map[string]*directoryv1.Load)
+	for name, e := range r.entries {
+		if name == but || now.Sub(e.heard) > entryLease {
+			continue
+		}
+		for _, l := range e.loads {
+			s := sums[l.Id]
+			if s == nil {
+				s = &directoryv1.Load{Id: l.Id}
+				sums[l.Id] = s
+			}
+			s.Requests += l.Requests
+			s.Starting += l.Starting
+			s.PromptTokens += l.PromptTokens
+			s.Light += l.Light
+		}
+	}
+	out := make([]*directoryv1.Load, 0, len(sums))
+	for _, id := range slices.Sorted(maps.Keys(sums)) {
+		out = append(out, sums[id])
+	}
+	return out
+}
+
+// Entries returns the live entries that take new callers, by instance.
+func (r *Registry) Entries(now time.Time) []*directoryv1.Entry {
+	var out []*directoryv1.Entry
+	for _, name := range slices.Sorted(maps.Keys(r.entries)) {
+		if e := r.entries[name]; now.Sub(e.heard) <= entryLease && !e.entry.GetDraining() && e.entry.GetAddress() != "" {
+			out = append(out, e.entry)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/directory/service.go
@@ -0,0 +1,136 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/kernel"
+	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
+	"auburnstep.example/auburnstep/internal/rpc/directoryv1/directoryv1connect"
+	"auburnstep.example/auburnstep/internal/rpc/transport"
+)
+
+// expireInterval is the time between looks for silent endpoints; it adds to
+// announceLease.
+const expireInterval = 250 * time.Millisecond
+
+// warmup is how long a started member waits before it lists entries: by then
+// each of them has polled it twice.
+const warmup = 2 * PollInterval
+
+var (
+	eventEndpointChanged = event.Define(7000, "endpoint-announced", event.Info, "an endpoint is new or announced a change")
+	eventEndpointStale   = event.Define(7001, "announcement-stale", event.Debug, "a late announcement was ignored")
+	eventEndpointLeft    = event.Define(7002, "endpoint-left", event.Info, "an endpoint has left")
+	eventEndpointSilent  = event.Define(7003, "endpoint-silent", event.Warn, "an endpoint was not heard of for its lease")
+	eventEndpointFull    = event.Define(7004, "directory-full", event.Warn, "the directory holds as many endpoints as it may; an announcement was refused")
+	eventEntryListed     = event.Define(7005, "entries-changed", event.Info, "the list of entries that take callers has changed")
+)
+
+// Service is the directory of one control member. It is a kernel.Service.
+type Service struct {
+	kernel.Base
+	events  *event.Recorder
+	members func() []string
+	domain  string
+	started time.Time
+
+	mu       sync.Mutex
+	registry *Registry
+	listed   int // entries at the last look, for the log
+}
+
+var _ directoryv1connect.DirectoryHandler = (*Service)(nil)
+
+// NewService returns a directory. members lists the peer addresses of control members.
+func NewService(domain string, members func() []string, events *event.Recorder) *Service {
+	return &Service{events: events, members: members, domain: domain, started: time.Now(), registry: NewRegistry(rand.Uint64() | 1)}
+}
+
+// Register adds the handler to a server.
+func (s *Service) Register(server *transport.Server) {
+	path, h := directoryv1connect.NewDirectoryHandler(s, server.HandlerOptions())
+	server.Handle(path, h, transport.PeerRole, nil)
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(ctx context.Context) error {
+	for kernel.Sleep(ctx, expireInterval) == nil {
+		now := time.Now()
+		s.mu.Lock()
+		silent := s.registry.Expire(now)
+		entries := len(s.registry.Entries(now))
+		changed := entries != s.listed
+		s.listed = entries
+		s.mu.Unlock()
+		for _, e := range silent {
+			s.emit(eventEndpointSilent, e)
+		}
+		if changed {
+			s.events.Emit(eventEntryListed, event.F("entries", entries))
+		}
+	}
+	return nil
+}
+
+// Sync implements directoryv1connect.DirectoryHandler.
+func (s *Service) Sync(_ context.Context, r *connect.Request[directoryv1.SyncRequest]) (*connect.Response[directoryv1.SyncResponse], error) {
+	members := s.members()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.registry.Sync(time.Now(), r.Msg)
+	out.Members, out.FailureDomain = members, s.domain
+	return connect.NewResponse(out), nil
+}
+
+// Announce records an announcement. It reports false where the directory is full.
+func (s *Service) Announce(e *directoryv1.Endpoint) bool {
+	s.mu.Lock()
+	v := s.registry.Announce(time.Now(), e)
+	s.mu.Unlock()
+	switch v {
+	case Changed:
+		s.emit(eventEndpointChanged, e)
+	case Stale:
+		s.emit(eventEndpointStale, e)
+	case Full:
+		s.emit(eventEndpointFull, e)
+	}
+	return v != Full
+}
+
+// Leave records that an endpoint has left; see Registry.Leave.
+func (s *Service) Leave(id string, incarnation int64) {
+	s.mu.Lock()
+	known := s.registry.Leave(time.Now(), id, incarnation)
+	s.mu.Unlock()
+	if known {
+		s.events.Emit(eventEndpointLeft, event.F("endpoint", id))
+	}
+}
+
+// Entries returns the live entries that take new callers. It reports false while
+// the member has not heard of all of them yet.
+func (s *Service) Entries() ([]*directoryv1.Entry, bool) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Entries(now), now.Sub(s.started) >= warmup
+}
+
+// Connected reports whether an entry polls this member. A member that no entry
+// reaches must not acknowledge that an endpoint is leaving: nobody would hear of it.
+func (s *Service) Connected() bool {
+	entries, _ := s.Entries()
+	return len(entries) > 0
+}
+
+func (s *Service) emit(e *event.Event, p *directoryv1.Endpoint) {
+	s.events.Emit(e, event.F("endpoint", p.Id), event.F("incarnation", p.Incarnation), event.F("sequence", p.Sequence),
+		event.F("service", p.Service), event.F("address", p.Address), event.F("slots", p.Slots), event.F("draining", p.Draining))
+}
--- /dev/null
+++ b/internal/dispatch/types.go
@@ -0,0 +1,92 @@
+// Package dispatch decides where a request runs, whether it waits and when it is
+// turned away. Every decision is a pure function of what the entry knows at a
+// given time; all methods take that time and do no I/O.
+package dispatch
+
+import "time"
+
+// Part is one part of a prompt. Requests whose prompts begin with the same
+// parts share them in an engine's cache.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt describes the demand of a request on a model engine.
+type Prompt struct {
+	// Tokens is the length of the prompt and Output the bound of the answer.
+	Tokens, Output int
+	Parts          []Part
+}
+
+// Demand is what placement needs to know of a request.
+type Demand struct {
+	Prompt Prompt
+	// Rank orders requests; 0 is the most urgent.
+	Rank int
+	// Objective is how long after its arrival the request is timely, counted to
+	// its first event for streams and to the whole answer otherwise.
+	Objective time.Duration
+	// Arrived is when the entry got the request, and Deadline when its caller or
+	// its route gives up.
+	Arrived, Deadline time.Time
+}
+
+// Endpoint is a place to run requests, as announced.
+type Endpoint struct {
+	ID          string
+	Incarnation int64
+	Address     string
+	Domain      string
+	Slots       int
+	Draining    bool
+	// Silent endpoints were not heard of for a while.
+	Silent bool
+}
+
+// Load is work in flight at an endpoint.
+type Load struct {
+	// Requests counts all, Starting those without a first event yet, with
+	// PromptTokens to read in all, and Light those with short prompts.
+	Requests, Starting, PromptTokens, Light int
+}
+
+// Report is the load that an endpoint tells with an answer.
+type Report struct {
+	Running, Waiting, Slots int
+}
+
+// Choice is where a request is sent. It is handed back to the balancer when the
+// request moves on.
+type Choice struct {
+	Endpoint Endpoint
+	// Predicted is the expected time to the first event (streams) or to the
+	// whole answer.
+	Predicted time.Duration
+	// Uncached is the number of prompt tokens that the endpoint has to read.
+	Uncached int
+	Light    bool
+	started  bool
+	sent     time.Time
+}
+
+// Outcome tells how a request at an endpoint ended.
+type Outcome int
+
+// Outcomes of requests.
+const (
+	// Answered requests got the endpoint's own answer.
+	Answered Outcome = iota
+	// Errored requests got an answer that reports a fault of the endpoint.
+	Errored
+	// Rejected requests were turned away by the endpoint without running.
+	Rejected
+	// Broken requests got no answer, or one that is not complete.
+	Broken
+	// Unreachable means that no connection could be made.
+	Unreachable
+	// Replaced means that another endpoint is at the address.
+	Replaced
+	// Abandoned requests were cancelled by the caller; it tells nothing of the endpoint.
+	Abandoned
+)
--- /dev/null
+++ b/internal/routing/index.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"net"
+	"slices"
+	"strings"
+)
+
+// Index answers lookups in one table. It is immutable.
+type Index struct {
+	Table     *Table
+	byHost    map[string][]*Route
+	customers map[string]*Customer
+	services  map[string]*Service
+}
+
+// NewIndex returns the index of a valid table.
+func NewIndex(t *Table) *Index {
+	x := &Index{
+		Table: t, byHost: make(map[string][]*Route), customers: make(map[string]*Customer), services: make(map[string]*Service),
+	}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		host := canonicalHost(r.Host)
+		x.byHost[host] = append(x.byHost[host], r)
+	}
+	for _, routes := range x.byHost {
+		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range t.Customers {
+		for _, k := range t.Customers[i].Keys {
+			x.customers[k] = &t.Customers[i]
+		}
+	}
+	for i := range t.Services {
+		x.services[t.Services[i].Name] = &t.Services[i]
+	}
+	return x
+}
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (x *Index) Match(host, path string) *Route {
+	for _, r := range x.byHost[canonicalHost(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Customer returns the holder of a key, or nil.
+func (x *Index) Customer(key string) *Customer { return x.customers[key] }
+
+// Service returns a service by name, or nil.
+func (x *Index) Service(name string) *Service { return x.services[name] }
+
+// canonicalHost lowers a host name and drops a port and the trailing dot.
+func canonicalHost(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.TrimSuffix(strings.ToLower(host), ".")
+}
--- a/internal/rpc/controlv1/controlv1connect/control.connect.go
+++ b/internal/rpc/controlv1/controlv1connect/control.connect.go
@@ -50,6 +50,10 @@
 	ControlStatusProcedure = "/auburnstep.control.v1.Control/Status"
 	// ControlMemberProcedure is the fully-qualified name of the Control's Member RPC.
 	ControlMemberProcedure = "/auburnstep.control.v1.Control/Member"
+	// ControlPutRoutingProcedure is the fully-qualified name of the Control's PutRouting RPC.
+	ControlPutRoutingProcedure = "/auburnstep.control.v1.Control/PutRouting"
+	// ControlRoutingProcedure is the fully-qualified name of the Control's Routing RPC.
+	ControlRoutingProcedure = "/auburnstep.control.v1.Control/Routing"
 )
 
 // ControlClient is a client for the auburnstep.control.v1.Control service.
@@ -62,6 +66,8 @@
 	Booking(context.Context, *connect.Request[controlv1.BookingRequest]) (*connect.Response[controlv1.BookingResponse], error)
 	Status(context.Context, *connect.Request[controlv1.StatusRequest]) (*connect.Response[controlv1.StatusResponse], error)
 	Member(context.Context, *connect.Request[controlv1.MemberRequest]) (*connect.Response[controlv1.MemberResponse], error)
+	PutRouting(context.Context, *connect.Request[controlv1.PutRoutingRequest]) (*connect.Response[controlv1.PutRoutingResponse], error)
+	Routing(context.Context, *connect.Request[controlv1.RoutingRequest]) (*connect.Response[controlv1.RoutingResponse], error)
 }
 
 // NewControlClient constructs a client for the auburnstep.control.v1.Control service. By default,
@@ -123,19 +129,33 @@
 			connect.WithSchema(controlMethods.ByName("Member")),
 			connect.WithClientOptions(opts...),
 		),
+		putRouting: connect.NewClient[controlv1.PutRoutingRequest, controlv1.PutRoutingResponse](
+			httpClient,
+			baseURL+ControlPutRoutingProcedure,
+			connect.WithSchema(controlMethods.ByName("PutRouting")),
+			connect.WithClientOptions(opts...),
+		),
+		routing: connect.NewClient[controlv1.RoutingRequest, controlv1.RoutingResponse](
+			httpClient,
+			baseURL+ControlRoutingProcedure,
+			connect.WithSchema(controlMethods.ByName("Routing")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // controlClient implements ControlClient.
 type controlClient struct {
-	change   *connect.Client[controlv1.ChangeRequest, controlv1.ChangeResponse]
-	result   *connect.Client[controlv1.ResultRequest, controlv1.ChangeResponse]
-	settings *connect.Client[controlv1.SettingsRequest, controlv1.SettingsResponse]
-	feed     *connect.Client[controlv1.FeedRequest, controlv1.FeedResponse]
-	prove    *connect.Client[controlv1.ProveRequest, controlv1.ProveResponse]
-	booking  *connect.Client[controlv1.BookingRequest, controlv1.BookingResponse]
-	status   *connect.Client[controlv1.StatusRequest, controlv1.StatusResponse]
-	member   *connect.Client[controlv1.MemberRequest, controlv1.MemberResponse]
+	change     *connect.Client[controlv1.ChangeRequest, controlv1.ChangeResponse]
+	result     *connect.Client[controlv1.ResultRequest, controlv1.ChangeResponse]
+	settings   *connect.Client[controlv1.SettingsRequest, controlv1.SettingsResponse]
+	feed       *connect.Client[controlv1.FeedRequest, controlv1.FeedResponse]
+	prove      *connect.Client[controlv1.ProveRequest, controlv1.ProveResponse]
+	booking    *connect.Client[controlv1.BookingRequest, controlv1.BookingResponse]
+	status     *connect.Client[controlv1.StatusRequest, controlv1.StatusResponse]
+	member     *connect.Client[controlv1.MemberRequest, controlv1.MemberResponse]
+	putRouting *connect.Client[controlv1.PutRoutingRequest, controlv1.PutRoutingResponse]
+	routing    *connect.Client[controlv1.RoutingRequest, controlv1.RoutingResponse]
 }
 
 // Change calls auburnstep.control.v1.Control.Change.
@@ -178,6 +198,16 @@
 	return c.member.CallUnary(ctx, req)
 }
 
+// PutRouting calls auburnstep.control.v1.Control.PutRouting.
+func (c *controlClient) PutRouting(ctx context.Context, req *connect.Request[controlv1.PutRoutingRequest]) (*connect.Response[controlv1.PutRoutingResponse], error) {
+	return c.putRouting.CallUnary(ctx, req)
+}
+
+// Routing calls auburnstep.control.v1.Control.Routing.
+func (c *controlClient) Routing(ctx context.Context, req *connect.Request[controlv1.RoutingRequest]) (*connect.Response[controlv1.RoutingResponse], error) {
+	return c.routing.CallUnary(ctx, req)
+}
+
 // ControlHandler is an implementation of the auburnstep.control.v1.Control service.
 type ControlHandler interface {
 	Change(context.Context, *connect.Request[controlv1.ChangeRequest]) (*connect.Response[controlv1.ChangeResponse], error)
@@ -188,6 +218,8 @@
 	Booking(context.Context, *connect.Request[controlv1.BookingRequest]) (*connect.Response[controlv1.BookingResponse], error)
 	Status(context.Context, *connect.Request[controlv1.StatusRequest]) (*connect.Response[controlv1.StatusResponse], error)
 	Member(context.Context, *connect.Request[controlv1.MemberRequest]) (*connect.Response[controlv1.MemberResponse], error)
+	PutRouting(context.Context, *connect.Request[controlv1.PutRoutingRequest]) (*connect.Response[controlv1.PutRoutingResponse], error)
+	Routing(context.Context, *connect.Request[controlv1.RoutingRequest]) (*connect.Response[controlv1.RoutingResponse], error)
 }
 
 // NewControlHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -245,6 +277,18 @@
 		connect.WithSchema(controlMethods.ByName("Member")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlPutRoutingHandler := connect.NewUnaryHandler(
+		ControlPutRoutingProcedure,
+		svc.PutRouting,
+		connect.WithSchema(controlMethods.ByName("PutRouting")),
+		connect.WithHandlerOptions(opts...),
+	)
+	controlRoutingHandler := connect.NewUnaryHandler(
+		ControlRoutingProcedure,
+		svc.Routing,
+		connect.WithSchema(controlMethods.ByName("Routing")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/auburnstep.control.v1.Control/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlChangeProcedure:
@@ -263,6 +307,10 @@
 			controlStatusHandler.ServeHTTP(w, r)
 		case ControlMemberProcedure:
 			controlMemberHandler.ServeHTTP(w, r)
+		case ControlPutRoutingProcedure:
+			controlPutRoutingHandler.ServeHTTP(w, r)
+		case ControlRoutingProcedure:
+			controlRoutingHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -303,3 +351,11 @@
 func (UnimplementedControlHandler) Member(context.Context, *connect.Request[controlv1.MemberRequest]) (*connect.Response[controlv1.MemberResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.control.v1.Control.Member is not implemented"))
 }
+
+func (UnimplementedControlHandler) PutRouting(context.Context, *connect.Request[controlv1.PutRoutingRequest]) (*connect.Response[controlv1.PutRoutingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.control.v1.Control.PutRouting is not implemented"))
+}
+
+func (UnimplementedControlHandler) Routing(context.Context, *connect.Request[controlv1.RoutingRequest]) (*connect.Response[controlv1.RoutingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.control.v1.Control.Routing is not implemented"))
+}
--- a/internal/rpc/transport/server.go
+++ b/internal/rpc/transport/server.go
@@ -75,6 +75,9 @@
 	Tokens   Tokens
 	Clock    *hlc.Clock
 	Scope    tally.Scope
+	// Open admits callers without a token on any address. It is for networks
+	// that only processes of this cluster can reach.
+	Open bool
 	// MaxMessage bounds messages in bytes; DefaultMaxMessage where it is zero.
 	MaxMessage int
 	// ErrorLog takes errors of connections; the standard logger where it is nil.
@@ -193,7 +196,7 @@
 
 // Validate implements kernel.Service.
 func (s *Server) Validate() error {
-	if s.options.Tokens.empty() && s.options.TLS == nil && !loopback(s.host()) {
+	if s.options.Tokens.empty() && s.options.TLS == nil && !s.options.Open && !loopback(s.host()) {
 		return Error.New("listening on %s needs a cluster token or mutual TLS", s.host())
 	}
 	return nil
