Rank by customer, suspend a member on a full disk, refuse late in a drain

Ruled out: preemption by the late bit of the rank alone (the preempted requests had the same rank as those that ran on).

--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,7 +101,9 @@
 	return nil
 }
 
-// Start implements kernel.Service. An error of the storage ends it.
+// Start implements kernel.Service. After an error of the storage, such as a full
+// disk, the member begins anew from its data folder, as a restarted process
+// would, until it can write again; the other services of the process go on.
 func (m *Member) Start(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -114,6 +117,13 @@
 		}
 	}()
 	err := m.run(ctx)
+	for errors.Is(err, errStorage) && ctx.Err() == nil {
+		m.reset()
+		if kernel.Sleep(ctx, storageRetryInterval) != nil {
+			break
+		}
+		err = m.run(ctx)
+	}
 	m.close()
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -135,6 +145,25 @@
 	return nil
 }
 
+// reset forgets all that a restarted process would not know. What waits for the
+// member may or may not have happened.
+func (m *Member) reset() {
+	m.formed.Store(false)
+	m.leads.until.Store(0)
+	m.status.Store(&consensus.Status{})
+	m.inbox.Drain(inboxCapacity)
+	m.applies.Drain(applyCapacity)
+	m.frozen.Drain(1)
+	m.snapshots.Drain(1)
+	m.refuseQueued(ErrNotLeader)
+	m.waiters.failAll(ErrUnknown)
+	m.mu.Lock()
+	m.state = state.New()
+	m.mu.Unlock()
+	m.applied.Store(0)
+	m.peers.reset()
+}
+
 func (m *Member) run(ctx context.Context) error {
 	log, opened, err := m.options.Storage.Open(m.options.Cluster)
 	if err != nil {
@@ -201,14 +230,19 @@
 	m.proposals.Close()
 	m.orders.Close()
 	m.applies.Close()
+	m.refuseQueued(ErrStopped)
+	m.waiters.failAll(ErrUnknown)
+	m.leads.until.Store(0)
+}
+
+// refuseQueued answers what the consensus loop has not taken yet.
+func (m *Member) refuseQueued(err error) {
 	for _, p := range m.proposals.Drain(proposalCapacity) {
-		p.answer(state.Result{}, ErrStopped)
+		p.answer(state.Result{}, err)
 	}
 	for _, o := range m.orders.Drain(64) {
-		o.done <- ErrStopped
+		o.done <- err
 	}
-	m.waiters.failAll(ErrUnknown)
-	m.leads.until.Store(0)
 }
 
 // id returns the ID of this member, or 0 before its folder is open.
@@ -216,7 +250,7 @@
 
 func (m *Member) storageFailed(err error) error {
 	m.options.Events.Emit(eventStorageFailed, event.F("error", err))
-	return Error.New("storage: %w", err)
+	return Error.Wrap(fmt.Errorf("%w: %w", errStorage, err))
 }
 
 func (m *Member) corrupt(err error) error {
--- a/internal/control/sender.go
+++ b/internal/control/sender.go
@@ -57,6 +57,15 @@
 	p.wg.Wait()
 }
 
+// reset forgets the senders, which stop has ended.
+func (p *peers) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.senders)
+	clear(p.transfers)
+	p.stopped = false
+}
+
 // send queues a message. A full queue drops the oldest one, which consensus
 // repeats if it matters.
 func (m *Member) send(ctx context.Context, msg consensus.Message) {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -91,9 +91,6 @@
 		q.locked(func(b *dispatch.Balancer) { b.Ended(now, &c, dispatch.Abandoned) })
 		return c, "the endpoints cannot begin the request in its time"
 	}
-	if admission.Late {
-		q.demand.Rank = q.rank() + 1
-	}
 	q.server.options.Events.Emit(eventPlaced, event.Request(q.call.ID), event.F("route", q.route.Name), event.F("attempt", q.sends+1),
 		event.F("endpoint", c.Endpoint.ID), event.F("address", c.Endpoint.Address), event.F("predicted_ms", c.Predicted.Milliseconds()),
 		event.F("uncached", c.Uncached), event.F("rank", q.demand.Rank), event.F("candidates", endpoints),
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -21,6 +21,13 @@
 	maxBody = 4 << 20
 	// bodyTimeout is how long a caller may take to send a body.
 	bodyTimeout = 10 * time.Second
+	// leavingReturn is when callers come back to another entry.
+	leavingReturn = 20 * time.Millisecond
+	// routePriorities is how many priorities of routes are told apart for each
+	// priority of customers; endpoints know ten ranks in all.
+	routePriorities = 3
+	// defaultCustomerPriority is that of customers without one.
+	defaultCustomerPriority = 1
 	// startupReturn is when callers come back to an entry without a routing table:
 	// an entry learns the table within 0.3 s of the first answer of the feed.
 	startupReturn = 500 * time.Millisecond
@@ -100,6 +107,10 @@
 	if failure := q.readBody(r, index.Table.Limits); failure != nil {
 		return failure
 	}
+	if since := q.server.drainingFor(); since > q.server.options.DrainWait {
+		// What begins now may not end before the process does.
+		return refusal(http.StatusServiceUnavailable, "leaving", "the entry is stopping", leavingReturn)
+	}
 	q.service = q.route.Pick(rand.Float64())
 	if q.backend = q.server.fleet.backend(q.service); q.backend == nil {
 		return refusal(http.StatusServiceUnavailable, "no-service", "the service of the route is not known yet", startupReturn)
@@ -125,14 +136,15 @@
 	}
 }
 
-// rank orders requests at the endpoint. Each priority has two ranks, so that
-// work that will be late anyway waits behind timely work of its own priority only.
+// rank orders requests at the endpoint: by the priority of the customer, and
+// within it by that of the route.
 func (q *request) rank() int {
-	p := q.route.Priority
+	customer := defaultCustomerPriority
 	if q.customer != nil && q.customer.Priority != nil {
-		p = *q.customer.Priority
+		customer = *q.customer.Priority
 	}
-	return min(MaxRank-1, max(0, 2*p))
+	route := min(max(0, q.route.Priority), routePriorities-1)
+	return min(MaxRank, max(0, customer)*routePriorities+route)
 }
 
 func (q *request) readBody(r *http.Request, limits routing.Limits) *verdict.Error {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -63,7 +63,10 @@
 	metrics  *metrics
 	inFlight atomic.Int64
 	draining atomic.Bool
-	seen     *routing.Index // of the update loop
+	// drainingSince is when draining began, as a time since started.
+	drainingSince atomic.Int64
+	started       time.Time
+	seen          *routing.Index // of the update loop
 }
 
 // New returns a server that is not started.
@@ -71,7 +74,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	s := &Server{options: o, fleet: newFleet(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope), metrics: newMetrics(o.Scope)}
+	s := &Server{options: o, started: time.Now(), fleet: newFleet(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope), metrics: newMetrics(o.Scope)}
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -84,6 +87,14 @@
 // Draining reports whether the entry is leaving.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
+// drainingFor returns for how long the entry has been leaving, 0 if it is not.
+func (s *Server) drainingFor() time.Duration {
+	if !s.draining.Load() {
+		return 0
+	}
+	return time.Since(s.started) - time.Duration(s.drainingSince.Load())
+}
+
 // Ready reports whether the entry can serve: it knows a routing table and the
 // endpoints, and is not leaving.
 func (s *Server) Ready() bool {
@@ -129,6 +140,7 @@
 // DrainWait, since callers keep its address for a while, and then ends once
 // nothing is in flight.
 func (s *Server) Stop(ctx context.Context) error {
+	s.drainingSince.Store(int64(time.Since(s.started)))
 	s.draining.Store(true)
 	s.http.SetKeepAlivesEnabled(false)
 	s.options.Events.Emit(eventDraining, event.F("in_flight", s.inFlight.Load()))
