Keep long prompts and short streams apart; late work behind timely; fetch cached prompts

Ruled out: too few slots (engines were at 60% of them); too old load alone.

Change: two pools without overflow, the light one sized by the light requests in flight; late work ranks behind timely work and does not count as its backlog; a price for leaving the home of shared parts, and a fetch of the cached parts from there; load of other entries polled every 100 ms from one member; memory counts.

--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -162,7 +162,7 @@
 		Network: control.NewNetwork(d.pool), Events: d.Events, Scope: d.metrics.Scope, Seed: instanceSeed(d.Config.Instance),
 	})
 	control.NewService(d.Member).Register(d.peers)
-	d.Directory = directory.NewService(d.Config.FailureDomain, d.Member.Members, d.Events)
+	d.Directory = directory.NewService(d.Member.Members, d.Events)
 	d.Directory.Register(d.peers)
 	if err := d.kernel.Register(ServiceControl, d.Member); err != nil {
 		return err
@@ -180,7 +180,7 @@
 	})
 	d.entries = directory.NewClient(directory.ClientOptions{
 		Pool: d.pool, Members: d.members, Self: d.entry, Loads: func() []*directoryv1.Load { return d.Router.Loads() },
-		Domain: d.Config.FailureDomain, Events: d.Events, Scope: d.metrics.Scope,
+		Events: d.Events, Scope: d.metrics.Scope,
 	})
 	d.Router = router.New(router.Options{
 		Listener: l, Codec: codec, Domain: d.Config.FailureDomain,
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -24,6 +24,11 @@
 	// pollTimeout bounds one poll, so that a silent member is asked again over
 	// a fresh connection within the same 2 s.
 	pollTimeout = 600 * time.Millisecond
+	// minLoadInterval and loadIntervalPerEntry set how often the load of other
+	// entries is asked for. A request occupies an engine with its prompt for some
+	// 100 ms; what entries do not know of each other in that time collides.
+	minLoadInterval      = 100 * time.Millisecond
+	loadIntervalPerEntry = 5 * time.Millisecond
 	// memberKeep is how long the view of a member that does not answer counts.
 	// Its endpoints stay usable while no member answers at all.
 	memberKeep = 10 * time.Second
@@ -40,11 +45,8 @@
 	// Members returns the peer addresses of the control members.
 	Members func() []string
 	// Self describes this entry; Loads its work in flight.
-	Self  func() *directoryv1.Entry
-	Loads func() []*directoryv1.Load
-	// Domain is the failure domain of this entry. Members in it are asked for the
-	// load of the other entries first, as bytes between domains are dear.
-	Domain string
+	Self   func() *directoryv1.Entry
+	Loads  func() []*directoryv1.Load
 	Events *event.Recorder
 	Scope  tally.Scope
 }
@@ -74,7 +76,6 @@
 	address string
 	cancel  context.CancelFunc
 	view    view
-	domain  string
 	last    time.Time // of the last answer
 	lost    bool
 }
@@ -150,7 +151,11 @@
 	for {
 		c.ask(ctx, client, p)
 		// Jitter keeps the polls of many entries apart.
-		if kernel.Sleep(ctx, PollInterval*4/5+rand.N(PollInterval*2/5)) != nil {
+		every := PollInterval
+		if c.source() == p {
+			every = c.loadInterval()
+		}
+		if kernel.Sleep(ctx, every*4/5+rand.N(every*2/5)) != nil {
 			return
 		}
 	}
@@ -180,7 +185,7 @@
 		p.lost = false
 		c.options.Events.Emit(eventMemberBack, event.F("member", p.address), event.F("outage", now.Sub(p.last)))
 	}
-	p.last, p.domain = now, r.Msg.FailureDomain
+	p.last = now
 	if near {
 		loads := make(map[string]*directoryv1.Load, len(r.Msg.Loads))
 		for _, l := range r.Msg.Loads {
@@ -197,24 +202,27 @@
 	}
 }
 
-// source returns the member that is asked for the load of the other entries: one
-// that answers, in the own failure domain if there is one.
+// source returns the member that is asked for the load of the other entries: the
+// first one that answers, which is the same for all entries, so that it knows
+// the load of all of them.
 func (c *Client) source() *poller {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var best *poller
 	for _, p := range c.pollers {
-		if p.lost || p.view.epoch == 0 {
-			continue
-		}
-		rank := func(p *poller) bool { return p.domain == c.options.Domain }
-		if best == nil || rank(p) && !rank(best) || rank(p) == rank(best) && p.address < best.address {
+		if !p.lost && p.view.epoch != 0 && (best == nil || p.address < best.address) {
 			best = p
 		}
 	}
 	return best
 }
 
+// loadInterval returns the time between polls for load. It grows with the number
+// of entries, so that the work of the source does not.
+func (c *Client) loadInterval() time.Duration {
+	return min(PollInterval, max(minLoadInterval, time.Duration(c.Snapshot().Entries)*loadIntervalPerEntry))
+}
+
 // join merges the views. Callers hold the mutex.
 func (c *Client) join(now time.Time) {
 	var views []*view
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -193,9 +193,10 @@
 				sums[l.Id] = s
 			}
 			s.Requests += l.Requests
-			s.Starting += l.Starting
 			s.PromptTokens += l.PromptTokens
+			s.LateTokens += l.LateTokens
 			s.Light += l.Light
+			s.MemoryTokens += l.MemoryTokens
 		}
 	}
 	out := make([]*directoryv1.Load, 0, len(sums))
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -37,7 +37,6 @@
 	kernel.Base
 	events  *event.Recorder
 	members func() []string
-	domain  string
 	started time.Time
 
 	mu       sync.Mutex
@@ -48,8 +47,8 @@
 var _ directoryv1connect.DirectoryHandler = (*Service)(nil)
 
 // NewService returns a directory. members lists the peer addresses of control members.
-func NewService(domain string, members func() []string, events *event.Recorder) *Service {
-	return &Service{events: events, members: members, domain: domain, started: time.Now(), registry: NewRegistry(rand.Uint64() | 1)}
+func NewService(members func() []string, events *event.Recorder) *Service {
+	return &Service{events: events, members: members, started: time.Now(), registry: NewRegistry(rand.Uint64() | 1)}
 }
 
 // Register adds the handler to a server.
@@ -84,7 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := s.registry.Sync(time.Now(), r.Msg)
-	out.Members, out.FailureDomain = members, s.domain
+	out.Members = members
 	return connect.NewResponse(out), nil
 }
 
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -16,15 +16,29 @@
 	// firstEventBase is the time to the first event of an idle engine besides
 	// reading: scheduling, one step per token of the event and the network.
 	firstEventBase = 45 * time.Millisecond
-	// heavyPrompt is the number of uncached tokens from which on a prompt holds
-	// up the events of the requests beside it: one chunk of prefill takes about 40 ms.
-	heavyPrompt = 2048
+	// heavyPrompt is the size from which on a prompt holds up the events of the
+	// requests beside it: it is read in chunks of 2,048 tokens of 40 to 50 ms each,
+	// one in each step, and an event takes four to seven steps.
+	heavyPrompt = 4096
 	// poolFill is the share of slots that the pool for light requests is sized
 	// for, so that bursts find room in it.
-	poolFill = 0.7
-	// offPool is the price of placing a request outside its pool. A pool whose
-	// engines are this far behind overflows into the other one.
-	offPool = 150 * time.Millisecond
+	poolFill = 0.85
+	// memoryFill is the share of an engine's memory that requests may fill; when
+	// it runs out, requests are preempted and read again.
+	memoryFill = 0.9
+	// minFetch is the number of tokens from which on fetching them from another
+	// engine is worth its price.
+	minFetch = 512
+	// fetchSetup is the fixed part of the time of a fetch.
+	fetchSetup = 3 * time.Millisecond
+	// lateWeight is the part of the late work of an endpoint that counts in the
+	// choice: late work spreads too.
+	lateWeight = 0.5
+	// awayPrice is the price of sending a prompt with shared parts elsewhere than to
+	// their home: the parts take room in two engines then, and push others out.
+	awayPrice = 150 * time.Millisecond
+	// stepPrice is what each light request adds to the time of an event, in ms.
+	stepPrice = 0.5
 	// crossDomain is the price of another failure domain: two crossings of about
 	// 1 ms each way and the priced bytes.
 	crossDomain = 4 * time.Millisecond
@@ -43,16 +57,17 @@
 	// homeBelief is the chance that the home of a prompt part has it cached
 	// although this entry did not send it there.
 	homeBelief = 0.6
-	// lightGain smooths the number of light requests for sizing the pool.
-	lightGain = 0.2
+	// lightDecay is how fast the pool for light requests shrinks after a burst: by
+	// this share a second. It grows at once.
+	lightDecay = 0.25
 )
 
 // Balancer chooses endpoints of one service. It is pure and not safe for
 // concurrent use.
 type Balancer struct {
-	engine   bool
-	domain   string
-	kvTokens int
+	domain string
+	// memory is nil for plain services.
+	memory *Memory
 
 	states map[string]*state
 	// order lists the states by their rank for light requests, so that all
@@ -60,18 +75,18 @@
 	order    []*state
 	remoteAt time.Time
 
-	// light is the smoothed number of light requests in flight at all entries.
+	// light is the number of light requests in flight at all entries, with a slow
+	// decay.
 	light float64
 	// hold is the learned time that a request holds a slot, in ms, and work the
 	// learned time of a plain request.
 	hold, work float64
 }
 
-// NewBalancer returns a balancer for a service. engine tells whether prompts
-// count; kvTokens is the memory of one engine, 0 if unknown.
-func NewBalancer(domain string, engine bool, kvTokens int) *Balancer {
+// NewBalancer returns a balancer for a service; memory is nil for plain ones.
+func NewBalancer(domain string, memory *Memory) *Balancer {
 	return &Balancer{
-		engine: engine, domain: domain, kvTokens: kvTokens, states: make(map[string]*state),
+		domain: domain, memory: memory, states: make(map[string]*state),
 		hold: 1000, work: float64(plainWork.Milliseconds()),
 	}
 }
@@ -102,13 +117,14 @@
 
 // SetRemote takes over the load of the other entries as of a time.
 func (b *Balancer) SetRemote(at time.Time, load func(id string) Load) {
+	elapsed := min(1, max(0, at.Sub(b.remoteAt).Seconds()))
 	b.remoteAt = at
 	light := 0
 	for id, s := range b.states {
 		s.remote = load(id)
 		light += s.own.Light + s.remote.Light
 	}
-	b.light += lightGain * (float64(light) - b.light)
+	b.light = max(float64(light), b.light*(1-lightDecay*elapsed))
 }
 
 // Own calls f with the load that this entry has at each endpoint, if any.
@@ -145,7 +161,7 @@
 			s.remote = Load{}
 		}
 	}
-	if !b.engine {
+	if b.memory == nil {
 		return b.choosePlain(now, avoid)
 	}
 	return b.chooseEngine(now, d, avoid)
@@ -187,34 +203,88 @@
 	return b.choice(now, best, bestTime, 0, false)
 }
 
+// chooseEngine answers bursts of long prompts beside streams of short ones: the
+// two kinds stay on different engines, since one long prompt makes all events
+// beside it late. Late work does not count as waiting for timely work, which is
+// sent ahead of it, so that as much as possible stays timely while engines are
+// behind.
 func (b *Balancer) chooseEngine(now time.Time, d Demand, avoid []string) (Choice, bool) {
 	all := b.candidates(now, avoid)
-	light := d.Prompt.Tokens < heavyPrompt
 	pool := b.poolSize(all)
-	homes := homesOf(all[pool:], d.Prompt.Parts)
-	if light {
-		homes = nil
+	light := d.Prompt.Tokens < heavyPrompt
+	own := all[pool:]
+	if light && pool > 0 {
+		own = all[:pool]
 	}
-	var best *state
-	bestCost, bestTime, bestUncached := math.Inf(1), 0.0, 0
-	for i, s := range all {
-		uncached := b.uncached(now, s, d.Prompt, homes)
-		backlog := float64(s.own.PromptTokens + s.remote.PromptTokens)
-		took := (float64(firstEventBase.Milliseconds()) + (backlog+uncached)/readRate) * s.slowFactor(now)
-		if over := s.requests(now) - s.Slots + 1; over > 0 {
-			took += fullPrice * b.hold * float64(over) / float64(max(1, s.Slots))
-		}
-		cost := took + b.price(now, s)
-		if len(all) > 2 && light != (i < pool) {
-			cost += float64(offPool.Milliseconds())
+	left := d.Arrived.Add(d.Objective).Sub(now)
+	home := homeOf(all[pool:], d.Prompt.Parts)
+	var best placement
+	for _, s := range own {
+		p := b.place(now, s, d, home, light)
+		if best.state == nil || p.cost < best.cost {
+			best = p
 		}
+	}
+	if best.state == nil {
+		return Choice{}, false
+	}
+	c, ok := b.choice(now, best.state, best.timely, best.uncached, light)
+	c.FetchFrom = best.fetchFrom
+	if c.Predicted > left {
+		c.Late = true
+		c.Predicted = time.Duration(best.late * float64(time.Millisecond))
+	}
+	return c, ok
+}
+
+// placement is what placing a request at an endpoint comes to, in ms.
+type placement struct {
+	state     *state
+	cost      float64
+	uncached  int
+	fetchFrom string
+	// timely and late are the times to the first event ahead of and behind late work.
+	timely, late float64
+}
+
+func (b *Balancer) place(now time.Time, s *state, d Demand, home *state, light bool) placement {
+	p := placement{state: s}
+	uncached, fetched := b.uncached(now, s, d.Prompt, home)
+	p.uncached = int(uncached)
+	if fetched > 0 {
+		p.fetchFrom = home.Address
+	}
+	slow := s.slowFactor(now)
+	base := float64(firstEventBase.Milliseconds()) + fetched
+	backlog := float64(s.own.PromptTokens + s.remote.PromptTokens)
+	behind := float64(s.own.LateTokens + s.remote.LateTokens)
+	wait := 0.0
+	if over := s.requests(now) - s.Slots + 1; over > 0 {
+		wait = fullPrice * b.hold * float64(over) / float64(max(1, s.Slots))
+	}
+	if over := b.memoryOver(s, d.Prompt); over > 0 {
+		wait += fullPrice * b.hold * over
+	}
+	p.timely = (base+(backlog+uncached)/readRate)*slow + wait
+	p.late = (base+(backlog+behind+uncached)/readRate)*slow + wait
+	p.cost = p.timely + behind/readRate*lateWeight + b.price(now, s)
+	if home != nil && s != home && !light {
+		p.cost += float64(awayPrice.Milliseconds())
+	}
+	if light {
 		// Light requests slow each other down a little, step by step.
-		cost += float64(s.own.Light+s.remote.Light) * 0.5
-		if cost < bestCost {
-			best, bestCost, bestTime, bestUncached = s, cost, took, int(uncached)
-		}
+		p.cost += float64(s.own.Light+s.remote.Light) * stepPrice
 	}
-	return b.choice(now, best, bestTime, bestUncached, light)
+	return p
+}
+
+// memoryOver returns by which share of its memory an engine would be overfull.
+func (b *Balancer) memoryOver(s *state, p Prompt) float64 {
+	if b.memory.Tokens == 0 {
+		return 0
+	}
+	taken := s.own.MemoryTokens + s.remote.MemoryTokens + p.Tokens + p.Output
+	return float64(taken)/float64(b.memory.Tokens) - memoryFill
 }
 
 // price is what an endpoint costs apart from its load, in ms.
@@ -244,10 +314,10 @@
 	return min(len(all)-1, max(1, int(math.Ceil(b.light/max(1, each)))))
 }
 
-// homesOf returns the home of each part that several requests share, which is
-// all but the last: the endpoint to which every entry sends its requests while
-// there is room, so that the part is read once.
-func homesOf(pool []*state, parts []Part) []*state {
+// homeOf returns the home of the parts that several requests share, which are
+// all but the last: the endpoint to which every entry sends such requests while
+// there is room, so that the parts are read once.
+func homeOf(pool []*state, parts []Part) *state {
 	if len(parts) < 2 || len(pool) == 0 {
 		return nil
 	}
@@ -258,30 +328,40 @@
 			best = s
 		}
 	}
-	return []*state{best}
+	return best
 }
 
-// uncached estimates the prompt tokens that an endpoint has to read. A part
-// counts as cached only if all parts before it are.
-func (b *Balancer) uncached(now time.Time, s *state, p Prompt, homes []*state) float64 {
-	left := float64(p.Tokens)
+// uncached estimates the prompt tokens that an endpoint has to read, and the
+// time in ms to fetch others from the home, 0 for no fetch. A part counts as
+// cached only if all parts before it are.
+func (b *Balancer) uncached(now time.Time, s *state, p Prompt, home *state) (tokens, fetchMs float64) {
+	left, shared := float64(p.Tokens), 0.0
 	if left == 0 {
 		for _, part := range p.Parts {
 			left += float64(part.Tokens)
 		}
 	}
-	home := slices.Contains(homes, s)
+	known := true
 	for i, part := range p.Parts {
+		known = known && s.believes(now, part.ID)
 		switch {
-		case s.believes(now, part.ID):
+		case known:
 			left -= float64(part.Tokens)
-		case home && i < len(p.Parts)-1:
-			left -= homeBelief * float64(part.Tokens)
-		default:
-			return max(0, left)
+		case i < len(p.Parts)-1:
+			shared += float64(part.Tokens)
+		}
+	}
+	left = max(0, left)
+	if home == nil || shared == 0 {
+		return left, 0
+	}
+	if s != home {
+		if b.memory.FetchPerMs == 0 || shared < minFetch {
+			return left, 0
 		}
+		fetchMs = float64(fetchSetup.Milliseconds()) + shared/b.memory.FetchPerMs
 	}
-	return max(0, left)
+	return max(0, left-homeBelief*shared), fetchMs
 }
 
 func (b *Balancer) choice(now time.Time, s *state, tookMs float64, uncached int, light bool) (Choice, bool) {
--- a/internal/dispatch/track.go
+++ b/internal/dispatch/track.go
@@ -3,20 +3,21 @@
 import "time"
 
 // Sent counts a request that is about to be sent.
-func (b *Balancer) Sent(now time.Time, c *Choice, p Prompt) {
+func (b *Balancer) Sent(now time.Time, c *Choice, d Demand) {
 	c.sent = now
 	s := b.state(c)
 	if s == nil {
 		return
 	}
 	s.own.Requests++
-	s.own.Starting++
-	s.own.PromptTokens += c.Uncached
+	*s.tokens(c) += c.Uncached
+	c.memory = d.Prompt.Tokens + d.Prompt.Output
+	s.own.MemoryTokens += c.memory
 	if c.Light {
 		s.own.Light++
 	}
-	if b.engine {
-		s.remember(now, p.Parts)
+	if b.memory != nil {
+		s.remember(now, d.Prompt.Parts)
 	}
 }
 
@@ -27,7 +28,7 @@
 		return
 	}
 	b.start(s, c)
-	if b.engine {
+	if b.memory != nil {
 		s.observePace(now, c.Predicted, now.Sub(c.sent))
 		s.succeed(now)
 	}
@@ -36,11 +37,18 @@
 func (b *Balancer) start(s *state, c *Choice) {
 	if !c.started {
 		c.started = true
-		s.own.Starting--
-		s.own.PromptTokens -= c.Uncached
+		*s.tokens(c) -= c.Uncached
 	}
 }
 
+// tokens returns the count of prompt tokens to read that a choice belongs to.
+func (s *state) tokens(c *Choice) *int {
+	if c.Late {
+		return &s.own.LateTokens
+	}
+	return &s.own.PromptTokens
+}
+
 // Reported notes the load that an endpoint told.
 func (b *Balancer) Reported(now time.Time, c *Choice, r Report) {
 	if s := b.state(c); s != nil {
@@ -56,6 +64,7 @@
 	}
 	b.start(s, c)
 	s.own.Requests--
+	s.own.MemoryTokens -= c.memory
 	if c.Light {
 		s.own.Light--
 	}
@@ -82,7 +91,7 @@
 	ms := float64(took) / float64(time.Millisecond)
 	b.hold += gain * (ms - b.hold)
 	s.succeed(now)
-	if b.engine {
+	if b.memory != nil {
 		return
 	}
 	s.observePace(now, c.Predicted, took)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -46,9 +46,21 @@
 
 // Load is work in flight at an endpoint.
 type Load struct {
-	// Requests counts all, Starting those without a first event yet, with
-	// PromptTokens to read in all, and Light those with short prompts.
-	Requests, Starting, PromptTokens, Light int
+	// Requests counts all and Light those with short prompts.
+	Requests, Light int
+	// PromptTokens and LateTokens are still to be read, of timely and of late requests.
+	PromptTokens, LateTokens int
+	// MemoryTokens is the memory that the requests take when they end.
+	MemoryTokens int
+}
+
+// Memory describes the memory of model engines.
+type Memory struct {
+	// Tokens is the size of one engine's, 0 if unknown.
+	Tokens int
+	// FetchPerMs is how many cached tokens an engine fetches from another one in a
+	// millisecond, 0 if it cannot.
+	FetchPerMs float64
 }
 
 // Report is the load that an endpoint tells with an answer.
@@ -66,8 +78,15 @@
 	// Uncached is the number of prompt tokens that the endpoint has to read.
 	Uncached int
 	Light    bool
-	started  bool
-	sent     time.Time
+	// Late tells that the request is expected to miss its objective. It is sent
+	// behind timely ones.
+	Late bool
+	// FetchFrom is the address of the endpoint that is expected to have the shared
+	// parts of the prompt, "" if the chosen one is.
+	FetchFrom string
+	memory    int
+	started   bool
+	sent      time.Time
 }
 
 // Outcome tells how a request at an endpoint ended.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -80,7 +80,7 @@
 		c, ok = b.Choose(now, q.demand, q.avoid)
 		endpoints, loadAge = b.Size(now), b.RemoteAge(now)
 		if ok {
-			b.Sent(now, &c, q.demand.Prompt)
+			b.Sent(now, &c, q.demand)
 		}
 	})
 	if !ok {
@@ -93,11 +93,19 @@
 	}
 	q.server.options.Events.Emit(eventPlaced, event.Request(q.call.ID), event.F("route", q.route.Name), event.F("attempt", q.sends+1),
 		event.F("endpoint", c.Endpoint.ID), event.F("address", c.Endpoint.Address), event.F("predicted_ms", c.Predicted.Milliseconds()),
-		event.F("uncached", c.Uncached), event.F("rank", q.demand.Rank), event.F("candidates", endpoints),
+		event.F("uncached", c.Uncached), event.F("rank", q.sendRank(&c)), event.F("late", c.Late), event.F("fetch_from", c.FetchFrom), event.F("candidates", endpoints),
 		event.F("load_age_ms", loadAge.Milliseconds()), event.F("table", q.tableVersion()))
 	return c, ""
 }
 
+// sendRank puts late work behind timely work of the same priorities.
+func (q *request) sendRank(c *dispatch.Choice) int {
+	if c.Late {
+		return min(MaxRank, q.demand.Rank+1)
+	}
+	return q.demand.Rank
+}
+
 // attempt sends a request to an endpoint and relays its answer.
 func (q *request) attempt(ctx context.Context, c dispatch.Choice) result {
 	q.sends++
@@ -147,7 +155,7 @@
 // exchange sends one attempt and relays the answer.
 func (q *request) exchange(ctx context.Context, c *dispatch.Choice, stall *time.Timer) result {
 	codec := q.server.options.Codec
-	s := Send{Endpoint: c.Endpoint.ID, Left: time.Until(q.deadline), Rank: q.demand.Rank, LastEvent: q.call.LastEvent}
+	s := Send{Endpoint: c.Endpoint.ID, Left: time.Until(q.deadline), Rank: q.sendRank(c), LastEvent: q.call.LastEvent, FetchFrom: c.FetchFrom}
 	if q.customer != nil {
 		s.Customer = q.customer.Name
 	}
--- a/internal/router/codec.go
+++ b/internal/router/codec.go
@@ -35,6 +35,9 @@
 	// Rank orders requests at the endpoint, 0 first, at most MaxRank.
 	Rank      int
 	LastEvent string
+	// FetchFrom is the address of an endpoint that is expected to have parts of
+	// the prompt in its cache, "" for none.
+	FetchFrom string
 }
 
 // MaxRank is the rank of the least urgent requests.
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -79,7 +79,8 @@
 
 func remoteLoad(l *directoryv1.Load) dispatch.Load {
 	return dispatch.Load{
-		Requests: int(l.GetRequests()), Starting: int(l.GetStarting()), PromptTokens: int(l.GetPromptTokens()), Light: int(l.GetLight()),
+		Requests: int(l.GetRequests()), PromptTokens: int(l.GetPromptTokens()), LateTokens: int(l.GetLateTokens()),
+		Light: int(l.GetLight()), MemoryTokens: int(l.GetMemoryTokens()),
 	}
 }
 
@@ -89,12 +90,12 @@
 	if b := f.services[s.Name]; b != nil && b.engine == engine {
 		return
 	}
-	kv := 0
+	var memory *dispatch.Memory
 	if engine {
-		kv = s.Engine.KVTokens
+		memory = &dispatch.Memory{Tokens: s.Engine.KVTokens, FetchPerMs: s.Engine.FetchPerMs}
 	}
 	f.services[s.Name] = &backend{
-		balancer: dispatch.NewBalancer(f.domain, engine, kv), budget: dispatch.NewRetryBudget(f.rules), engine: engine,
+		balancer: dispatch.NewBalancer(f.domain, memory), budget: dispatch.NewRetryBudget(f.rules), engine: engine,
 	}
 }
 
@@ -107,8 +108,8 @@
 		b.mu.Lock()
 		b.balancer.Own(func(id string, l dispatch.Load) {
 			out = append(out, &directoryv1.Load{
-				Id: id, Requests: uint32(max(0, l.Requests)), Starting: uint32(max(0, l.Starting)),
-				PromptTokens: uint32(max(0, l.PromptTokens)), Light: uint32(max(0, l.Light)),
+				Id: id, Requests: uint32(max(0, l.Requests)), PromptTokens: uint32(max(0, l.PromptTokens)),
+				LateTokens: uint32(max(0, l.LateTokens)), Light: uint32(max(0, l.Light)), MemoryTokens: uint32(max(0, l.MemoryTokens)),
 			})
 		})
 		b.mu.Unlock()
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -100,6 +100,9 @@
 type Engine struct {
 	Slots    int `json:"slots"`     // requests that run at once
 	KVTokens int `json:"kv_tokens"` // memory for prompts and answers
+	// FetchPerMs is how many tokens of cached prompts an engine can fetch from
+	// another one in a millisecond, 0 if it cannot.
+	FetchPerMs float64 `json:"fetch_per_ms,omitempty"`
 }
 
 // Limits bound what a caller may send and how long it may take.
