Let late prompts wait at their home; sample endpoints; light overflow

Change: late requests wait at a home unless another place is 600 ms better; the lag of first events behind predictions is learned for the service; entries compare a random part of the endpoints where they are many; light requests overflow when their pool is behind; a stream is sent elsewhere after three objectives without an event, not one.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -37,6 +38,8 @@
 	// awayPrice is the price of sending a prompt with shared parts elsewhere than to
 	// their home: the parts take room in two engines then, and push others out.
 	awayPrice = 150 * time.Millisecond
+	// awayLate is that price where the request is late at either place.
+	awayLate = 600 * time.Millisecond
 	// stepPrice is what each light request adds to the time of an event, in ms.
 	stepPrice = 0.5
 	// crossDomain is the price of another failure domain: two crossings of about
@@ -55,10 +58,26 @@
 	firstRun = time.Second
 	// homes is how many endpoints a prompt's shared parts go to in turn, as long
 	// as the ones before are behind, so that few engines hold each part.
-	homes = 3
+	homes = 2
 	// homeBound is the share of the objective's time that is left up to which the
 	// home is taken without looking further. Predictions err by about a third.
-	homeBound = 0.6
+	homeBound = 0.75
+	// lightHarm is what a long prompt costs each light request beside it, in ms.
+	lightHarm = 60.0
+	// offPool is the price of placing a light request beside long prompts. It is
+	// paid only where the light pool is behind by a part of the objective.
+	offPool = 150 * time.Millisecond
+	// poolBehind is that part.
+	poolBehind = 0.5
+	// sampled is the product of the endpoints that are compared for a request and
+	// of the entries: many entries that see the same load would all choose the
+	// same endpoint until they hear of each other.
+	sampledPerEntry = 8
+	// minSampled is the least number of endpoints that are compared.
+	minSampled = 4
+	// lagGain is the weight of a new observation in the lag of the service. An
+	// entry sees some ten first events a second, so that it follows within 2 s.
+	lagGain = 0.05
 	// queueRoom is how many requests an engine takes, as a multiple of its slots;
 	// it queues twice its slots and then turns requests away.
 	queueRoom = 2.5
@@ -79,6 +98,9 @@
 	domain string
 	// memory is nil for plain services.
 	memory *Memory
+	random *rand.Rand
+	// entries is the number of entries that choose among the same endpoints.
+	entries int
 
 	states map[string]*state
 	// order lists the states by their rank for light requests, so that all
@@ -92,18 +114,24 @@
 	// runLight and runHeavy are the learned times from the first event of an
 	// answer to its end, in ms, and work the learned time of a plain request.
 	runLight, runHeavy, work float64
+	// lagLight and lagHeavy are by how much first events are later than predicted,
+	// in ms: while engines read prompts all the time, each step takes longer.
+	lagLight, lagHeavy float64
 }
 
 // NewBalancer returns a balancer for a service; memory is nil for plain ones.
-func NewBalancer(domain string, memory *Memory) *Balancer {
+// random breaks ties between entries that see the same load.
+func NewBalancer(domain string, memory *Memory, random *rand.Rand) *Balancer {
 	return &Balancer{
-		domain: domain, memory: memory, states: make(map[string]*state),
+		domain: domain, memory: memory, random: random, entries: 1, states: make(map[string]*state),
 		runLight: float64(firstRun.Milliseconds()), runHeavy: float64(firstRun.Milliseconds()), work: float64(plainWork.Milliseconds()),
 	}
 }
 
-// SetEndpoints replaces the list of endpoints. What is known of an incarnation stays.
-func (b *Balancer) SetEndpoints(list []Endpoint) {
+// SetEndpoints replaces the list of endpoints, which a number of entries use.
+// What is known of an incarnation stays.
+func (b *Balancer) SetEndpoints(list []Endpoint, entries int) {
+	b.entries = entries
 	next := make(map[string]*state, len(list))
 	for _, e := range list {
 		s := b.states[e.ID]
@@ -227,7 +255,7 @@
 	if light && pool > 0 {
 		own = all[:pool]
 	}
-	left := d.Arrived.Add(d.Objective).Sub(now)
+	left := d.Arrived.Add(d.Objective).Sub(now) - milliseconds(*b.lag(light))
 	var line []*state
 	if !light {
 		line = homesOf(own, d.Prompt.Parts)
@@ -235,9 +263,16 @@
 	source := fetchSource(all, line, d.Prompt.Parts)
 	best := b.firstTimely(now, d, line, source, left)
 	if best.state == nil {
-		for _, s := range own {
-			if p := b.place(now, s, d, line, source, light); best.state == nil || p.cost < best.cost {
-				best = p
+		best = b.cheapest(now, d, b.sample(own), line, source, light)
+		if atHome := b.cheapest(now, d, line, line, source, light); atHome.state != nil &&
+			milliseconds(best.timely) > left && atHome.cost < best.cost+float64(awayLate.Milliseconds()) {
+			best = atHome
+		}
+		if light && milliseconds(best.timely) > time.Duration(poolBehind*float64(left)) {
+			// No light request starves for long prompts: engines begin it first.
+			other := b.cheapest(now, d, b.sample(all[pool:]), nil, nil, true)
+			if other.state != nil && other.cost+float64(offPool.Milliseconds()) < best.cost {
+				best = other
 			}
 		}
 	}
@@ -250,17 +285,44 @@
 		c.Late = true
 		c.Predicted = milliseconds(best.late)
 	}
+	c.Predicted += milliseconds(*b.lag(light))
 	c.Whole = c.Predicted + milliseconds(*b.run(light))
 	return c, ok
 }
 
+// cheapest returns the placement with the lowest cost.
+func (b *Balancer) cheapest(now time.Time, d Demand, from []*state, line []*state, source *state, light bool) (best placement) {
+	for _, s := range from {
+		if p := b.place(now, s, d, line, source, light); best.state == nil || p.cost < best.cost {
+			best = p
+		}
+	}
+	return best
+}
+
+// sample returns a random choice of endpoints, fewer the more entries choose. It
+// answers bursts over many entries whose load reports are older than the time
+// between two requests.
+func (b *Balancer) sample(from []*state) []*state {
+	n := max(minSampled, len(from)*sampledPerEntry/max(1, b.entries))
+	if n >= len(from) {
+		return from
+	}
+	out := slices.Clone(from)
+	for i := range n {
+		j := i + b.random.IntN(len(out)-i)
+		out[i], out[j] = out[j], out[i]
+	}
+	return out[:n]
+}
+
 // firstTimely returns the first endpoint in the line of homes that is well within
 // the objective. It answers bursts with shared prompts: as long as their home
 // keeps up, no other engine reads them again.
 func (b *Balancer) firstTimely(now time.Time, d Demand, line []*state, source *state, left time.Duration) placement {
 	bound := homeBound * float64(left) / float64(time.Millisecond)
 	for _, s := range line {
-		if p := b.place(now, s, d, line, source, false); p.timely+b.price(now, s) <= bound {
+		if p := b.place(now, s, d, line, source, false); p.timely+b.price(now, s)+float64(s.own.Light+s.remote.Light)*lightHarm <= bound {
 			return p
 		}
 	}
@@ -277,6 +339,14 @@
 	return &b.runHeavy
 }
 
+// lag returns by how much first events are later than predicted.
+func (b *Balancer) lag(light bool) *float64 {
+	if light {
+		return &b.lagLight
+	}
+	return &b.lagHeavy
+}
+
 // placement is what placing a request at an endpoint comes to, in ms.
 type placement struct {
 	state     *state
@@ -315,9 +385,12 @@
 	if len(line) > 0 && s != line[0] {
 		p.cost += float64(awayPrice.Milliseconds())
 	}
+	beside := float64(s.own.Light + s.remote.Light)
 	if light {
 		// Light requests slow each other down a little, step by step.
-		p.cost += float64(s.own.Light+s.remote.Light) * stepPrice
+		p.cost += beside * stepPrice
+	} else {
+		p.cost += beside * lightHarm
 	}
 	return p
 }
--- a/internal/dispatch/track.go
+++ b/internal/dispatch/track.go
@@ -33,7 +33,12 @@
 	b.start(s, c)
 	c.began = now
 	if b.memory != nil {
-		s.observePace(now, c.Predicted, now.Sub(c.sent))
+		took := now.Sub(c.sent)
+		if !c.Late {
+			lag := b.lag(c.Light)
+			*lag = max(0, *lag+lagGain*float64(took-c.Predicted)/float64(time.Millisecond))
+		}
+		s.observePace(now, c.Predicted, took)
 		s.succeed(now)
 	}
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -27,6 +27,10 @@
 	// predicted time before a request that may run twice is sent elsewhere.
 	stallFactor = 4
 	stallMargin = 100 * time.Millisecond
+	// streamStall is the least such wait for streams, in objectives: an engine in
+	// a burst answers late without being at fault, and a second attempt would
+	// read the whole prompt again.
+	streamStall = 3
 )
 
 // result is the end of one attempt.
@@ -143,6 +147,9 @@
 		return nil
 	}
 	bound := max(stallFactor*c.Predicted, q.route.Objective()) + stallMargin
+	if q.route.Kind == routing.Stream {
+		bound = max(stallFactor*c.Predicted, streamStall*q.route.Objective())
+	}
 	return time.AfterFunc(bound, func() {
 		left := 0
 		q.locked(func(*dispatch.Balancer) { left = q.backend.budget.Left(time.Now(), q.server.fleet.entryCount()) })
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -69,7 +70,7 @@
 	f.loadsAt = loads.At
 	for name, b := range f.services {
 		b.mu.Lock()
-		b.balancer.SetEndpoints(byService[name])
+		b.balancer.SetEndpoints(byService[name], s.Entries)
 		if fresh {
 			b.balancer.SetRemote(loads.At, func(id string) dispatch.Load { return remoteLoad(loads.ByID[id]) })
 		}
@@ -95,7 +96,7 @@
 		memory = &dispatch.Memory{Tokens: s.Engine.KVTokens, FetchPerMs: s.Engine.FetchPerMs}
 	}
 	f.services[s.Name] = &backend{
-		balancer: dispatch.NewBalancer(f.domain, memory), budget: dispatch.NewRetryBudget(f.rules), engine: engine,
+		balancer: dispatch.NewBalancer(f.domain, memory, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), budget: dispatch.NewRetryBudget(f.rules), engine: engine,
 	}
 }
 
