--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -27,6 +27,9 @@
 	// memoryFill is the share of an engine's memory that requests may fill; when
 	// it runs out, requests are preempted and read again.
 	memoryFill = 0.9
+	// memoryWait is the wait at an engine with full memory, as a share of the time
+	// that a request runs: another one has to end first.
+	memoryWait = 0.5
 	// minFetch is the number of tokens from which on fetching them from another
 	// engine is worth its price.
 	minFetch = 512
@@ -39,7 +42,7 @@
 	// their home: the parts take room in two engines then, and push others out.
 	awayPrice = 150 * time.Millisecond
 	// awayLate is that price where the request is late at either place.
-	awayLate = 600 * time.Millisecond
+	awayLate = 1200 * time.Millisecond
 	// stepPrice is what each light request adds to the time of an event, in ms.
 	stepPrice = 0.5
 	// crossDomain is the price of another failure domain: two crossings of about
@@ -61,7 +64,7 @@
 	homes = 2
 	// homeBound is the share of the objective's time that is left up to which the
 	// home is taken without looking further. Predictions err by about a third.
-	homeBound = 0.75
+	homeBound = 0.95
 	// lightHarm is what a long prompt costs each light request beside it, in ms.
 	lightHarm = 60.0
 	// offPool is the price of placing a light request beside long prompts. It is
@@ -73,6 +76,9 @@
 	// of the entries: many entries that see the same load would all choose the
 	// same endpoint until they hear of each other.
 	sampledPerEntry = 8
+	// manyEntries is the number of entries from which on two random choices beat
+	// the least loaded endpoint: reports of load are older than the work then.
+	manyEntries = 16
 	// minSampled is the least number of endpoints that are compared.
 	minSampled = 4
 	// lagGain is the weight of a new observation in the lag of the service. An
@@ -226,10 +232,16 @@
 	return out
 }
 
+// choosePlain answers bursts over many entries with two random choices: all of
+// them would send to the endpoint that was least loaded in the last report.
 func (b *Balancer) choosePlain(now time.Time, avoid []string) (Choice, bool) {
 	var best *state
 	bestCost, bestTime := math.Inf(1), 0.0
-	for _, s := range b.candidates(now, avoid) {
+	from := b.candidates(now, avoid)
+	if b.entries >= manyEntries {
+		from = b.draw(from, 2)
+	}
+	for _, s := range from {
 		ahead := s.requests(now)
 		took := b.work * s.slowFactor(now) * (1 + max(0, float64(ahead-s.Slots+1))/float64(max(1, s.Slots)))
 		// Below the slots, a fuller endpoint is a little worse: some slow down
@@ -252,9 +264,12 @@
 	pool := b.poolSize(all)
 	light := d.Prompt.Tokens < heavyPrompt
 	own := all[pool:]
-	if light && pool > 0 {
+	if light {
 		own = all[:pool]
 	}
+	if len(own) == 0 {
+		own = all
+	}
 	left := d.Arrived.Add(d.Objective).Sub(now) - milliseconds(*b.lag(light))
 	var line []*state
 	if !light {
@@ -304,7 +319,11 @@
 // answers bursts over many entries whose load reports are older than the time
 // between two requests.
 func (b *Balancer) sample(from []*state) []*state {
-	n := max(minSampled, len(from)*sampledPerEntry/max(1, b.entries))
+	return b.draw(from, max(minSampled, len(from)*sampledPerEntry/max(1, b.entries)))
+}
+
+// draw returns n random endpoints.
+func (b *Balancer) draw(from []*state, n int) []*state {
 	if n >= len(from) {
 		return from
 	}
@@ -374,7 +393,7 @@
 	run := *b.run(light)
 	wait := run * max(0, float64(requests-late+1)-slots) / slots
 	if over := b.memoryOver(s, d.Prompt); over > 0 {
-		wait += run * over
+		wait += run * (memoryWait + over)
 	}
 	if float64(requests) >= queueRoom*slots {
 		wait += fullDelay
--- /dev/null
+++ b/internal/dispatch/balancer_test.go
@@ -0,0 +1,286 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Sizes of the engines in these tests: those of the users' larger deployment.
+const (
+	testSlots    = 12
+	testMemory   = 269_581
+	testFetch    = 350.0
+	testEngines  = 20
+	longPrompt   = 9200
+	shortPrompt  = 800
+	testDeadline = 5 * time.Second
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func engines(n int) []Endpoint {
+	var out []Endpoint
+	for i := range n {
+		out = append(out, Endpoint{ID: fmt.Sprintf("e%02d", i), Incarnation: 1, Address: fmt.Sprintf("10.0.0.%d:80", i), Domain: "a", Slots: testSlots})
+	}
+	return out
+}
+
+func newEngines(n, entries int) *Balancer {
+	b := NewBalancer("a", &Memory{Tokens: testMemory, FetchPerMs: testFetch}, rand.New(rand.NewPCG(1, 2)))
+	b.SetEndpoints(engines(n), entries)
+	b.SetRemote(at(0), func(string) Load { return Load{} })
+	return b
+}
+
+// long returns a request with a long prompt about a thing.
+func long(thing string, arrived time.Time) Demand {
+	return Demand{
+		Prompt:    Prompt{Tokens: longPrompt, Output: 50, Parts: []Part{{"all", 2520}, {thing, 3780}, {"own" + arrived.String(), 2900}}},
+		Objective: 600 * time.Millisecond, Arrived: arrived, Deadline: arrived.Add(testDeadline),
+	}
+}
+
+func short(arrived time.Time) Demand {
+	return Demand{
+		Prompt:    Prompt{Tokens: shortPrompt, Output: 290, Parts: []Part{{"s", 119}, {"t", 79}, {"own", 600}}},
+		Objective: 600 * time.Millisecond, Arrived: arrived, Deadline: arrived.Add(3 * testDeadline),
+	}
+}
+
+func choose(t testing.TB, b *Balancer, now time.Time, d Demand) Choice {
+	t.Helper()
+	c, ok := b.Choose(now, d, nil)
+	qt.Assert(t, ok, qt.IsTrue)
+	b.Sent(now, &c, d)
+	return c
+}
+
+// Guards against a burst of long prompts that makes the streams of short ones
+// late: one long prompt holds up every event beside it.
+func TestBurstOfLongPromptsLeavesLightPoolAlone(t *testing.T) {
+	b := newEngines(testEngines, 1)
+	light := make(map[string]bool)
+	for i := range 30 {
+		light[choose(t, b, at(i), short(at(i))).Endpoint.ID] = true
+	}
+	b.SetRemote(at(100), func(string) Load { return Load{} })
+	for i := range 30 {
+		light[choose(t, b, at(100+i), short(at(100+i))).Endpoint.ID] = true
+	}
+	for i := range 200 {
+		c := choose(t, b, at(200+i), long(fmt.Sprint(i), at(200+i)))
+		qt.Assert(t, light[c.Endpoint.ID], qt.IsFalse, qt.Commentf("prompt %d went to %s", i, c.Endpoint.ID))
+	}
+}
+
+// Guards against light requests that starve while their pool is full: they are
+// more urgent than the long prompts on the other engines.
+func TestLightRequestsOverflow(t *testing.T) {
+	b := newEngines(testEngines, 1)
+	used := make(map[string]int)
+	for i := range 60 {
+		used[choose(t, b, at(i), short(at(i))).Endpoint.ID]++
+	}
+	for id, n := range used {
+		qt.Check(t, n <= 2*testSlots, qt.IsTrue, qt.Commentf("%s has %d", id, n))
+	}
+	qt.Check(t, len(used) > 1, qt.IsTrue)
+}
+
+// Guards against shared parts that every engine reads for itself: requests about
+// one thing stay at its home while it is timely, whichever entry gets them.
+func TestSharedPromptsStayAtHome(t *testing.T) {
+	first, second := newEngines(testEngines, 2), newEngines(testEngines, 2)
+	for i := range 50 {
+		thing := fmt.Sprint("thing", i)
+		a, b := choose(t, first, at(1000*i), long(thing, at(1000*i))), choose(t, second, at(1000*i), long(thing, at(1000*i)))
+		qt.Assert(t, a.Endpoint.ID, qt.Equals, b.Endpoint.ID)
+		qt.Assert(t, a.Home, qt.Equals, 1)
+		first.Ended(at(1000*i+200), &a, Answered)
+		second.Ended(at(1000*i+200), &b, Answered)
+	}
+}
+
+// Guards against a hot thing that waits at its home while other engines are
+// idle, and against reading its parts again there: they are fetched.
+func TestHotThingLeavesItsHome(t *testing.T) {
+	b := newEngines(testEngines, 1)
+	used, fetched := make(map[string]int), 0
+	var home string
+	for i := range 60 {
+		c := choose(t, b, at(i), long("hot", at(i)))
+		if i == 0 {
+			home = c.Endpoint.Address
+		}
+		used[c.Endpoint.Address]++
+		if c.Endpoint.Address != home && c.FetchFrom == home {
+			fetched++
+		}
+		qt.Assert(t, c.Late, qt.IsFalse, qt.Commentf("request %d", i))
+	}
+	qt.Check(t, len(used) >= 6, qt.IsTrue, qt.Commentf("%v", used))
+	qt.Check(t, fetched > 0, qt.IsTrue)
+}
+
+// Guards against a burst above capacity that makes every request late: late work
+// waits behind timely work and does not count as its backlog.
+func TestLateWorkDoesNotDelayTimelyWork(t *testing.T) {
+	b := newEngines(4, 1)
+	late := 0
+	for i := range 60 {
+		if choose(t, b, at(i), long(fmt.Sprint(i), at(i))).Late {
+			late++
+		}
+	}
+	qt.Assert(t, late > 0, qt.IsTrue)
+	// The timely requests end; what is late still waits.
+	for _, s := range b.states {
+		s.own.PromptTokens, s.own.Requests = 0, s.own.Late
+	}
+	c, ok := b.Choose(at(900), long("next", at(900)), nil)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Check(t, c.Late, qt.IsFalse)
+}
+
+// Guards against engines that run out of memory and preempt what they run.
+func TestFullMemoryIsAvoided(t *testing.T) {
+	b := newEngines(4, 1)
+	b.SetRemote(at(0), func(id string) Load {
+		if id == "e00" || id == "e01" {
+			return Load{Requests: 6, MemoryTokens: testMemory}
+		}
+		return Load{Requests: 6, MemoryTokens: testMemory / 4}
+	})
+	for i := range 6 {
+		c := choose(t, b, at(i), long(fmt.Sprint("m", i), at(i)))
+		qt.Check(t, c.Endpoint.ID == "e00" || c.Endpoint.ID == "e01", qt.IsFalse, qt.Commentf("request %d went to %s", i, c.Endpoint.ID))
+	}
+}
+
+// Guards against entries that all choose the same endpoint because they see the
+// same load.
+func TestManyEntriesSpread(t *testing.T) {
+	const entries = 72
+	used := make(map[string]int)
+	for i := range entries {
+		b := newEngines(testEngines, entries)
+		b.random = rand.New(rand.NewPCG(uint64(i), 7))
+		b.light = 100
+		used[choose(t, b, at(i), short(at(i))).Endpoint.ID]++
+	}
+	for id, n := range used {
+		qt.Check(t, n <= entries/3, qt.IsTrue, qt.Commentf("%s got %d of %d", id, n, entries))
+	}
+}
+
+// Guards against requests at an endpoint that fails, and against one that never
+// returns after it has recovered.
+func TestFailingEndpointIsLeftOutAndReturns(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		outcome  Outcome
+		failures int
+	}{{"unreachable", Unreachable, 1}, {"broken", Broken, 2}, {"errors", Errored, 3}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := NewBalancer("a", nil, rand.New(rand.NewPCG(1, 2)))
+			b.SetEndpoints(engines(3), 1)
+			bad := "e01"
+			for i := range c.failures {
+				choice := Choice{Endpoint: b.states[bad].Endpoint}
+				b.Sent(at(i), &choice, Demand{})
+				b.Ended(at(i), &choice, c.outcome)
+			}
+			qt.Assert(t, b.Size(at(10)), qt.Equals, 2)
+			for i := range 20 {
+				qt.Assert(t, choose(t, b, at(20+i), Demand{}).Endpoint.ID, qt.Not(qt.Equals), bad)
+			}
+			qt.Assert(t, b.Size(at(20_000)), qt.Equals, 3)
+		})
+	}
+}
+
+// Guards against a service without endpoints to try once all of them failed.
+func TestAllEjectedAreTriedAgain(t *testing.T) {
+	b := NewBalancer("a", nil, rand.New(rand.NewPCG(1, 2)))
+	b.SetEndpoints(engines(2), 1)
+	for id := range b.states {
+		c := Choice{Endpoint: b.states[id].Endpoint}
+		b.Sent(at(0), &c, Demand{})
+		b.Ended(at(0), &c, Unreachable)
+	}
+	_, ok := b.Choose(at(1), Demand{}, nil)
+	qt.Assert(t, ok, qt.IsTrue)
+	_, ok = b.Choose(at(1), Demand{}, []string{"e00", "e01"})
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// Guards against work sent to an endpoint that is leaving or was replaced.
+func TestLeavingEndpointsGetNothing(t *testing.T) {
+	b := NewBalancer("a", nil, rand.New(rand.NewPCG(1, 2)))
+	list := engines(3)
+	list[0].Draining = true
+	b.SetEndpoints(list, 1)
+	c := Choice{Endpoint: list[1]}
+	b.Sent(at(0), &c, Demand{})
+	b.Ended(at(0), &c, Replaced)
+	for i := range 20 {
+		qt.Assert(t, choose(t, b, at(i), Demand{}).Endpoint.ID, qt.Equals, "e02")
+	}
+}
+
+// Guards against a plain endpoint that is slow and gets as much as the others.
+func TestSlowPlainEndpointGetsLess(t *testing.T) {
+	b := NewBalancer("a", nil, rand.New(rand.NewPCG(1, 2)))
+	b.SetEndpoints(engines(3), 1)
+	used := make(map[string]int)
+	now := 0
+	for range 300 {
+		c := choose(t, b, at(now), Demand{})
+		used[c.Endpoint.ID]++
+		took := 30
+		if c.Endpoint.ID == "e01" {
+			took = 240
+		}
+		b.Ended(at(now+took), &c, Answered)
+		now += 10
+	}
+	qt.Check(t, used["e01"] < 60, qt.IsTrue, qt.Commentf("%v", used))
+}
+
+// Guards against counts that do not return to zero, by which an endpoint would
+// look loaded for ever.
+func TestCountsReturnToZero(t *testing.T) {
+	b := newEngines(testEngines, 1)
+	random := rand.New(rand.NewPCG(5, 5))
+	var open []*Choice
+	for i := range 2000 {
+		d := long(fmt.Sprint(random.IntN(50)), at(i))
+		if random.IntN(2) == 0 {
+			d = short(at(i))
+		}
+		c := choose(t, b, at(i), d)
+		open = append(open, &c)
+		if random.IntN(2) == 0 {
+			j := random.IntN(len(open))
+			if random.IntN(2) == 0 {
+				b.Began(at(i), open[j])
+			}
+			outcomes := []Outcome{Answered, Errored, Rejected, Broken, Unreachable, Abandoned}
+			b.Ended(at(i), open[j], outcomes[random.IntN(len(outcomes))])
+			open = append(open[:j], open[j+1:]...)
+		}
+	}
+	for _, c := range open {
+		b.Ended(at(3000), c, Answered)
+	}
+	for id, s := range b.states {
+		qt.Check(t, s.own, qt.Equals, Load{}, qt.Commentf(id))
+	}
+}
--- a/internal/dispatch/track.go
+++ b/internal/dispatch/track.go
@@ -18,6 +18,7 @@
 	s.own.MemoryTokens += c.memory
 	if c.Light {
 		s.own.Light++
+		b.light++ // The pool grows at once; the next load report corrects it.
 	}
 	if b.memory != nil {
 		s.remember(now, d.Prompt.Parts)
@@ -87,7 +88,7 @@
 	case Errored:
 		s.fail(now, 1)
 	case Broken:
-		s.fail(now, 1.25)
+		s.fail(now, 1.3)
 	case Unreachable:
 		s.fail(now, ejectFailures)
 	case Rejected:
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -102,10 +102,11 @@
 	return c, ""
 }
 
-// sendRank puts late work behind timely work of the same priorities.
+// sendRank puts late work behind timely work of the same priorities, unless that
+// would make it equal to a less urgent route.
 func (q *request) sendRank(c *dispatch.Choice) int {
-	if c.Late {
-		return min(MaxRank, q.demand.Rank+1)
+	if c.Late && q.lateRank {
+		return q.demand.Rank + 1
 	}
 	return q.demand.Rank
 }
--- a/internal/router/codec.go
+++ b/internal/router/codec.go
@@ -7,9 +7,14 @@
 	"net/http"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"auburnstep.example/auburnstep/internal/dispatch"
 )
 
+// Error is the class of errors of this package.
+var Error = errs.Class("router")
+
 // Call is a caller's request as decoded from its headers.
 type Call struct {
 	// ID is drawn by the caller, a new one for each attempt of its own.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -48,6 +48,8 @@
 	arrived  time.Time
 	deadline time.Time
 	demand   dispatch.Demand
+	// lateRank tells that the rank after the request's own is free for late work.
+	lateRank bool
 
 	w http.ResponseWriter
 	// runs counts the attempts that have run or may have run, sends all attempts.
@@ -115,6 +117,8 @@
 	if q.backend = q.server.fleet.backend(q.service); q.backend == nil {
 		return refusal(http.StatusServiceUnavailable, "no-service", "the service of the route is not known yet", startupReturn)
 	}
+	next := q.route.Priority + 1
+	q.lateRank = next > 0 && next < routePriorities && !index.UsesPriority(q.service, next)
 	q.limitTime()
 	return nil
 }
--- a/internal/routing/index.go
+++ b/internal/routing/index.go
@@ -12,17 +12,26 @@
 	byHost    map[string][]*Route
 	customers map[string]*Customer
 	services  map[string]*Service
+	// priorities holds the priorities of the routes to each service.
+	priorities map[string]map[int]bool
 }
 
 // NewIndex returns the index of a valid table.
 func NewIndex(t *Table) *Index {
 	x := &Index{
 		Table: t, byHost: make(map[string][]*Route), customers: make(map[string]*Customer), services: make(map[string]*Service),
+		priorities: make(map[string]map[int]bool),
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		host := canonicalHost(r.Host)
 		x.byHost[host] = append(x.byHost[host], r)
+		for _, target := range r.Targets {
+			if x.priorities[target.Service] == nil {
+				x.priorities[target.Service] = make(map[int]bool)
+			}
+			x.priorities[target.Service][r.Priority] = true
+		}
 	}
 	for _, routes := range x.byHost {
 		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -61,3 +70,8 @@
 	}
 	return strings.TrimSuffix(strings.ToLower(host), ".")
 }
+
+// UsesPriority reports whether a route to the service has a priority.
+func (x *Index) UsesPriority(service string, priority int) bool {
+	return x.priorities[service][priority]
+}
