Replace a lost control member once a successor has caught up

Cause: a member that is replaced at another address kept its vote, so that with four voters, one of them gone for good, the next loss left no majority.

Change: with control.Options.Replace the leader removes a voter that has not answered for 3 s when a learner has caught up, and waits with a promotion while a voter may just be restarting. A member that learns that it was removed clears its folder and joins as a new one. Without the option nothing changes.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -45,6 +45,13 @@
 	return d, o, nil
 }
 
+func (d *memDisk) Clear() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.id, d.restored = 0, consensus.Restored{}
+	return nil
+}
+
 func (d *memDisk) Save(hs *consensus.HardState, entries []consensus.Entry) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -223,9 +230,10 @@
 
 // cluster is a set of members in memory.
 type cluster struct {
-	t     testing.TB
-	net   *memNetwork
-	names []string
+	replace bool // of the members started from now on
+	t       testing.TB
+	net     *memNetwork
+	names   []string
 	// initial are the members that form the cluster: the first three.
 	initial []string
 	disks   map[string]*memDisk
@@ -264,7 +272,7 @@
 	c.seed++
 	m := NewMember(Options{
 		Cluster: "test", Instance: name, Address: name, InitialMembers: c.initial,
-		Peers: c.names, Storage: c.disks[name], Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name),
+		Peers: c.names, Storage: c.disks[name], Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name), Replace: c.replace,
 	})
 	if err := m.Validate(); err != nil {
 		c.t.Fatal(err)
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -28,9 +28,11 @@
 		}
 		term, ok := m.lease()
 		if !ok {
+			m.lost = nil
 			continue
 		}
 		now := time.Now()
+		m.watchVoters(now)
 		m.live.mu.Lock()
 		m.live.enter(term, now)
 		m.live.mu.Unlock()
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -60,6 +60,9 @@
 				return err
 			}
 		}
+		if m.options.Replace && d.node.Status().Removed {
+			return errRemoved
+		}
 		for d.node.HasReady() {
 			if err := d.process(ctx, d.node.Ready()); err != nil {
 				return err
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -40,6 +40,8 @@
 	prover   prover
 	leads    leads
 	live     *liveness
+	// lost holds since when voters do not answer. It belongs to the leader loop.
+	lost     map[uint64]time.Time
 	changing chan struct{} // holds a token while a settings change is in flight
 
 	// opened is the time that tick 0 stands for.
@@ -117,7 +119,13 @@
 		}
 	}()
 	err := m.run(ctx)
-	for errors.Is(err, errStorage) && ctx.Err() == nil {
+	for (errors.Is(err, errStorage) || errors.Is(err, errRemoved)) && ctx.Err() == nil {
+		if errors.Is(err, errRemoved) {
+			m.options.Events.Emit(eventJoinsAnew, event.F("member", m.id()))
+			if cleared := m.options.Storage.Clear(); cleared != nil {
+				err = m.storageFailed(cleared)
+			}
+		}
 		m.reset()
 		if kernel.Sleep(ctx, storageRetryInterval) != nil {
 			break
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -118,6 +118,16 @@
 		if !p.Learner || !p.Active || p.Match == 0 {
 			continue
 		}
+		id, wait := m.lostVoter(p)
+		if wait {
+			continue
+		}
+		if id != 0 {
+			m.options.Events.Emit(eventLostVoter, event.F("lost", id), event.F("successor", p.ID))
+			if _, err := m.removeMember(ctx, id); err != nil {
+				return
+			}
+		}
 		err := m.changeMembership(ctx, consensus.MembershipChange{Kind: consensus.PromoteLearner, ID: p.ID}, func(s consensus.Membership) bool { return s.IsVoter(p.ID) })
 		if err != nil && !errors.Is(err, consensus.ErrNotCaughtUp) {
 			return
@@ -125,6 +135,52 @@
 	}
 }
 
+// lostVoter returns a voter whose place a learner takes, or 0. It asks to wait
+// while a voter may just be restarting, and until the learner has caught up, so
+// that the cluster never counts on a member without the log.
+func (m *Member) lostVoter(successor consensus.Progress) (id uint64, wait bool) {
+	if !m.options.Replace {
+		return 0, false
+	}
+	// A new leader takes all voters as active until it has missed their answers.
+	m.live.mu.Lock()
+	warm := m.live.warm(time.Now())
+	m.live.mu.Unlock()
+	if len(m.lost) == 0 {
+		return 0, !warm
+	}
+	var own uint64
+	for _, p := range m.status.Load().Progress {
+		if p.ID == m.id() {
+			own = p.Match
+		}
+	}
+	if successor.Match+maxLearnerLag < own {
+		return 0, true
+	}
+	for id, since := range m.lost {
+		if time.Since(since) >= lostVoterAfter {
+			return id, false
+		}
+	}
+	return 0, true
+}
+
+// watchVoters notes since when voters do not answer this leader.
+func (m *Member) watchVoters(now time.Time) {
+	gone := make(map[uint64]time.Time)
+	for _, p := range m.status.Load().Progress {
+		if p.Learner || p.Active {
+			continue
+		}
+		gone[p.ID] = now
+		if since, ok := m.lost[p.ID]; ok {
+			gone[p.ID] = since
+		}
+	}
+	m.lost = gone
+}
+
 // handOver makes the voter with the longest log the leader, so that a planned
 // stop costs no election timeout.
 func (m *Member) handOver(ctx context.Context) {
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -34,6 +34,8 @@
 	ErrUnknown = errors.New("the outcome is unknown")
 	// ErrClusterMismatch means that a message belongs to another cluster.
 	ErrClusterMismatch = errors.New("the message belongs to another cluster")
+	// errRemoved ends the run of a member that was removed and joins anew.
+	errRemoved = errors.New("this member was removed")
 	// errStorage is the class of errors of the data folder.
 	errStorage = errors.New("storage")
 	// ErrStopped means that the member has stopped.
@@ -53,6 +55,8 @@
 	eventSnapshot       = event.Define(2008, "snapshot-stored", event.Debug, "a snapshot of the state was stored")
 	eventNewIdentity    = event.Define(2009, "identity-drawn", event.Info, "the data folder was empty; a new member ID was drawn")
 	eventForeignMessage = event.Define(2010, "foreign-message", event.Warn, "a message of another cluster was refused")
+	eventLostVoter      = event.Define(2013, "lost-voter-replaced", event.Warn, "a voter that was lost is removed; a successor has caught up")
+	eventJoinsAnew      = event.Define(2014, "member-joins-anew", event.Warn, "this member was removed while it was away; it drops its data and joins as a new one")
 	eventRestored       = event.Define(2011, "state-restored", event.Info, "the state was restored from the data folder")
 	eventCorruptEntry   = event.Define(2012, "corrupt-entry", event.Failure, "a committed entry or snapshot cannot be read; the control member stops")
 )
@@ -84,18 +88,24 @@
 	// storageRetryInterval is the time between attempts to use a failing data
 	// folder again: a disk that was full is found usable within half of it.
 	storageRetryInterval = 500 * time.Millisecond
-	leaderInterval       = 100 * time.Millisecond
-	gaugeInterval        = time.Second
-	expireInterval       = 10 * time.Second
-	expireBatch          = 1000
-	maxOutcomeBytes      = 256 << 10
-	maxCommandBytes      = 16 << 20
-	maxKeyBytes          = 512
-	maxAttemptBytes      = 128
-	instanceLiveFor      = 1500 * time.Millisecond
-	entriesAge           = 100 * time.Millisecond
-	groupLeaseMargin     = 200 * time.Millisecond
-	directoryWarmup      = time.Second
+	// lostVoterAfter is how long a voter must not have answered before a successor
+	// takes its place: longer than any restart, shorter than the 5 s after which
+	// the next loss must be survived.
+	lostVoterAfter = 3 * time.Second
+	// maxLearnerLag is the number of entries by which a successor may be behind.
+	maxLearnerLag    = 16
+	leaderInterval   = 100 * time.Millisecond
+	gaugeInterval    = time.Second
+	expireInterval   = 10 * time.Second
+	expireBatch      = 1000
+	maxOutcomeBytes  = 256 << 10
+	maxCommandBytes  = 16 << 20
+	maxKeyBytes      = 512
+	maxAttemptBytes  = 128
+	instanceLiveFor  = 1500 * time.Millisecond
+	entriesAge       = 100 * time.Millisecond
+	groupLeaseMargin = 200 * time.Millisecond
+	directoryWarmup  = time.Second
 	// maxVoters bounds the members that must agree; further ones stay learners.
 	maxVoters             = 7
 	joinInterval          = 500 * time.Millisecond
@@ -126,6 +136,10 @@
 	ElectionTicks int
 	// SnapshotEvery is the number of entries between snapshots.
 	SnapshotEvery int
+	// Replace makes the leader remove voters that were lost once a successor has
+	// caught up, and makes a removed member join again as a new one. Without it
+	// only operators remove members, and a removed one stays out.
+	Replace bool
 	// Seed varies election timeouts between members.
 	Seed int64
 }
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -1,6 +1,10 @@
 package control
 
 import (
+	"errors"
+	"os"
+	"path/filepath"
+
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/wal"
 )
@@ -28,6 +32,8 @@
 // Storage opens the data folder of a member.
 type Storage interface {
 	Open(cluster string) (Log, Opened, error)
+	// Clear removes what the folder holds, as a lost disk would. Nothing may be open.
+	Clear() error
 }
 
 // NewDirStorage returns the storage in a folder of the file system.
@@ -47,3 +53,21 @@
 	}
 	return log, o, nil
 }
+
+// Clear implements Storage.
+func (d dirStorage) Clear() error {
+	files, err := os.ReadDir(string(d))
+	for _, f := range files {
+		err = errors.Join(err, os.RemoveAll(filepath.Join(string(d), f.Name())))
+	}
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	// The removal must be durable before a new identity is drawn, so that a power
+	// loss does not mix two identities.
+	dir, err := os.Open(string(d))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(errors.Join(dir.Sync(), dir.Close()))
+}
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -164,6 +164,7 @@
 		Cluster: d.Config.Cluster, Instance: d.Config.Instance, Address: d.Config.PeerListen,
 		InitialMembers: initial, Peers: d.Config.Peers, Storage: control.NewDirStorage(d.Config.Data),
 		Network: control.NewNetwork(d.pool), Events: d.Events, Scope: d.metrics.Scope, Seed: instanceSeed(d.Config.Instance),
+		Replace: true,
 	})
 	control.NewService(d.Member).Register(d.peers)
 	d.Directory = directory.NewService(d.Member.Members, d.Events)
