--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test lint demo soak bench policy capacity fuzz generate clean
+.PHONY: build test lint demo soak fault-soak bench policy capacity fuzz generate clean
 
 build: ## Builds every program into bin/.
 	$(GO) build -o bin/ ./cmd/...
@@ -19,6 +19,9 @@
 soak: build ## Load with kills and freezes; SEED and SECONDS vary it.
 	./scripts/soak.sh $(or $(SEED),1) $(or $(SECONDS),40)
 
+fault-soak: ## Routed instances under random faults; SEEDS such as 1-50 or 7,9.
+	$(GO) test -count=1 -timeout 60m ./internal/soak -parallel 4 -v -soak.seeds $(or $(SEEDS),1-50) -soak.logs $(or $(LOGS),/tmp/auburnstep-soak)
+
 bench: ## Added latency and throughput of one daemon, about 40 s.
 	./scripts/bench.sh
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -154,6 +154,16 @@
 	return s, l.Addr().String()
 }
 
+// preferFirst makes the first endpoint look idle and the second one loaded.
+func preferFirst(s *Server) {
+	b := s.fleet.backend("s")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balancer.SetRemote(time.Now(), func(id string) dispatch.Load {
+		return dispatch.Load{Requests: map[string]int{"e1": 0, "e2": 8}[id]}
+	})
+}
+
 var requestNumber atomic.Int64
 
 // get sends a request and returns the status and the body; the error tells that
@@ -279,9 +289,7 @@
 			sound := newStandIn(t, "e2", whole(200, "fine"))
 			s, address := start(t, faulty, sound)
 			// The faulty endpoint is asked first.
-			s.fleet.backend("s").balancer.SetRemote(time.Now(), func(id string) dispatch.Load {
-				return dispatch.Load{Requests: map[string]int{"e1": 0, "e2": 8}[id]}
-			})
+			preferFirst(s)
 			resp, _, err := get(t, address, c.path, nil)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, resp.StatusCode, qt.Equals, c.status)
@@ -359,9 +367,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			one, two := newStandIn(t, "e1", c.first), newStandIn(t, "e2", c.second)
 			s, address := start(t, one, two)
-			s.fleet.backend("s").balancer.SetRemote(time.Now(), func(id string) dispatch.Load {
-				return dispatch.Load{Requests: map[string]int{"e1": 0, "e2": 8}[id]}
-			})
+			preferFirst(s)
 			_, body, err := get(t, address, c.path, nil)
 			qt.Assert(t, err == nil, qt.Equals, c.whole, qt.Commentf("%v", err))
 			if c.whole {
--- /dev/null
+++ b/internal/soak/process_test.go
@@ -0,0 +1,107 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Ports are the same on all instances; each has its own loopback address.
+const (
+	frontPort     = 18740
+	readyPort     = 18749
+	controlPort   = 18748
+	directoryPort = 18746
+	peerPort      = 17200
+)
+
+// process is one instance of the daemon.
+type process struct {
+	name, ip string
+	member   bool
+	dir      string
+	binary   string
+	seeds    []string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	started bool // has run before, so that it does not found a cluster again
+}
+
+func (p *process) settings() string {
+	listen := fmt.Sprintf("{front: \"%s:%d\", ready: \"%s:%d\"}", p.ip, frontPort, p.ip, readyPort)
+	data := "null"
+	if p.member {
+		listen = fmt.Sprintf("{control: \"%s:%d\", directory: \"%s:%d\"}", p.ip, controlPort, p.ip, directoryPort)
+		data = filepath.Join(p.dir, "data")
+	}
+	return fmt.Sprintf(`node: %q
+ip: %q
+zone: "a"
+listen: %s
+portRange: [%d, %d]
+seeds: ["%s"]
+bootstrap: %v
+dataDir: %s
+bounds: {graceS: 4, budgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 56, ttl_max_s: 2}
+`, p.name, p.ip, listen, peerPort, peerPort+15, strings.Join(p.seeds, `", "`), !p.started, data)
+}
+
+// start runs the program; its output is added to a file in the process's folder.
+func (p *process) start(t *testing.T) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path := filepath.Join(p.dir, "settings.yaml")
+	if err := os.WriteFile(path, []byte(p.settings()), 0o644); err != nil {
+		t.Error(err)
+		return
+	}
+	log, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer log.Close()
+	p.cmd = exec.Command(p.binary, "platform")
+	p.cmd.Env = append(os.Environ(), "AUBURNSTEP_SETTINGS="+path)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// The process ends with the test, however that ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		t.Error(err)
+		return
+	}
+	p.started = true
+	p.exited = make(chan struct{})
+	go func(cmd *exec.Cmd, exited chan struct{}) {
+		_ = cmd.Wait() // The exit code of a killed process tells nothing.
+		close(exited)
+	}(p.cmd, p.exited)
+}
+
+// signal sends a signal to the process that this test started, by its id.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(s) // It may have ended already.
+	}
+}
+
+// stop ends the process by a signal and waits for its end, or kills it.
+func (p *process) stop(s syscall.Signal, wait time.Duration) {
+	p.signal(s)
+	select {
+	case <-p.exited:
+	case <-time.After(wait):
+		p.signal(syscall.SIGKILL)
+		<-p.exited
+	}
+}
