--- a/cmd/auburnstepd/main.go
+++ b/cmd/auburnstepd/main.go
@@ -10,8 +10,8 @@
 
 func main() {
 	// The platform starts the daemon with a settings file instead of flags.
-	if len(os.Args) == 2 && os.Args[1] == "platform" {
-		os.Exit(platform.Main(os.Stdout, os.Stderr))
+	if len(os.Args) > 1 && os.Args[1] == "platform" {
+		os.Exit(platform.Main(os.Args[2:], os.Stdout, os.Stderr))
 	}
 	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -71,6 +71,7 @@
 	Drain     drainCmd     `cmd:"" help:"Take an instance out of the entry list; it goes on serving."`
 	Timeline  timelineCmd  `cmd:"" help:"Show the events of all instances in one order."`
 	Usage     usageCmd     `cmd:"" help:"Show requests and tokens by customer and class."`
+	Routing   routingCmd   `cmd:"" help:"Show or replace the routing table of routed instances."`
 	Member    memberCmd    `cmd:"" help:"Show, add or remove control members."`
 }
 
--- /dev/null
+++ b/internal/cli/routing.go
@@ -0,0 +1,96 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+
+	"auburnstep.example/auburnstep/internal/routing"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1/controlv1connect"
+)
+
+// routingCmd shows and replaces the routing table of routed instances.
+type routingCmd struct {
+	Get routingGetCmd `cmd:"" help:"Show the routing table in force."`
+	Put routingPutCmd `cmd:"" help:"Replace the routing table by one of a higher version."`
+}
+
+type routingGetCmd struct{}
+
+// Help is shown by --help.
+func (routingGetCmd) Help() string {
+	return "Shows the table as the leader knows it. With -o json it is the file that put takes.\n\nExamples:\n\n  auburnctl routing get\n  auburnctl routing get -o json > table.json"
+}
+
+// Run prints the table.
+func (c *routingGetCmd) Run(s *session) error {
+	res, failed := ask(s, controlv1connect.ControlClient.Routing, &controlv1.RoutingRequest{},
+		func(r *controlv1.RoutingResponse) (string, bool) {
+			return r.GetLeaderAddress(), r.GetLeaderAddress() == ""
+		})
+	if failed != nil {
+		return readError(failed)
+	}
+	if res.GetTable() == nil {
+		return exit(CodeNotFound, "no routing table was accepted yet")
+	}
+	table, err := routing.Decode(res.GetTable().GetDocument())
+	if err != nil {
+		return err
+	}
+	if s.json() {
+		return s.printJSON(table)
+	}
+	fmt.Fprintf(s.Stdout, "version %d, %d customers\n", table.Version, len(table.Customers))
+	t := newTable(s.Stdout, "ROUTE", "HOST", "PREFIX", "KIND", "PRIORITY", "TARGET MS", "TIMEOUT MS", "ATTEMPTS", "SERVICES")
+	for _, r := range table.Routes {
+		services := ""
+		for _, target := range r.Targets {
+			services += target.Service + ":" + strconv.Itoa(target.Weight) + " "
+		}
+		t.row(r.Name, r.Host, r.Prefix, string(r.Kind), strconv.Itoa(r.Priority), strconv.FormatInt(r.TargetMs, 10),
+			strconv.FormatInt(r.TimeoutMs, 10), strconv.Itoa(r.Attempts), services)
+	}
+	return t.flush()
+}
+
+type routingPutCmd struct {
+	File string `short:"f" required:"" placeholder:"FILE" help:"JSON file with the whole table."`
+}
+
+// Help is shown by --help.
+func (routingPutCmd) Help() string {
+	return "The table with the highest version is in force. One that is not higher changes nothing, so that a put whose answer was lost can be repeated.\n\nExamples:\n\n  auburnctl routing put -f table.json"
+}
+
+// Run sends the table.
+func (c *routingPutCmd) Run(s *session) error {
+	document, err := os.ReadFile(c.File)
+	if err != nil {
+		return exit(CodeUsage, "%w", err)
+	}
+	var table routing.Table
+	if err := json.Unmarshal(document, &table); err != nil {
+		return exit(CodeInvalid, "%s: %w", c.File, err)
+	}
+	if err := table.Validate(); err != nil {
+		return exit(CodeInvalid, "%s: %w", c.File, err)
+	}
+	res, failed := ask(s, controlv1connect.ControlClient.PutRouting,
+		&controlv1.PutRoutingRequest{Table: &controlv1.RoutingTable{Version: table.Version, Document: document}},
+		func(r *controlv1.PutRoutingResponse) (string, bool) {
+			return r.GetLeaderAddress(), r.GetLeaderAddress() == ""
+		})
+	switch {
+	case failed != nil && failed.sent && !failed.final:
+		return exit(CodeUnknown, "the answer was lost; repeat the command: %w", failed)
+	case failed != nil:
+		return readError(failed)
+	case res.GetVersion() > table.Version:
+		return exit(CodeConflict, "version %d is in force, which is higher than %d; nothing was changed", res.GetVersion(), table.Version)
+	}
+	fmt.Fprintf(s.Stdout, "version %d is in force\n", res.GetVersion())
+	return nil
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,8 +22,11 @@
 	"time"
 )
 
+// The default seeds are a short run and those that ever failed. Seed 30: a proxy
+// that lost bytes and then passed later ones of the same connection, so that a
+// stream looked complete; the proxy was at fault.
 var (
-	seeds   = flag.String("soak.seeds", "1,2", "seeds of the runs, or FIRST-LAST")
+	seeds   = flag.String("soak.seeds", "1,2,30", "seeds of the runs, or FIRST-LAST")
 	length  = flag.Duration("soak.length", 8*time.Second, "time with faults of one run")
 	keepDir = flag.String("soak.logs", "", "folder that keeps the logs of failed runs")
 )
