--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -56,12 +56,12 @@
 	return &Registry{epoch: epoch, endpoints: make(map[string]*endpointRecord), entries: make(map[string]*entryRecord)}
 }
 
-// Verdict tells what an announcement changed.
-type Verdict int
+// Effect tells what an announcement changed.
+type Effect int
 
 // Outcomes of Announce.
 const (
-	Renewed Verdict = iota
+	Renewed Effect = iota
 	Changed
 	// Stale announcements are older than what is known, or come from an
 	// incarnation that has left.
@@ -73,7 +73,7 @@
 // Announce records an announcement. Announcements of one incarnation count only
 // in rising order, since a delayed one may arrive after its successor, and none
 // counts after the incarnation has left.
-func (r *Registry) Announce(now time.Time, e *directoryv1.Endpoint) Verdict {
+func (r *Registry) Announce(now time.Time, e *directoryv1.Endpoint) Effect {
 	rec := r.endpoints[e.Id]
 	if rec == nil {
 		if len(r.endpoints) >= maxEndpoints {
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -90,9 +90,9 @@
 // Announce records an announcement. It reports false where the directory is full.
 func (s *Service) Announce(e *directoryv1.Endpoint) bool {
 	s.mu.Lock()
-	v := s.registry.Announce(time.Now(), e)
+	effect := s.registry.Announce(time.Now(), e)
 	s.mu.Unlock()
-	switch v {
+	switch effect {
 	case Changed:
 		s.emit(eventEndpointChanged, e)
 	case Stale:
@@ -100,7 +100,7 @@
 	case Full:
 		s.emit(eventEndpointFull, e)
 	}
-	return v != Full
+	return effect != Full
 }
 
 // Leave records that an endpoint has left; see Registry.Leave.
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -16,26 +16,14 @@
 	spreadReturn = 0.5
 )
 
-// Admission is the answer to whether a request is worth sending.
-type Admission struct {
-	Admitted bool
-	// ReturnAfter is when a request that was not admitted may come back.
-	ReturnAfter time.Duration
-}
-
-// Admit turns a request away only if its whole answer cannot be expected before
-// its caller gives up; a late answer is worth more to a caller than none. It
-// answers bursts above capacity: work that would be cut at its deadline takes
-// the place of work that could end. random is in [0, 1).
-func Admit(now time.Time, d Demand, c Choice, random float64) Admission {
-	if now.Add(c.Whole).After(d.Deadline) {
-		return Admission{ReturnAfter: ReturnAfter(c.Predicted-d.Objective, random)}
-	}
-	return Admission{Admitted: true}
-}
+// Admit reports whether a request is worth sending. It turns one away only if
+// its whole answer cannot be expected before its caller gives up; a late answer
+// is worth more to a caller than none. It answers bursts above capacity: work
+// that would be cut at its deadline takes the place of work that could end.
+func Admit(now time.Time, d Demand, c Choice) bool { return !now.Add(c.Whole).After(d.Deadline) }
 
 // ReturnAfter returns when a caller is to come back, given how far the endpoints
-// are behind its objective.
+// are behind its objective. random is in [0, 1).
 func ReturnAfter(behind time.Duration, random float64) time.Duration {
 	base := min(maxReturn, max(minReturn, behind))
 	return time.Duration(float64(base) * (1 - spreadReturn/2 + spreadReturn*random))
--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -4,7 +4,8 @@
 
 const (
 	// readRate is the number of prompt tokens that an engine reads in a
-	// millisecond, until it is learned; engines of both users read 41 to 52.
+	// millisecond; engines of both users read 41 to 52. What differs shows in the
+	// pace of an endpoint and in the lag of the service.
 	readRate = 45.0
 	// firstEventBase is the time to the first event of an idle engine besides
 	// reading: scheduling, one step per token of the event and the network.
@@ -30,6 +31,9 @@
 	// lateWeight is the part of the late work of an endpoint that counts in the
 	// choice: late work spreads too.
 	lateWeight = 0.5
+	// Prices below are in the time to the first event that they are worth; those
+	// with the largest effect were set by measured runs, see the journal.
+
 	// awayPrice is the price of sending a prompt with shared parts elsewhere than to
 	// their home: the parts take room in two engines then, and push others out.
 	awayPrice = 150 * time.Millisecond
@@ -55,7 +59,8 @@
 	// as the ones before are behind, so that few engines hold each part.
 	homes = 2
 	// homeBound is the share of the objective's time that is left up to which the
-	// home is taken without looking further. Predictions err by about a third.
+	// home is taken without looking further: a timely answer from there is worth
+	// more than an earlier one that reads the shared parts again.
 	homeBound = 0.95
 	// lightHarm is what a long prompt costs each light request beside it, in ms.
 	lightHarm = 60.0
@@ -64,7 +69,7 @@
 	offPool = 150 * time.Millisecond
 	// poolBehind is that part.
 	poolBehind = 0.5
-	// sampled is the product of the endpoints that are compared for a request and
+	// sampledPerEntry is the product of the endpoints that are compared for a request and
 	// of the entries: many entries that see the same load would all choose the
 	// same endpoint until they hear of each other.
 	sampledPerEntry = 8
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -77,27 +77,28 @@
 // choose places the next attempt. It returns a reason where none is made.
 func (q *request) choose() (c dispatch.Choice, reason string) {
 	now := time.Now()
-	var ok bool
 	var endpoints int
 	var loadAge time.Duration
 	q.locked(func(b *dispatch.Balancer) {
+		var ok bool
 		c, ok = b.Choose(now, q.demand, q.avoid)
 		endpoints, loadAge = b.Size(now), b.RemoteAge(now)
-		if ok {
+		switch {
+		case !ok:
+			reason = "no endpoint of the service is available"
+		case q.sends == 0 && !dispatch.Admit(now, q.demand, c):
+			reason = "the endpoints cannot end the request in its time"
+		default:
 			b.Sent(now, &c, q.demand)
 		}
 	})
-	if !ok {
-		return c, "no endpoint of the service is available"
-	}
-	admission := dispatch.Admit(now, q.demand, c, rand.Float64())
-	if !admission.Admitted && q.sends == 0 {
-		q.locked(func(b *dispatch.Balancer) { b.Ended(now, &c, dispatch.Abandoned) })
-		return c, "the endpoints cannot begin the request in its time"
+	if reason != "" {
+		return c, reason
 	}
 	q.server.options.Events.Emit(eventPlaced, event.Request(q.call.ID), event.F("route", q.route.Name), event.F("attempt", q.sends+1),
 		event.F("endpoint", c.Endpoint.ID), event.F("address", c.Endpoint.Address), event.F("predicted_ms", c.Predicted.Milliseconds()),
-		event.F("uncached", c.Uncached), event.F("rank", q.sendRank(&c)), event.F("late", c.Late), event.F("fetch_from", c.FetchFrom), event.F("home", c.Home), event.F("candidates", endpoints),
+		event.F("uncached", c.Uncached), event.F("rank", q.sendRank(&c)), event.F("late", c.Late),
+		event.F("fetch_from", c.FetchFrom), event.F("home", c.Home), event.F("candidates", endpoints),
 		event.F("load_age_ms", loadAge.Milliseconds()), event.F("table", q.tableVersion()))
 	return c, ""
 }
