--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -94,11 +94,12 @@
 		return refusal(http.StatusServiceUnavailable, "no-table", "no routing table is known yet", startupReturn)
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
+	var err error
+	q.call, err = q.server.options.Codec.Decode(r)
 	if q.route = index.Match(r.Host, path); q.route == nil {
 		return refusal(http.StatusNotFound, "no-route", "no route serves this host and path", 0)
 	}
-	var err error
-	if q.call, err = q.server.options.Codec.Decode(r); err != nil {
+	if err != nil {
 		return refusal(http.StatusBadRequest, "bad-request", err.Error(), 0)
 	}
 	if index.Table.Keyed && !q.route.Public {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -15,9 +15,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
 	"auburnstep.example/auburnstep/internal/directory"
 	"auburnstep.example/auburnstep/internal/dispatch"
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/hlc"
 	"auburnstep.example/auburnstep/internal/routing"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
 )
@@ -221,13 +224,36 @@
 	qt.Check(t, left > 0 && left <= 900, qt.IsTrue)
 }
 
+// safeBuffer is a buffer for several goroutines.
+type safeBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
 // Guards the answers to requests that have no route or no valid key.
 func TestDenied(t *testing.T) {
 	e := newStandIn(t, "e1", whole(200, "fine"))
-	_, address := start(t, e)
-	resp, _, err := get(t, address, "/none/1", nil)
+	s, address := start(t, e)
+	var log safeBuffer
+	s.options.Events = event.NewRecorder("entry", hlc.New(nil), &log, logrus.InfoLevel)
+	var id string
+	resp, _, err := get(t, address, "/none/1", func(r *http.Request) { id = r.Header.Get(nativeRequest) })
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, resp.StatusCode, qt.Equals, 404)
+	// The log names the request, from which an operator's search begins.
+	qt.Check(t, log.String(), qt.Contains, `"request":"`+id+`"`)
 	resp, _, err = get(t, address, "/look/1", func(r *http.Request) { r.Header.Set("Authorization", "Bearer wrong") })
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, resp.StatusCode, qt.Equals, 401)
