--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -27,7 +27,7 @@
 	eventEndpointChanged = event.Define(7000, "endpoint-announced", event.Info, "an endpoint is new or announced a change")
 	eventEndpointStale   = event.Define(7001, "announcement-stale", event.Debug, "a late announcement was ignored")
 	eventEndpointLeft    = event.Define(7002, "endpoint-left", event.Info, "an endpoint has left")
-	eventEndpointSilent  = event.Define(7003, "endpoint-silent", event.Warn, "an endpoint was not heard of for its lease")
+	eventEndpointSilent  = event.Define(7003, "endpoint-silent", event.Warn, "this member has not heard of an endpoint for its lease; others may hear of it")
 	eventEndpointFull    = event.Define(7004, "directory-full", event.Warn, "the directory holds as many endpoints as it may; an announcement was refused")
 	eventEntryListed     = event.Define(7005, "entries-changed", event.Info, "the list of entries that take callers has changed")
 )
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -297,7 +297,7 @@
 	}
 	slots := 0
 	for _, s := range all {
-		slots += s.Slots
+		slots += min(s.Slots, maxLight)
 	}
 	each := poolFill * float64(slots) / float64(len(all))
 	return min(len(all)-1, max(1, int(math.Ceil(b.light/max(1, each)))))
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -80,6 +80,24 @@
 	}
 }
 
+// Guards against all light requests on one engine because it has many slots: they
+// read their prompts beside each other, and all of them are late when it is slow.
+func TestLightRequestsUseSeveralLargeEngines(t *testing.T) {
+	b := NewBalancer("a", &Memory{Tokens: testMemory}, rand.New(rand.NewPCG(1, 2)))
+	list := engines(12)
+	for i := range list {
+		list[i].Slots = 128
+	}
+	b.SetEndpoints(list, 1)
+	used := make(map[string]int)
+	for i := range 105 {
+		used[choose(t, b, at(i), short(at(i))).Endpoint.ID]++
+	}
+	for id, n := range used {
+		qt.Check(t, n <= maxLight+4, qt.IsTrue, qt.Commentf("%s has %d", id, n))
+	}
+}
+
 // Guards against light requests that starve while their pool is full: they are
 // more urgent than the long prompts on the other engines.
 func TestLightRequestsOverflow(t *testing.T) {
--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -17,6 +17,10 @@
 	// poolFill is the share of slots that the pool for light requests is sized
 	// for, so that bursts find room in it.
 	poolFill = 0.85
+	// maxLight is the number of light requests that an engine serves well, however
+	// many slots it has: their short prompts are read beside each other's events,
+	// and a lost or slow engine must not take all of them.
+	maxLight = 72
 	// memoryFill is the share of an engine's memory that requests may fill; when
 	// it runs out, requests are preempted and read again.
 	memoryFill = 0.9
