Never let another answer follow the events of a stream

Ruled out: an early end of the first engine's answer (it was noticed as broken).

Change: once events were relayed, any answer but the rest of the stream counts as an error of the endpoint, and the caller's connection ends without the end of the answer. TestStreams fails without it for an error and for a 404.

--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -22,6 +22,7 @@
 	errRejected   = errors.New("the endpoint turned the request away")
 	errTooLarge   = errors.New("the answer is too large")
 	errShort      = errors.New("the answer ended early")
+	errNoStream   = errors.New("the endpoint did not go on with the stream")
 	errGap        = errors.New("the stream does not go on after the last event")
 )
 
@@ -53,6 +54,10 @@
 	if err := resp.Close(true); err != nil {
 		q.server.options.Events.Emit(eventAttempt, q.fields(event.F("endpoint", c.Endpoint.ID), event.F("error", err))...)
 	}
+	if q.relayed {
+		// Events of a stream went to the caller already; no other answer may follow them.
+		return result{outcome: dispatch.Errored, err: errNoStream}
+	}
 	began()
 	a := &wholeAnswer{resp.StatusCode, resp.Header, body}
 	if a.status >= http.StatusInternalServerError {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -387,6 +387,8 @@
 		{"breaks, not resumable", breaks, sound, "/chat/1", false},
 		{"breaks, resumable", breaks, sound, "/plan/1", true},
 		{"breaks twice", breaks, breaks, "/plan/1", false},
+		{"breaks, then an error", breaks, whole(500, "fault"), "/plan/1", false},
+		{"breaks, then not found", breaks, whole(404, "none"), "/plan/1", false},
 		{"goes on with a gap", breaks, gap, "/plan/1", false},
 		{"no event, resumable", func(net.Conn, *http.Request, string) bool { return false }, sound, "/plan/1", true},
 	} {
