--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	./scripts/soak.sh $(or $(SEED),1) $(or $(SECONDS),40)
 
 fault-soak: ## Routed instances under random faults; SEEDS such as 1-50 or 7,9.
-	$(GO) test -count=1 -timeout 60m ./internal/soak -parallel 4 -v -soak.seeds $(or $(SEEDS),1-50) -soak.logs $(or $(LOGS),/tmp/auburnstep-soak)
+	$(GO) test -count=1 -timeout 60m ./platform/soak -parallel 4 -v -soak.seeds $(or $(SEEDS),1-50) -soak.logs $(or $(LOGS),/tmp/auburnstep-soak)
 
 bench: ## Added latency and throughput of one daemon, about 40 s.
 	./scripts/bench.sh
