Share the HTTP service and the stop signals between the daemon and the platform

The log line of an answered request gets the time to its first event, which was missing to tell a wrong prediction from a slow stream.

--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strings"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -97,14 +95,8 @@
 
 var eventDrainOrdered = event.Define(1010, "drain-ordered", event.Info, "an operator took the instance out of the list of entries")
 
-// metricsServer serves GET /metrics and GET /healthz.
-type metricsServer struct {
-	kernel.Base
-	listener net.Listener
-	http     *http.Server
-}
-
-func newMetricsServer(l net.Listener, m *metrics.Metrics, healthy func() bool) *metricsServer {
+// newMetricsServer serves GET /metrics and GET /healthz.
+func newMetricsServer(l net.Listener, m *metrics.Metrics, healthy func() bool) kernel.Service {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m.Handler)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
@@ -114,18 +106,5 @@
 		}
 		_, _ = w.Write([]byte("ok\n"))
 	})
-	const headerTimeout = 5 * time.Second
-	return &metricsServer{listener: l, http: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}}
-}
-
-// Start implements kernel.Service.
-func (s *metricsServer) Start(ctx context.Context) error {
-	go func() {
-		<-ctx.Done()
-		_ = s.http.Close()
-	}()
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return kernel.NewHTTP(l, mux)
 }
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -80,22 +80,29 @@
 	return parser.Parse(args)
 }
 
-// run runs the instance until it is stopped by signals: the first drains it,
-// the second ends it at once.
+// run runs the instance until it is stopped by signals.
 func run(c Config, log io.Writer) error {
+	stop, kill, release := Signals()
+	defer release()
+	d, err := New(c, log)
+	if err != nil {
+		return err
+	}
+	return d.Run(stop, kill)
+}
+
+// Signals returns channels that are closed by the first and the second signal
+// to stop: the first drains an instance, the second ends it at once. release
+// gives the signals their usual effect again.
+func Signals() (stop, kill <-chan struct{}, release func()) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
-	stop, kill := make(chan struct{}), make(chan struct{})
+	first, second := make(chan struct{}), make(chan struct{})
 	go func() {
 		<-signals
-		close(stop)
+		close(first)
 		<-signals
-		close(kill)
+		close(second)
 	}()
-	d, err := New(c, log)
-	if err != nil {
-		return err
-	}
-	return d.Run(stop, kill)
+	return first, second, func() { signal.Stop(signals) }
 }
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -84,7 +84,8 @@
 func (q *request) answered(status int) {
 	q.server.metrics.answered.Inc(1)
 	q.server.metrics.whole.RecordDuration(time.Since(q.arrived))
-	q.server.options.Events.Emit(eventAnswered, q.fields(event.F("status", status), event.F("last_event", q.lastEvent))...)
+	q.server.options.Events.Emit(eventAnswered, q.fields(event.F("status", status), event.F("last_event", q.lastEvent),
+		event.F("first_event_ms", q.firstEvent.Milliseconds()))...)
 }
 
 // copyHeader takes over the headers of an endpoint's answer.
@@ -137,7 +138,8 @@
 		q.relayed = true
 		q.copyHeader(resp.Header)
 		q.w.WriteHeader(resp.StatusCode)
-		q.server.metrics.firstEvent.RecordDuration(time.Since(q.arrived))
+		q.firstEvent = time.Since(q.arrived)
+		q.server.metrics.firstEvent.RecordDuration(q.firstEvent)
 	}
 	if _, err := q.w.Write(e.raw); err != nil {
 		return err
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -59,6 +59,9 @@
 	// id of the last event of it.
 	relayed   bool
 	lastEvent int64
+	// firstEvent is the time from the request's arrival to its first event, 0 for
+	// answers that are not streams.
+	firstEvent time.Duration
 }
 
 // errCallerLeft ends the work for a caller that has gone; errTimeLimit the work
