Turn late work away while the engines as a whole are behind

Logs of the burst: 33 to 160 of some 930 prompts a second were sent as timely and 0.9 of them were, 400 to 560 a second went out late with a first event after 1.9 s, 700 a second were refused and 200 a second given up by their callers. The lag of the service, learned from timely requests only, stayed high once few were sent; late prompts left their homes, so that 4,400 to 5,300 tokens were read for each (7.6 million of shared parts again in 9 s) and engines served half of what they can.

Change: once the prompts sent to the engines take 120 ms on average, a request goes to its home or nowhere, and only if its first event is expected within 0.65 of the objective; it waits an eighth of its objective at the entry and is refused then, with a return time at which it can still be timely. The lag fades within seconds, light requests get a fifth of the slots until their load is known, and parts are fetched from a former home only where there was one. TestAdmit and TestReturnAfter follow the new decisions.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -6,26 +6,63 @@
 	"auburnstep.example/auburnstep/internal/limit"
 )
 
+// Decision is what becomes of a request that was placed.
+type Decision int
+
+// Decisions of Admit.
+const (
+	// Send means that the request goes to the chosen endpoint.
+	Send Decision = iota
+	// Wait means that it stays at the entry and is placed again after WaitStep.
+	Wait
+	// Refuse means that it is turned away.
+	Refuse
+)
+
 const (
+	// WaitStep is the time after which a waiting request is placed again: several
+	// requests of an entry end in it during a burst.
+	WaitStep = 25 * time.Millisecond
+	// waitShare is the part of its objective for which a request waits at its
+	// entry. A caller that is told no after that can still come back in time.
+	waitShare = 0.125
 	// minReturn and maxReturn bound the time after which a caller is told to come
 	// back: sooner is a retry storm, later is past most objectives.
-	minReturn = 150 * time.Millisecond
+	minReturn = 100 * time.Millisecond
 	maxReturn = 1500 * time.Millisecond
+	// returnShare is the part of its objective after which a caller comes back at
+	// the latest, as long as it can be served in time then.
+	returnShare = 1.0 / 3
 	// spreadReturn is the share by which return times are drawn apart, so that
 	// requests refused together do not come back together.
 	spreadReturn = 0.5
 )
 
-// Admit reports whether a request is worth sending. It turns one away only if
-// its whole answer cannot be expected before its caller gives up; a late answer
-// is worth more to a caller than none. It answers bursts above capacity: work
-// that would be cut at its deadline takes the place of work that could end.
-func Admit(now time.Time, d Demand, c Choice) bool { return !now.Add(c.Whole).After(d.Deadline) }
+// Admit decides whether a placed request is sent. It answers bursts above
+// capacity: while the endpoints as a whole are behind, work that would be late is
+// not queued, since it would make the work after it late as well. A request whose
+// whole answer cannot be expected before its caller gives up is never sent.
+func Admit(now time.Time, d Demand, c Choice) Decision {
+	switch {
+	case now.Add(c.Whole).After(d.Deadline):
+		return Refuse
+	case !c.Overload || c.Behind <= 0:
+		return Send
+	case now.Sub(d.Arrived) < time.Duration(waitShare*float64(d.Objective)):
+		return Wait
+	}
+	return Refuse
+}
 
 // ReturnAfter returns when a caller is to come back, given how far the endpoints
-// are behind its objective. random is in [0, 1).
-func ReturnAfter(behind time.Duration, random float64) time.Duration {
-	base := min(maxReturn, max(minReturn, behind))
+// are behind its objective: while its answer can still be timely, or else once
+// they have caught up. random is in [0, 1).
+func ReturnAfter(objective, behind time.Duration, random float64) time.Duration {
+	latest := maxReturn
+	if behind < objective {
+		latest = time.Duration(returnShare * float64(objective))
+	}
+	base := max(minReturn, min(latest, behind))
 	return time.Duration(float64(base) * (1 - spreadReturn/2 + spreadReturn*random))
 }
 
--- a/internal/dispatch/admit_test.go
+++ b/internal/dispatch/admit_test.go
@@ -7,33 +7,43 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against work that is begun although it will be cut at its deadline, and
-// against refusals of work that would be late but whole.
+// Guards against work that is begun although it will be cut at its deadline,
+// against refusals of work that would be late but whole while the service is not
+// overloaded, and against late work that is queued while it is.
 func TestAdmit(t *testing.T) {
 	d := Demand{Objective: 600 * time.Millisecond, Arrived: at(0), Deadline: at(5000)}
+	late := Choice{Whole: 4 * time.Second, Behind: time.Second, Late: true}
+	overload := late
+	overload.Overload = true
 	for _, c := range []struct {
-		name     string
-		whole    time.Duration
-		admitted bool
+		name   string
+		at     int
+		choice Choice
+		want   Decision
 	}{
-		{"timely", 500 * time.Millisecond, true},
-		{"late", 4 * time.Second, true},
-		{"cut at the deadline", 6 * time.Second, false},
+		{"timely", 0, Choice{Whole: 500 * time.Millisecond}, Send},
+		{"late", 0, late, Send},
+		{"cut at the deadline", 0, Choice{Whole: 6 * time.Second}, Refuse},
+		{"timely in overload", 0, Choice{Whole: time.Second, Behind: -time.Millisecond, Overload: true}, Send},
+		{"late in overload", 0, overload, Wait},
+		{"late in overload after an eighth of the objective", 75, overload, Refuse},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			qt.Assert(t, Admit(at(0), d, Choice{Predicted: c.whole / 2, Whole: c.whole}), qt.Equals, c.admitted)
+			qt.Assert(t, Admit(at(c.at), d, c.choice), qt.Equals, c.want)
 		})
 	}
 }
 
 // Guards against callers that are told to come back all at once or after their
-// own deadline.
+// own deadline, and against those that could be timely but come back too late.
 func TestReturnAfter(t *testing.T) {
+	const objective = 600 * time.Millisecond
 	for _, behind := range []time.Duration{-time.Second, 0, time.Second, time.Minute} {
-		low, high := ReturnAfter(behind, 0), ReturnAfter(behind, 0.999)
+		low, high := ReturnAfter(objective, behind, 0), ReturnAfter(objective, behind, 0.999)
 		qt.Check(t, high > low, qt.IsTrue)
 		qt.Check(t, low >= minReturn/2 && high <= 2*maxReturn, qt.IsTrue)
 	}
+	qt.Check(t, ReturnAfter(objective, objective/2, 0.999) < objective/2, qt.IsTrue)
 }
 
 // Guards the retry budget of all entries together: ratio of the requests of any
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -33,6 +33,7 @@
 	// lagLight and lagHeavy are by how much first events are later than predicted,
 	// in ms: while engines read prompts all the time, each step takes longer.
 	lagLight, lagHeavy float64
+	lagAt              time.Time
 }
 
 // NewBalancer returns a balancer for a service; memory is nil for plain ones.
@@ -60,6 +61,11 @@
 		s.Endpoint = e
 		next[e.ID] = s
 	}
+	if len(b.states) == 0 && b.memory != nil {
+		for _, s := range next {
+			b.light += lightPrior * float64(min(s.Slots, maxLight))
+		}
+	}
 	b.states = next
 	b.order = b.order[:0]
 	for _, s := range next {
@@ -117,7 +123,7 @@
 		}
 	}
 	if b.memory == nil {
-		return b.choosePlain(now, avoid)
+		return b.choosePlain(now, d, avoid)
 	}
 	return b.chooseEngine(now, d, avoid)
 }
@@ -144,7 +150,7 @@
 
 // choosePlain answers bursts over many entries with two random choices: all of
 // them would send to the endpoint that was least loaded in the last report.
-func (b *Balancer) choosePlain(now time.Time, avoid []string) (Choice, bool) {
+func (b *Balancer) choosePlain(now time.Time, d Demand, avoid []string) (Choice, bool) {
 	var best *state
 	bestCost, bestTime := math.Inf(1), 0.0
 	from := b.candidates(now, avoid)
@@ -161,17 +167,19 @@
 			best, bestCost, bestTime = s, cost, took
 		}
 	}
-	return b.choice(now, best, bestTime, 0, false)
+	c, ok := b.choice(now, best, bestTime, 0, false)
+	c.Behind = now.Add(c.Predicted).Sub(d.Arrived.Add(d.Objective))
+	return c, ok
 }
 
 // chooseEngine answers bursts of long prompts beside streams of short ones: the
 // two kinds stay on different engines, since one long prompt makes all events
 // beside it late. Late work does not count as waiting for timely work, which is
-// sent ahead of it, so that as much as possible stays timely while engines are
-// behind.
+// sent ahead of it.
 func (b *Balancer) chooseEngine(now time.Time, d Demand, avoid []string) (Choice, bool) {
 	all := b.candidates(now, avoid)
 	pool := b.poolSize(all)
+	noteLight(now, all, pool)
 	light := d.Prompt.Tokens < heavyPrompt
 	own := all[pool:]
 	if light {
@@ -180,17 +188,29 @@
 	if len(own) == 0 {
 		own = all
 	}
-	left := d.Arrived.Add(d.Objective).Sub(now) - milliseconds(*b.lag(light))
+	b.decayLag(now)
+	lag := milliseconds(*b.lag(light))
+	left := d.Arrived.Add(d.Objective).Sub(now)
+	bound := time.Duration(timelyBound*float64(left)) - lag
+	overload := !light && backlogMs(own) > overloadMs
 	var line []*state
 	if !light {
 		line = homesOf(own, d.Prompt.Parts)
 	}
-	source := fetchSource(all, line, d.Prompt.Parts)
-	best := b.firstTimely(now, d, line, source, left)
-	if best.state == nil {
+	stay := overload && len(line) > 0 && b.staysHome(now, line[0], d.Prompt)
+	if stay {
+		line = line[:1]
+	}
+	source := fetchSource(now, all[:pool], line, d.Prompt.Parts)
+	best := b.firstTimely(now, d, line, source, left-lag)
+	switch {
+	case best.state != nil:
+	case stay:
+		best = b.place(now, line[0], d, line, source, light)
+	default:
 		best = b.cheapest(now, d, b.sample(own), line, source, light)
 		if atHome := b.cheapest(now, d, line, line, source, light); atHome.state != nil &&
-			milliseconds(best.timely) > left && atHome.cost < best.cost+float64(awayLate.Milliseconds()) {
+			milliseconds(best.timely) > bound && atHome.cost < best.cost+float64(awayLate.Milliseconds()) {
 			best = atHome
 		}
 		if light && milliseconds(best.timely) > time.Duration(poolBehind*float64(left)) {
@@ -205,16 +225,38 @@
 		return Choice{}, false
 	}
 	c, ok := b.choice(now, best.state, best.timely, best.uncached, light)
-	c.FetchFrom, c.Home = best.fetchFrom, 1+slices.Index(line, best.state)
-	if c.Predicted > left {
+	c.FetchFrom, c.Home, c.Overload = best.fetchFrom, 1+slices.Index(line, best.state), overload
+	alone := min(milliseconds(best.alone), time.Duration(ownBound*float64(d.Objective)))
+	c.Behind = milliseconds(best.timely-best.alone) + alone - bound
+	if c.Predicted > left-lag {
 		c.Late = true
 		c.Predicted = milliseconds(best.late)
 	}
-	c.Predicted += milliseconds(*b.lag(light))
+	c.Predicted += lag
 	c.Whole = c.Predicted + milliseconds(*b.run(light))
 	return c, ok
 }
 
+// staysHome reports whether a request of an overloaded service goes to its home or
+// nowhere. Elsewhere its shared parts would be read again and push out others,
+// which makes the overload worse. A home without memory is left, and so is one
+// that is known to have the parts, since they can be fetched from it.
+func (b *Balancer) staysHome(now time.Time, home *state, p Prompt) bool {
+	if b.memoryOver(home, p) > 0 {
+		return false
+	}
+	return b.memory.FetchPerMs == 0 || !home.believes(now, p.Parts[len(p.Parts)-2].ID)
+}
+
+// backlogMs returns the mean time that endpoints need for the prompts sent to them.
+func backlogMs(from []*state) float64 {
+	tokens := 0
+	for _, s := range from {
+		tokens += s.own.PromptTokens + s.remote.PromptTokens + s.own.LateTokens + s.remote.LateTokens
+	}
+	return float64(tokens) / readRate / float64(max(1, len(from)))
+}
+
 // cheapest returns the placement with the lowest cost.
 func (b *Balancer) cheapest(now time.Time, d Demand, from []*state, line []*state, source *state, light bool) (best placement) {
 	for _, s := range from {
@@ -245,13 +287,12 @@
 	return out[:n]
 }
 
-// firstTimely returns the first endpoint in the line of homes that is well within
-// the objective. It answers bursts with shared prompts: as long as their home
-// keeps up, no other engine reads them again.
-func (b *Balancer) firstTimely(now time.Time, d Demand, line []*state, source *state, left time.Duration) placement {
-	bound := homeBound * float64(left) / float64(time.Millisecond)
+// firstTimely returns the first endpoint in the line of homes that is timely. It
+// answers bursts with shared prompts: as long as their home keeps up, no other
+// engine reads them again.
+func (b *Balancer) firstTimely(now time.Time, d Demand, line []*state, source *state, bound time.Duration) placement {
 	for _, s := range line {
-		if p := b.place(now, s, d, line, source, false); p.timely+b.price(now, s)+float64(s.own.Light+s.remote.Light)*lightHarm <= bound {
+		if p := b.place(now, s, d, line, source, false); milliseconds(p.timely+b.price(now, s)+float64(s.own.Light+s.remote.Light)*lightHarm) <= bound {
 			return p
 		}
 	}
@@ -276,6 +317,14 @@
 	return &b.lagHeavy
 }
 
+// decayLag lets the lags fade, so that work is sent again after a burst.
+func (b *Balancer) decayLag(now time.Time) {
+	if elapsed := now.Sub(b.lagAt); elapsed > 0 {
+		fade := math.Exp(-float64(elapsed) / float64(lagDecay))
+		b.lagLight, b.lagHeavy, b.lagAt = b.lagLight*fade, b.lagHeavy*fade, now
+	}
+}
+
 // price is what an endpoint costs apart from its load, in ms.
 func (b *Balancer) price(now time.Time, s *state) float64 {
 	cost := s.recentFailures(now) * float64(failurePrice.Milliseconds())
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -50,6 +50,11 @@
 
 	beliefs map[string]time.Time
 
+	// light tells that the endpoint is in the pool for light requests, and
+	// lightSince when it joined that from the others; placed is false before either.
+	light, placed bool
+	lightSince    time.Time
+
 	// failures is a decayed count at failuresAt.
 	failures     float64
 	failuresAt   time.Time
--- a/internal/dispatch/homes.go
+++ b/internal/dispatch/homes.go
@@ -30,22 +30,39 @@
 	return line
 }
 
-// homeKey identifies the last part that several requests share.
-func homeKey(parts []Part) uint64 { return xxhash.Sum64String(parts[len(parts)-2].ID) }
-
 // fetchSource returns the endpoint that is expected to have the shared parts if
-// the chosen one has not: the home, or the endpoint that was home before the
-// pool for light requests grew over it.
-func fetchSource(all, line []*state, parts []Part) *state {
+// the chosen one has not: the home, or the one that was home until the pool for
+// light requests grew over it a short while ago. It answers bursts of light
+// requests, in which many parts change their home.
+func fetchSource(now time.Time, pool, line []*state, parts []Part) *state {
 	if len(line) == 0 {
 		return nil
 	}
-	if former := homesOf(all, parts)[0]; former != line[0] {
-		return former
+	key, best := homeKey(parts), line[0]
+	for _, s := range pool {
+		if now.Sub(s.lightSince) < cacheBelief && s.weight(key) > best.weight(key) {
+			best = s
+		}
+	}
+	return best
+}
+
+// noteLight records which endpoints serve light requests, the first ones in all.
+func noteLight(now time.Time, all []*state, pool int) {
+	for i, s := range all {
+		if light := i < pool; light != s.light || !s.placed {
+			s.light = light
+			if light && s.placed {
+				s.lightSince = now
+			}
+			s.placed = true
+		}
 	}
-	return line[0]
 }
 
+// homeKey identifies the last part that several requests share.
+func homeKey(parts []Part) uint64 { return xxhash.Sum64String(parts[len(parts)-2].ID) }
+
 // uncached estimates the prompt tokens that an endpoint has to read, and the
 // time in ms to fetch others, 0 for no fetch. A part counts as cached only if
 // all parts before it are.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -10,6 +10,8 @@
 	fetchFrom string
 	// timely and late are the times to the first event ahead of and behind late work.
 	timely, late float64
+	// alone is the time to the first event with nothing else at the endpoint.
+	alone float64
 }
 
 func (b *Balancer) place(now time.Time, s *state, d Demand, line []*state, source *state, light bool) placement {
@@ -34,6 +36,7 @@
 	if float64(requests) >= queueRoom*slots {
 		wait += fullDelay
 	}
+	p.alone = (base + uncached/readRate) * slow
 	p.timely = (base+(backlog+uncached)/readRate)*slow + wait
 	p.late = (base+(backlog+behind+uncached)/readRate)*slow + wait + run*float64(late)/slots
 	p.cost = p.timely + (p.late-p.timely)*lateWeight + b.price(now, s)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -84,6 +84,12 @@
 	// Late tells that the request is expected to miss its objective. It is sent
 	// behind timely ones.
 	Late bool
+	// Behind is by how much the request is expected to miss its objective, counting
+	// at most a part of the objective for reading its own prompt; it is negative
+	// for a timely one.
+	Behind time.Duration
+	// Overload tells that the endpoints as a whole are behind.
+	Overload bool
 	// FetchFrom is the address of the endpoint that is expected to have the shared
 	// parts of the prompt, "" if the chosen one is.
 	FetchFrom string
--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -59,13 +59,29 @@
 	plainWork = 30 * time.Millisecond
 	// firstRun is the time of a stream until it is learned.
 	firstRun = time.Second
-	// homes is how many endpoints a prompt's shared parts go to in turn, as long
-	// as the ones before are behind, so that few engines hold each part.
+	// homes is how many endpoints a prompt's shared parts go to in turn, as long as
+	// the ones before are behind and the service is not overloaded.
 	homes = 2
-	// homeBound is the share of the objective's time that is left up to which the
-	// home is taken without looking further: a timely answer from there is worth
-	// more than an earlier one that reads the shared parts again.
-	homeBound = 0.95
+	// timelyBound is the share of the objective up to which the predicted time to the
+	// first event counts as timely. The load of other entries is up to half an
+	// objective old, and what they have sent since comes on top.
+	timelyBound = 0.65
+	// ownBound is the largest share of the objective that a request's own reading
+	// counts against it. A prompt that takes longer to read cannot be timely at
+	// all; it is sent where next to nothing is ahead of it, and does not starve.
+	ownBound = 0.58
+	// overloadMs is the mean time in ms that the engines for long prompts need for
+	// the prompts sent to them, from which on the service counts as overloaded: a
+	// sixth to a fifth of the users' objectives. Below it, the spread over the
+	// engines lets late work catch up.
+	overloadMs = 120.0
+	// lightPrior is the share of all slots that light requests are expected to take
+	// until their load is known; it is a fifth on both users' sheets.
+	lightPrior = 0.2
+	// lagDecay is the time in which the lag of the service loses most of its
+	// weight. An entry that sends little for its lag would never learn that the
+	// engines have caught up.
+	lagDecay = 3 * time.Second
 	// lightHarm is what a long prompt costs each light request beside it, in ms.
 	lightHarm = 60.0
 	// offPool is the price of placing a light request beside long prompts. It is
@@ -92,8 +108,8 @@
 	// than any caller waits.
 	fullDelay = 60_000
 	// homeBelief is the chance that the home of a prompt part has it cached
-	// although this entry did not send it there.
-	homeBelief = 0.6
+	// although this entry did not send it there: nearly all requests go home.
+	homeBelief = 0.9
 	// lightDecay is how fast the pool for light requests shrinks after a burst: by
 	// this share a second. It grows at once.
 	lightDecay = 0.25
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -11,6 +11,7 @@
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/httpconn"
+	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/routing"
 )
 
@@ -52,7 +53,7 @@
 	q.locked(func(b *dispatch.Balancer) { q.backend.budget.Request(q.arrived) })
 	var last result
 	for {
-		choice, failure := q.choose()
+		choice, failure := q.choose(ctx)
 		if failure != "" {
 			q.giveUp(ctx, last, failure)
 			return
@@ -74,29 +75,49 @@
 	f(q.backend.balancer)
 }
 
-// choose places the next attempt. It returns a reason where none is made.
-func (q *request) choose() (c dispatch.Choice, reason string) {
-	now := time.Now()
+// choose places the next attempt. Before the first one it waits as long as the
+// request may wait for an endpoint. It returns a reason where no attempt is made.
+func (q *request) choose(ctx context.Context) (c dispatch.Choice, reason string) {
+	var now time.Time
 	var endpoints int
 	var loadAge time.Duration
-	q.locked(func(b *dispatch.Balancer) {
-		var ok bool
-		c, ok = b.Choose(now, q.demand, q.avoid)
-		endpoints, loadAge = b.Size(now), b.RemoteAge(now)
-		switch {
-		case !ok:
-			reason = "no endpoint of the service is available"
-		case q.sends == 0 && !dispatch.Admit(now, q.demand, c):
+	for {
+		now = time.Now()
+		decision := dispatch.Send
+		q.locked(func(b *dispatch.Balancer) {
+			var ok bool
+			c, ok = b.Choose(now, q.demand, q.avoid)
+			endpoints, loadAge = b.Size(now), b.RemoteAge(now)
+			switch {
+			case !ok:
+				reason = "no endpoint of the service is available"
+				return
+			case q.sends == 0:
+				decision = dispatch.Admit(now, q.demand, c)
+			}
+			if decision == dispatch.Send {
+				b.Sent(now, &c, q.demand)
+			}
+		})
+		q.behind = c.Behind
+		if decision == dispatch.Refuse {
 			reason = "the endpoints cannot end the request in its time"
-		default:
-			b.Sent(now, &c, q.demand)
+			if c.Overload {
+				reason = "the service is overloaded and the answer would be late"
+			}
 		}
-	})
+		if decision != dispatch.Wait {
+			break
+		}
+		if kernel.Sleep(ctx, dispatch.WaitStep) != nil {
+			return c, "the request ended while it waited"
+		}
+	}
 	if reason != "" {
 		return c, reason
 	}
 	q.server.options.Events.Emit(eventPlaced, event.Request(q.call.ID), event.F("route", q.route.Name), event.F("attempt", q.sends+1),
-		event.F("endpoint", c.Endpoint.ID), event.F("address", c.Endpoint.Address), event.F("predicted_ms", c.Predicted.Milliseconds()),
+		event.F("endpoint", c.Endpoint.ID), event.F("address", c.Endpoint.Address), event.F("predicted_ms", c.Predicted.Milliseconds()), event.F("waited_ms", now.Sub(q.arrived).Milliseconds()),
 		event.F("uncached", c.Uncached), event.F("rank", q.sendRank(&c)), event.F("late", c.Late),
 		event.F("fetch_from", c.FetchFrom), event.F("home", c.Home), event.F("candidates", endpoints),
 		event.F("load_age_ms", loadAge.Milliseconds()), event.F("table", q.tableVersion()))
@@ -268,12 +289,5 @@
 }
 
 func (q *request) returnAfter() time.Duration {
-	now := time.Now()
-	behind := time.Duration(0)
-	q.locked(func(b *dispatch.Balancer) {
-		if c, ok := b.Choose(now, q.demand, nil); ok {
-			behind = c.Predicted - q.demand.Objective/2
-		}
-	})
-	return dispatch.ReturnAfter(behind, rand.Float64())
+	return dispatch.ReturnAfter(q.demand.Objective, q.behind, rand.Float64())
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -55,6 +55,8 @@
 	// runs counts the attempts that have run or may have run, sends all attempts.
 	runs, sends int
 	avoid       []string
+	// behind is by how much the last placement would miss the objective.
+	behind time.Duration
 	// relayed tells that a part of an answer went to the caller; lastEvent is the
 	// id of the last event of it.
 	relayed   bool
@@ -202,7 +204,7 @@
 func (q *request) refuse(e *verdict.Error) {
 	q.server.metrics.refused.Inc(1)
 	q.server.options.Events.Emit(eventRefused, q.fields(event.F("status", e.Status), event.F("code", e.Code),
-		event.F("reason", e.Message), event.F("retry_after", e.RetryAfter))...)
+		event.F("reason", e.Message), event.F("behind_ms", q.behind.Milliseconds()), event.F("retry_after", e.RetryAfter))...)
 	q.reply(e)
 }
 
