Tell load in columns and by what changed, and ask for it ten times a second while busy

Asking that often with the former messages would cost 2 MB a second between failure domains, since ids make up most of a message and each answer told all endpoints.

Change: loads travel as columns keyed by a hash of the endpoint's id; a member keeps sums over all entries and answers with those that changed since the entry's cursor; the entry takes its own part out. Only the member that is asked for loads is told the entry's own. While an entry places requests with the engines behind by half of the overload bound it asks every 1.4 ms an entry, 100 ms at least, instead of every 5 ms an entry.

--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -184,8 +184,8 @@
 		Members: d.Config.Peers, Caller: feed.NewCaller(d.pool), Self: d.entryInfo, Events: d.Events, Scope: d.metrics.Scope,
 	})
 	d.entries = directory.NewClient(directory.ClientOptions{
-		Pool: d.pool, Members: d.members, Self: d.entry, Loads: func() []*directoryv1.Load { return d.Router.Loads() },
-		Events: d.Events, Scope: d.metrics.Scope,
+		Pool: d.pool, Members: d.members, Self: d.entry, Loads: func() map[string]dispatch.Load { return d.Router.Loads() },
+		Busy: func() bool { return d.Router.Busy() }, Events: d.Events, Scope: d.metrics.Scope,
 	})
 	d.Router = router.New(router.Options{
 		Listener: l, Codec: codec, Domain: d.Config.FailureDomain,
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"github.com/uber-go/tally/v4"
 
+	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
@@ -24,11 +25,14 @@
 	// pollTimeout bounds one poll, so that a silent member is asked again over
 	// a fresh connection within the same 2 s.
 	pollTimeout = 600 * time.Millisecond
-	// minLoadInterval and loadIntervalPerEntry set how often the load of other
-	// entries is asked for. A request occupies an engine with its prompt for some
-	// 100 ms; what entries do not know of each other in that time collides.
+	// minLoadInterval, loadIntervalPerEntry and busyIntervalPerEntry set how often
+	// the load of other entries is asked for. A request occupies an engine with its
+	// prompt for some 100 ms; what entries do not know of each other in that time
+	// collides, which matters while engines are behind. The member that is asked
+	// answers 200 polls a second, or 700 while all entries are busy.
 	minLoadInterval      = 100 * time.Millisecond
 	loadIntervalPerEntry = 5 * time.Millisecond
+	busyIntervalPerEntry = 1400 * time.Microsecond
 	// memberKeep is how long the view of a member that does not answer counts.
 	// Its endpoints stay usable while no member answers at all.
 	memberKeep = 10 * time.Second
@@ -36,6 +40,7 @@
 
 var (
 	eventMemberLost = event.Define(7100, "directory-member-lost", event.Warn, "a control member does not answer polls of the directory")
+	eventBadLoads   = event.Define(7102, "directory-loads-malformed", event.Warn, "a control member told loads that cannot be read; the former ones stay")
 	eventMemberBack = event.Define(7101, "directory-member-answers", event.Info, "a control member answers polls of the directory")
 )
 
@@ -45,8 +50,11 @@
 	// Members returns the peer addresses of the control members.
 	Members func() []string
 	// Self describes this entry; Loads its work in flight.
-	Self   func() *directoryv1.Entry
-	Loads  func() []*directoryv1.Load
+	Self  func() *directoryv1.Entry
+	Loads func() map[string]dispatch.Load
+	// Busy reports whether the entry places requests while endpoints are behind, for
+	// which the load of the others should be fresh.
+	Busy   func() bool
 	Events *event.Recorder
 	Scope  tally.Scope
 }
@@ -66,12 +74,6 @@
 	polls, failures tally.Counter
 }
 
-// Loads is the load of the other entries, as told by one member at a moment.
-type Loads struct {
-	At   time.Time
-	ByID map[string]*directoryv1.Load
-}
-
 type poller struct {
 	address string
 	cancel  context.CancelFunc
@@ -164,8 +166,14 @@
 func (c *Client) ask(ctx context.Context, client directoryv1connect.DirectoryClient, p *poller) {
 	c.polls.Inc(1)
 	near := c.source() == p
-	q := &directoryv1.SyncRequest{
-		Self: c.options.Self(), Loads: c.options.Loads(), Epoch: p.view.epoch, Cursor: p.view.cursor, WantLoads: near,
+	q := &directoryv1.SyncRequest{Self: c.options.Self(), Epoch: p.view.epoch, Cursor: p.view.cursor, WantLoads: near}
+	var own map[uint32]dispatch.Load
+	if near {
+		own = make(map[uint32]dispatch.Load)
+		for id, l := range c.options.Loads() {
+			own[loadKey(id)] = own[loadKey(id)].Plus(l)
+		}
+		q.Loads, q.LoadsCursor = packLoads(own), p.view.loadsCursor
 	}
 	call, cancel := context.WithTimeout(transport.Idempotent(ctx), pollTimeout)
 	defer cancel()
@@ -187,11 +195,12 @@
 	}
 	p.last = now
 	if near {
-		loads := make(map[string]*directoryv1.Load, len(r.Msg.Loads))
-		for _, l := range r.Msg.Loads {
-			loads[l.Id] = l
+		if others, err := p.view.others(r.Msg, own); err != nil {
+			c.failures.Inc(1)
+			c.options.Events.Emit(eventBadLoads, event.F("member", p.address), event.F("error", err))
+		} else {
+			c.loads.Store(&Loads{At: now, byKey: others})
 		}
-		c.loads.Store(&Loads{At: now, ByID: loads})
 	}
 	if p.view.apply(r.Msg) || !c.Synced() {
 		c.join(now)
@@ -218,9 +227,14 @@
 }
 
 // loadInterval returns the time between polls for load. It grows with the number
-// of entries, so that the work of the source does not.
+// of entries, so that the work of the source does not, and is shorter while this
+// entry is busy.
 func (c *Client) loadInterval() time.Duration {
-	return min(PollInterval, max(minLoadInterval, time.Duration(c.Snapshot().Entries)*loadIntervalPerEntry))
+	each := loadIntervalPerEntry
+	if c.options.Busy() {
+		each = busyIntervalPerEntry
+	}
+	return min(PollInterval, max(minLoadInterval, time.Duration(c.Snapshot().Entries)*each))
 }
 
 // join merges the views. Callers hold the mutex.
--- a/internal/directory/merge.go
+++ b/internal/directory/merge.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
 )
 
@@ -20,6 +21,9 @@
 	epoch, cursor uint64
 	endpoints     map[string]*directoryv1.Endpoint
 	entries       uint32
+	// loads holds the sums of all entries, as of loadsCursor.
+	loads       map[uint32]dispatch.Load
+	loadsCursor uint64
 }
 
 // apply takes over an answer and reports whether anything changed.
@@ -35,6 +39,25 @@
 	return changed
 }
 
+// others takes over the sums of an answer and returns the load of the other
+// entries, given what this entry told of its own in the same poll.
+func (v *view) others(r *directoryv1.SyncResponse, own map[uint32]dispatch.Load) (map[uint32]dispatch.Load, error) {
+	sums, err := unpackLoads(r.GetLoads())
+	if err != nil {
+		return nil, err
+	}
+	if v.loads == nil || r.LoadsWhole {
+		v.loads = make(map[uint32]dispatch.Load, len(sums))
+	}
+	maps.Copy(v.loads, sums)
+	v.loadsCursor = r.LoadsCursor
+	out := maps.Clone(v.loads)
+	for key, l := range own {
+		out[key] = out[key].Minus(l)
+	}
+	return out, nil
+}
+
 // merge joins the views of members. Of one endpoint the latest incarnation
 // counts and in it the latest announcement; it has left if any member heard so,
 // and it is silent only if no member hears of it. Of two endpoints at one
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -10,11 +10,16 @@
 	"slices"
 	"time"
 
+	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
+	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
 )
 
+// Error is the class of errors of this package.
+var Error = errs.Class("directory")
+
 const (
 	// announceLease is how long an endpoint counts as heard of after an
 	// announcement. Endpoints announce about once a second; three may be lost.
@@ -36,6 +41,7 @@
 	revision  uint64
 	endpoints map[string]*endpointRecord
 	entries   map[string]*entryRecord
+	loads     loadSums
 }
 
 type endpointRecord struct {
@@ -47,13 +53,16 @@
 
 type entryRecord struct {
 	entry *directoryv1.Entry
-	loads []*directoryv1.Load
+	loads map[uint32]dispatch.Load
 	heard time.Time
 }
 
 // NewRegistry returns an empty registry. The epoch tells apart two starts of a member.
 func NewRegistry(epoch uint64) *Registry {
-	return &Registry{epoch: epoch, endpoints: make(map[string]*endpointRecord), entries: make(map[string]*entryRecord)}
+	return &Registry{
+		epoch: epoch, endpoints: make(map[string]*endpointRecord), entries: make(map[string]*entryRecord),
+		loads: loadSums{sums: make(map[uint32]*loadSum)},
+	}
 }
 
 // Effect tells what an announcement changed.
@@ -153,18 +162,37 @@
 			silent = append(silent, rec.endpoint)
 		}
 	}
-	maps.DeleteFunc(r.entries, func(_ string, e *entryRecord) bool { return now.Sub(e.heard) > forgetAfter })
+	for name, e := range r.entries {
+		if age := now.Sub(e.heard); age > entryLease {
+			r.loads.replace(e.loads, nil)
+			e.loads = nil
+			if age > forgetAfter {
+				delete(r.entries, name)
+			}
+		}
+	}
 	return silent
 }
 
-// Sync records the poll of an entry and returns what changed since its cursor.
-func (r *Registry) Sync(now time.Time, q *directoryv1.SyncRequest) *directoryv1.SyncResponse {
+// Sync records the poll of an entry and returns what changed since its cursor. It
+// fails if the poll is malformed.
+func (r *Registry) Sync(now time.Time, q *directoryv1.SyncRequest) (*directoryv1.SyncResponse, error) {
+	loads, err := unpackLoads(q.GetLoads())
+	if err != nil {
+		return nil, err
+	}
 	if self := q.GetSelf(); self.GetInstance() != "" {
-		r.entries[self.Instance] = &entryRecord{entry: self, loads: q.GetLoads(), heard: now}
+		rec := r.entries[self.Instance]
+		if rec == nil {
+			rec = &entryRecord{}
+			r.entries[self.Instance] = rec
+		}
+		r.loads.replace(rec.loads, loads)
+		rec.entry, rec.loads, rec.heard = self, loads, now
 	}
-	cursor := q.GetCursor()
+	cursor, loadsCursor := q.GetCursor(), q.GetLoadsCursor()
 	if q.GetEpoch() != r.epoch {
-		cursor = 0
+		cursor, loadsCursor = 0, 0
 	}
 	out := &directoryv1.SyncResponse{Epoch: r.epoch, Cursor: r.revision, Entries: uint32(len(r.Entries(now)))}
 	for _, rec := range r.endpoints {
@@ -174,37 +202,10 @@
 	}
 	slices.SortFunc(out.Endpoints, func(a, b *directoryv1.Endpoint) int { return cmp.Compare(a.Id, b.Id) })
 	if q.GetWantLoads() {
-		out.Loads = r.loads(now, q.GetSelf().GetInstance())
+		changed, whole := r.loads.since(loadsCursor)
+		out.Loads, out.LoadsWhole, out.LoadsCursor = packLoads(changed), whole, r.loads.revision
 	}
-	return out
-}
-
-// loads sums the loads of all live entries but one.
-func (r *Registry) loads(now time.Time, but string) []*directoryv1.Load {
-	sums := make(map[string]*directoryv1.Load)
-	for name, e := range r.entries {
-		if name == but || now.Sub(e.heard) > entryLease {
-			continue
-		}
-		for _, l := range e.loads {
-			s := sums[l.Id]
-			if s == nil {
-				s = &directoryv1.Load{Id: l.Id}
-				sums[l.Id] = s
-			}
-			s.Requests += l.Requests
-			s.PromptTokens += l.PromptTokens
-			s.LateTokens += l.LateTokens
-			s.Light += l.Light
-			s.Late += l.Late
-			s.MemoryTokens += l.MemoryTokens
-		}
-	}
-	out := make([]*directoryv1.Load, 0, len(sums))
-	for _, id := range slices.Sorted(maps.Keys(sums)) {
-		out = append(out, sums[id])
-	}
-	return out
+	return out, nil
 }
 
 // Entries returns the live entries that take new callers, by instance.
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -82,7 +82,10 @@
 	members := s.members()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := s.registry.Sync(time.Now(), r.Msg)
+	out, err := s.registry.Sync(time.Now(), r.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
 	out.Members = members
 	return connect.NewResponse(out), nil
 }
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -34,6 +34,8 @@
 	// in ms: while engines read prompts all the time, each step takes longer.
 	lagLight, lagHeavy float64
 	lagAt              time.Time
+	// behindAt is when a request was last placed while engines were behind.
+	behindAt time.Time
 }
 
 // NewBalancer returns a balancer for a service; memory is nil for plain ones.
@@ -112,6 +114,10 @@
 	return !s.Draining && !s.replaced && !now.Before(s.ejectedUntil)
 }
 
+// Busy reports whether a request was placed just now while engines were behind, so
+// that the load of the other entries should be fresh.
+func (b *Balancer) Busy(now time.Time) bool { return now.Sub(b.behindAt) < busyFor }
+
 // Choose returns the endpoint with the lowest expected time to the first event,
 // plus the prices of what a choice costs other requests. Endpoints in avoid are
 // left out. It answers load that falls on few endpoints or one class: requests
@@ -192,7 +198,11 @@
 	lag := milliseconds(*b.lag(light))
 	left := d.Arrived.Add(d.Objective).Sub(now)
 	bound := time.Duration(timelyBound*float64(left)) - lag
-	overload := !light && backlogMs(own) > overloadMs
+	backlog := backlogMs(own)
+	if backlog > busyShare*overloadMs {
+		b.behindAt = now
+	}
+	overload := !light && backlog > overloadMs
 	var line []*state
 	if !light {
 		line = homesOf(own, d.Prompt.Parts)
--- a/internal/dispatch/replay_cases_test.go
+++ b/internal/dispatch/replay_cases_test.go
@@ -14,7 +14,7 @@
 			slots: 12, queue: 25, memory: 269_581, chunk: 2048, stride: 7, step: 4.7, stepPerSlot: 0.0268, contextPerK: 0.0098,
 			readPerMs: 52.4, pairsPerM: 0.442, first: 27, fetchSetup: 2.5, fetchPerMs: 353,
 		},
-		engines: 112, entries: 72, domains: 3, length: 9500, loadEvery: 360, oneWay: 1, seed: seed,
+		engines: 112, entries: 72, domains: 3, length: 9500, loadEvery: 360, busyLoadEvery: 100, oneWay: 1, seed: seed,
 	}
 }
 
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -45,16 +45,16 @@
 
 // replayCase is a load on a deployment.
 type replayCase struct {
-	sheet             engineSheet
-	engines, entries  int
-	domains           int
-	classes           []*replayClass
-	length            float64 // ms
-	loadEvery, oneWay float64 // ms
-	seed              uint64
-	slowEngines       int // of the first engines
-	slowBy            float64
-	trace             func(r *replayRequest)
+	sheet                            engineSheet
+	engines, entries                 int
+	domains                          int
+	classes                          []*replayClass
+	length                           float64 // ms
+	loadEvery, busyLoadEvery, oneWay float64 // ms
+	seed                             uint64
+	slowEngines                      int // of the first engines
+	slowBy                           float64
+	trace                            func(r *replayRequest)
 }
 
 // replayResult sums up what callers got.
@@ -230,19 +230,16 @@
 			continue
 		}
 		for id, l := range told {
-			s := sum[id]
-			s.Requests += l.Requests
-			s.Light += l.Light
-			s.Late += l.Late
-			s.PromptTokens += l.PromptTokens
-			s.LateTokens += l.LateTokens
-			s.MemoryTokens += l.MemoryTokens
-			sum[id] = s
+			sum[id] = sum[id].Plus(l)
 		}
 	}
 	p.balancers[i].SetRemote(p.time(), func(id string) Load { return sum[id] })
 	if p.now < p.c.length+5_000 {
-		p.after(p.c.loadEvery*(0.8+0.4*p.random.Float64()), func() { p.share(i) })
+		every := p.c.loadEvery
+		if p.balancers[i].Busy(p.time()) {
+			every = p.c.busyLoadEvery
+		}
+		p.after(every*(0.8+0.4*p.random.Float64()), func() { p.share(i) })
 	}
 }
 
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -55,6 +55,22 @@
 	MemoryTokens int
 }
 
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
+	return Load{
+		Requests: l.Requests + o.Requests, Light: l.Light + o.Light, Late: l.Late + o.Late,
+		PromptTokens: l.PromptTokens + o.PromptTokens, LateTokens: l.LateTokens + o.LateTokens, MemoryTokens: l.MemoryTokens + o.MemoryTokens,
+	}
+}
+
+// Minus returns a load without a part of it.
+func (l Load) Minus(o Load) Load {
+	return l.Plus(Load{
+		Requests: -o.Requests, Light: -o.Light, Late: -o.Late,
+		PromptTokens: -o.PromptTokens, LateTokens: -o.LateTokens, MemoryTokens: -o.MemoryTokens,
+	})
+}
+
 // Memory describes the memory of model engines.
 type Memory struct {
 	// Tokens is the size of one engine's, 0 if unknown.
--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -75,6 +75,10 @@
 	// sixth to a fifth of the users' objectives. Below it, the spread over the
 	// engines lets late work catch up.
 	overloadMs = 120.0
+	// busyShare is the part of overloadMs from which on the load of the other entries
+	// is asked for more often, and busyFor how long that lasts.
+	busyShare = 0.5
+	busyFor   = time.Second
 	// lightPrior is the share of all slots that light requests are expected to take
 	// until their load is known; it is a fifth on both users' sheets.
 	lightPrior = 0.2
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -16,7 +16,6 @@
 	"auburnstep.example/auburnstep/internal/httpconn"
 	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/routing"
-	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
 )
 
 const (
@@ -82,7 +81,10 @@
 }
 
 // Loads returns the work in flight for polls of the directory.
-func (s *Server) Loads() []*directoryv1.Load { return s.fleet.loads() }
+func (s *Server) Loads() map[string]dispatch.Load { return s.fleet.loads() }
+
+// Busy reports whether requests are placed while endpoints are behind.
+func (s *Server) Busy() bool { return s.fleet.busy(time.Now()) }
 
 // Draining reports whether the entry is leaving.
 func (s *Server) Draining() bool { return s.draining.Load() }
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -8,7 +8,6 @@
 	"auburnstep.example/auburnstep/internal/directory"
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/routing"
-	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
 )
 
 // backend is a service with its balancer and retry budget.
@@ -72,19 +71,12 @@
 		b.mu.Lock()
 		b.balancer.SetEndpoints(byService[name], s.Entries)
 		if fresh {
-			b.balancer.SetRemote(loads.At, func(id string) dispatch.Load { return remoteLoad(loads.ByID[id]) })
+			b.balancer.SetRemote(loads.At, loads.Of)
 		}
 		b.mu.Unlock()
 	}
 }
 
-func remoteLoad(l *directoryv1.Load) dispatch.Load {
-	return dispatch.Load{
-		Requests: int(l.GetRequests()), PromptTokens: int(l.GetPromptTokens()), LateTokens: int(l.GetLateTokens()),
-		Light: int(l.GetLight()), Late: int(l.GetLate()), MemoryTokens: int(l.GetMemoryTokens()),
-	}
-}
-
 // ensure adds the backend of a service, or replaces it if its kind has changed.
 func (f *fleet) ensure(s *routing.Service) {
 	engine := s.Engine != nil
@@ -101,19 +93,29 @@
 }
 
 // loads returns the work in flight at all endpoints.
-func (f *fleet) loads() []*directoryv1.Load {
+func (f *fleet) loads() map[string]dispatch.Load {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	var out []*directoryv1.Load
+	out := make(map[string]dispatch.Load)
 	for _, b := range f.services {
 		b.mu.Lock()
-		b.balancer.Own(func(id string, l dispatch.Load) {
-			out = append(out, &directoryv1.Load{
-				Id: id, Requests: uint32(max(0, l.Requests)), PromptTokens: uint32(max(0, l.PromptTokens)),
-				LateTokens: uint32(max(0, l.LateTokens)), Light: uint32(max(0, l.Light)), Late: uint32(max(0, l.Late)), MemoryTokens: uint32(max(0, l.MemoryTokens)),
-			})
-		})
+		b.balancer.Own(func(id string, l dispatch.Load) { out[id] = out[id].Plus(l) })
 		b.mu.Unlock()
 	}
 	return out
 }
+
+// busy reports whether requests were placed just now while endpoints were behind.
+func (f *fleet) busy(now time.Time) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, b := range f.services {
+		b.mu.Lock()
+		busy := b.balancer.Busy(now)
+		b.mu.Unlock()
+		if busy {
+			return true
+		}
+	}
+	return false
+}
