Prefer the own failure domain for light requests

A light request has some 40 events, each of which crosses on its own, and its engine was a random one of all domains.

Change: half of the compared engines are of the own domain, and another domain costs a light request 30 ms more.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -218,7 +218,11 @@
 	case stay:
 		best = b.place(now, line[0], d, line, source, light)
 	default:
-		best = b.cheapest(now, d, b.sample(own), line, source, light)
+		from := b.sample(own)
+		if light {
+			from = append(b.near(own), from...)
+		}
+		best = b.cheapest(now, d, from, line, source, light)
 		if atHome := b.cheapest(now, d, line, line, source, light); atHome.state != nil &&
 			milliseconds(best.timely) > bound && atHome.cost < best.cost+float64(awayLate.Milliseconds()) {
 			best = atHome
@@ -284,6 +288,18 @@
 	return b.draw(from, max(minSampled, len(from)*sampledPerEntry/max(1, b.entries)))
 }
 
+// near returns a random choice of the endpoints in the entry's failure domain. It
+// answers streams of many events, whose bytes are dear between domains.
+func (b *Balancer) near(from []*state) []*state {
+	local := make([]*state, 0, len(from))
+	for _, s := range from {
+		if s.Domain == b.domain {
+			local = append(local, s)
+		}
+	}
+	return b.draw(local, minSampled)
+}
+
 // draw returns n random endpoints.
 func (b *Balancer) draw(from []*state, n int) []*state {
 	if n >= len(from) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -47,6 +47,9 @@
 	if light {
 		// Light requests slow each other down a little, step by step.
 		p.cost += beside * stepPrice
+		if s.Domain != b.domain {
+			p.cost += float64(crossStream.Milliseconds())
+		}
 	} else {
 		p.cost += beside * lightHarm
 	}
--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -48,6 +48,9 @@
 	// crossDomain is the price of another failure domain: two crossings of about
 	// 1 ms each way and the priced bytes.
 	crossDomain = 4 * time.Millisecond
+	// crossStream is the further price of it for a light request, whose answer has
+	// many events; every event crosses on its own.
+	crossStream = 30 * time.Millisecond
 	// failurePrice is the price of one recent failure.
 	failurePrice = 100 * time.Millisecond
 	// silentPrice is the price of an endpoint that no member hears of and that
