--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -34,6 +34,8 @@
 	// in ms: while engines read prompts all the time, each step takes longer.
 	lagLight, lagHeavy float64
 	lagAt              time.Time
+	// behindAt is when a request was last placed while engines were behind.
+	behindAt time.Time
 }
 
 // NewBalancer returns a balancer for a service; memory is nil for plain ones.
@@ -112,6 +114,10 @@
 	return !s.Draining && !s.replaced && !now.Before(s.ejectedUntil)
 }
 
+// Busy reports whether a request was placed just now while engines were behind, so
+// that the load of the other entries should be fresh.
+func (b *Balancer) Busy(now time.Time) bool { return now.Sub(b.behindAt) < busyFor }
+
 // Choose returns the endpoint with the lowest expected time to the first event,
 // plus the prices of what a choice costs other requests. Endpoints in avoid are
 // left out. It answers load that falls on few endpoints or one class: requests
@@ -192,7 +198,11 @@
 	lag := milliseconds(*b.lag(light))
 	left := d.Arrived.Add(d.Objective).Sub(now)
 	bound := time.Duration(timelyBound*float64(left)) - lag
-	overload := !light && backlogMs(own) > overloadMs
+	backlog := backlogMs(own)
+	if backlog > busyShare*overloadMs {
+		b.behindAt = now
+	}
+	overload := !light && backlog > overloadMs
 	var line []*state
 	if !light {
 		line = homesOf(own, d.Prompt.Parts)
@@ -208,7 +218,11 @@
 	case stay:
 		best = b.place(now, line[0], d, line, source, light)
 	default:
-		best = b.cheapest(now, d, b.sample(own), line, source, light)
+		from := b.sample(own)
+		if light {
+			from = append(b.near(own), from...)
+		}
+		best = b.cheapest(now, d, from, line, source, light)
 		if atHome := b.cheapest(now, d, line, line, source, light); atHome.state != nil &&
 			milliseconds(best.timely) > bound && atHome.cost < best.cost+float64(awayLate.Milliseconds()) {
 			best = atHome
@@ -274,6 +288,18 @@
 	return b.draw(from, max(minSampled, len(from)*sampledPerEntry/max(1, b.entries)))
 }
 
+// near returns a random choice of the endpoints in the entry's failure domain. It
+// answers streams of many events, whose bytes are dear between domains.
+func (b *Balancer) near(from []*state) []*state {
+	local := make([]*state, 0, len(from))
+	for _, s := range from {
+		if s.Domain == b.domain {
+			local = append(local, s)
+		}
+	}
+	return b.draw(local, minSampled)
+}
+
 // draw returns n random endpoints.
 func (b *Balancer) draw(from []*state, n int) []*state {
 	if n >= len(from) {
--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -48,6 +48,9 @@
 	// crossDomain is the price of another failure domain: two crossings of about
 	// 1 ms each way and the priced bytes.
 	crossDomain = 4 * time.Millisecond
+	// crossStream is the further price of it for a light request, whose answer has
+	// many events; every event crosses on its own.
+	crossStream = 30 * time.Millisecond
 	// failurePrice is the price of one recent failure.
 	failurePrice = 100 * time.Millisecond
 	// silentPrice is the price of an endpoint that no member hears of and that
@@ -75,6 +78,10 @@
 	// sixth to a fifth of the users' objectives. Below it, the spread over the
 	// engines lets late work catch up.
 	overloadMs = 120.0
+	// busyShare is the part of overloadMs from which on the load of the other entries
+	// is asked for more often, and busyFor how long that lasts.
+	busyShare = 0.5
+	busyFor   = time.Second
 	// lightPrior is the share of all slots that light requests are expected to take
 	// until their load is known; it is a fifth on both users' sheets.
 	lightPrior = 0.2
