Turn late work of plain services away while all their endpoints are full

The learned work of a request also counted the time in the queue.

Change: from 1.5 requests a slot on, a request that would be late waits an eighth of its objective and is refused then, as for engines; work is learned from requests that did not wait; entries ask for loads more often meanwhile.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -158,26 +158,43 @@
 // them would send to the endpoint that was least loaded in the last report.
 func (b *Balancer) choosePlain(now time.Time, d Demand, avoid []string) (Choice, bool) {
 	var best *state
-	bestCost, bestTime := math.Inf(1), 0.0
-	from := b.candidates(now, avoid)
+	bestCost, bestTime, bestWaits := math.Inf(1), 0.0, false
+	all := b.candidates(now, avoid)
+	full := fullness(now, all)
+	if full > busyShare*plainOverload {
+		b.behindAt = now
+	}
+	from := all
 	if b.entries >= manyEntries {
 		from = b.draw(from, 2)
 	}
 	for _, s := range from {
-		ahead := s.requests(now)
-		took := b.work * s.slowFactor(now) * (1 + max(0, float64(ahead-s.Slots+1))/float64(max(1, s.Slots)))
+		ahead, slots := s.requests(now), max(1, s.Slots)
+		took := b.work * s.slowFactor(now) * (1 + max(0, float64(ahead-s.Slots+1))/float64(slots))
 		// Below the slots, a fuller endpoint is a little worse: some slow down
 		// when they are nearly full.
-		cost := took + b.work*0.2*float64(ahead)/float64(max(1, s.Slots)) + b.price(now, s)
+		cost := took + b.work*0.2*float64(ahead)/float64(slots) + b.price(now, s)
 		if cost < bestCost {
-			best, bestCost, bestTime = s, cost, took
+			best, bestCost, bestTime, bestWaits = s, cost, took, ahead >= s.Slots
 		}
 	}
 	c, ok := b.choice(now, best, bestTime, 0, false)
-	c.Behind = now.Add(c.Predicted).Sub(d.Arrived.Add(d.Objective))
+	left := d.Arrived.Add(d.Objective).Sub(now)
+	c.Behind = c.Predicted - time.Duration(plainBound*float64(left))
+	c.Overload, c.waits = full > plainOverload, bestWaits
 	return c, ok
 }
 
+// fullness returns the requests at endpoints for each of their slots.
+func fullness(now time.Time, from []*state) float64 {
+	requests, slots := 0, 0
+	for _, s := range from {
+		requests += s.requests(now)
+		slots += max(1, s.Slots)
+	}
+	return float64(requests) / float64(max(1, slots))
+}
+
 // chooseEngine answers bursts of long prompts beside streams of short ones: the
 // two kinds stay on different engines, since one long prompt makes all events
 // beside it late. Late work does not count as waiting for timely work, which is
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -211,12 +211,17 @@
 	for _, class := range c.classes {
 		p.after(0, func() { p.arrive(class) })
 	}
-	for len(p.events) > 0 && p.now < c.length+20_000 {
+	p.play()
+	return &p.result
+}
+
+// play runs the events until callers have their answers.
+func (p *replay) play() {
+	for len(p.events) > 0 && p.now < p.c.length+20_000 {
 		e := heap.Pop(&p.events).(replayEvent)
 		p.now = e.at
 		e.do()
 	}
-	return &p.result
 }
 
 // share tells an entry's load and takes over that of the others.
--- a/internal/dispatch/track.go
+++ b/internal/dispatch/track.go
@@ -111,7 +111,9 @@
 		return
 	}
 	s.observePace(now, c.Predicted, took)
-	b.work += gain * (min(ms, 4*b.work) - b.work)
+	if !c.waits {
+		b.work += gain * (min(ms, 4*b.work) - b.work)
+	}
 }
 
 // state returns the state of a choice if its incarnation is still known.
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -111,7 +111,9 @@
 	FetchFrom string
 	// Home is 1 for the home of the shared parts, 2 and more for the next in
 	// line, and 0 for another endpoint or a prompt without a home.
-	Home        int
+	Home int
+	// waits tells that a plain request is expected to wait for a slot.
+	waits       bool
 	memory      int
 	started     bool
 	sent, began time.Time
--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -69,6 +69,9 @@
 	// first event counts as timely. The load of other entries is up to half an
 	// objective old, and what they have sent since comes on top.
 	timelyBound = 0.65
+	// plainBound is that share for plain services, whose prediction covers the whole
+	// answer.
+	plainBound = 0.9
 	// ownBound is the largest share of the objective that a request's own reading
 	// counts against it. A prompt that takes longer to read cannot be timely at
 	// all; it is sent where next to nothing is ahead of it, and does not starve.
@@ -78,7 +81,11 @@
 	// sixth to a fifth of the users' objectives. Below it, the spread over the
 	// engines lets late work catch up.
 	overloadMs = 120.0
-	// busyShare is the part of overloadMs from which on the load of the other entries
+	// plainOverload is the number of requests for each slot of a plain service from
+	// which on it counts as overloaded. Its queues make a request late at two to
+	// three for each slot.
+	plainOverload = 1.5
+	// busyShare is the part of overloadMs and plainOverload from which on the load of the other entries
 	// is asked for more often, and busyFor how long that lasts.
 	busyShare = 0.5
 	busyFor   = time.Second
