--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -167,7 +167,7 @@
 		Replace: true,
 	})
 	control.NewService(d.Member).Register(d.peers)
-	d.Directory = directory.NewService(d.Member.Members, d.Events)
+	d.Directory = directory.NewService(d.Events)
 	d.Directory.Register(d.peers)
 	if err := d.kernel.Register(ServiceControl, d.Member); err != nil {
 		return err
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -36,7 +36,6 @@
 type Service struct {
 	kernel.Base
 	events  *event.Recorder
-	members func() []string
 	started time.Time
 
 	mu       sync.Mutex
@@ -46,9 +45,9 @@
 
 var _ directoryv1connect.DirectoryHandler = (*Service)(nil)
 
-// NewService returns a directory. members lists the peer addresses of control members.
-func NewService(members func() []string, events *event.Recorder) *Service {
-	return &Service{events: events, members: members, started: time.Now(), registry: NewRegistry(rand.Uint64() | 1)}
+// NewService returns an empty directory.
+func NewService(events *event.Recorder) *Service {
+	return &Service{events: events, started: time.Now(), registry: NewRegistry(rand.Uint64() | 1)}
 }
 
 // Register adds the handler to a server.
@@ -79,14 +78,12 @@
 
 // Sync implements directoryv1connect.DirectoryHandler.
 func (s *Service) Sync(_ context.Context, r *connect.Request[directoryv1.SyncRequest]) (*connect.Response[directoryv1.SyncResponse], error) {
-	members := s.members()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out, err := s.registry.Sync(time.Now(), r.Msg)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	out.Members = members
 	return connect.NewResponse(out), nil
 }
 
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -253,6 +253,20 @@
 	}
 }
 
+// Guards against an endpoint that has just started and is sent as much as the
+// others before it is warm.
+func TestWarmingEndpointGetsLess(t *testing.T) {
+	b := NewBalancer("a", nil, rand.New(rand.NewPCG(1, 2)))
+	list := engines(3)
+	list[1].Warming = true
+	b.SetEndpoints(list, 1)
+	used := make(map[string]int)
+	for i := range 2 * testSlots {
+		used[choose(t, b, at(i), Demand{}).Endpoint.ID]++
+	}
+	qt.Check(t, used["e01"] < used["e00"] && used["e01"] < used["e02"], qt.IsTrue, qt.Commentf("%v", used))
+}
+
 // Guards against a plain endpoint that is slow and gets as much as the others.
 func TestSlowPlainEndpointGetsLess(t *testing.T) {
 	b := NewBalancer("a", nil, rand.New(rand.NewPCG(1, 2)))
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -34,6 +34,9 @@
 	// observations.
 	maxSlow    = 16
 	slowMemory = 3 * time.Second
+	// warmingSlow is the pace assumed of an endpoint that says it is still warming
+	// up; the users' sheets name 1.6.
+	warmingSlow = 1.6
 )
 
 // state is what an entry knows of one endpoint.
@@ -86,7 +89,11 @@
 // slowFactor returns the pace factor, which decays towards 1.
 func (s *state) slowFactor(now time.Time) float64 {
 	decay := float64(now.Sub(s.slowAt)) / float64(slowMemory)
-	return 1 + (s.slow-1)/(1+decay)
+	slow := 1 + (s.slow-1)/(1+decay)
+	if s.Warming {
+		return max(slow, warmingSlow)
+	}
+	return slow
 }
 
 // observePace records how long a request took against what was predicted.
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -40,6 +40,8 @@
 	Domain      string
 	Slots       int
 	Draining    bool
+	// Warming endpoints have just started and are still slow.
+	Warming bool
 	// Silent endpoints were not heard of for a while.
 	Silent bool
 }
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -62,7 +62,6 @@
 	// endpoint keeps the connection idle, 0 if it did not say.
 	idleSince   time.Time
 	closesAfter time.Duration
-	used        bool
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
@@ -152,8 +151,6 @@
 // Response is an answer whose body is read from the connection.
 type Response struct {
 	*http.Response
-	// Reused tells that the request went over a kept connection.
-	Reused bool
 	// Foreign is the number of answers to other requests that came before.
 	Foreign int
 
@@ -211,8 +208,7 @@
 
 // exchange sends a request over a connection and reads the head of its answer.
 func (c *conn) exchange(ctx context.Context, r *Request) (*Response, error) {
-	out := &Response{conn: c, Reused: c.used, written: make(chan error, 1)}
-	c.used = true
+	out := &Response{conn: c, written: make(chan error, 1)}
 	// The connection is closed when the caller gives up, which also ends the
 	// work at the endpoint.
 	out.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -54,7 +54,7 @@
 	for _, e := range s.Endpoints {
 		byService[e.Service] = append(byService[e.Service], dispatch.Endpoint{
 			ID: e.Id, Incarnation: e.Incarnation, Address: e.Address, Domain: e.FailureDomain,
-			Slots: int(e.Slots), Draining: e.Draining, Silent: e.Silent,
+			Slots: int(e.Slots), Draining: e.Draining, Warming: e.WarmupMs > 0, Silent: e.Silent,
 		})
 	}
 	f.mu.Lock()
