Reach control members sooner after a start

Change: a connection to another instance is given up after 250 ms, since a lost first packet is sent again after 1 s only; an entry that knows no endpoint polls every 100 ms.

Ruled out: tables from followers that have not heard of a leader, which would bring work sooner but could be older than what was acknowledged.

--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -22,6 +22,9 @@
 	// PollInterval is the mean time between polls of one member. An endpoint
 	// that is leaving gets no new work 2 s later; four polls fit into it.
 	PollInterval = 400 * time.Millisecond
+	// startInterval is the mean time between polls of one member until any member
+	// has answered: an entry that knows no endpoint refuses every request.
+	startInterval = 100 * time.Millisecond
 	// pollTimeout bounds one poll, so that a silent member is asked again over
 	// a fresh connection within the same 2 s.
 	pollTimeout = 600 * time.Millisecond
@@ -154,7 +157,10 @@
 		c.ask(ctx, client, p)
 		// Jitter keeps the polls of many entries apart.
 		every := PollInterval
-		if c.source() == p {
+		switch {
+		case !c.Synced():
+			every = startInterval
+		case c.source() == p:
 			every = c.loadInterval()
 		}
 		if kernel.Sleep(ctx, every*4/5+rand.N(every*2/5)) != nil {
--- /dev/null
+++ b/internal/directory/client_test.go
@@ -0,0 +1,62 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"auburnstep.example/auburnstep/internal/dispatch"
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/hlc"
+	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
+	"auburnstep.example/auburnstep/internal/rpc/transport"
+)
+
+// Guards against an entry that waits a whole poll interval for members that start
+// at the same time as it, and refuses every request meanwhile.
+func TestFirstPollsAreSoon(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	clock := hlc.New(nil)
+	pool := transport.NewPool(transport.Options{
+		Sender: "entry:1", Clock: clock,
+		Dial: func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("no process listens") },
+	})
+	defer pool.Close()
+	client := NewClient(ClientOptions{
+		Pool: pool, Members: func() []string { return []string{"member:1"} }, Self: func() *directoryv1.Entry { return &directoryv1.Entry{Instance: "entry"} },
+		Loads: func() map[string]dispatch.Load { return nil }, Busy: func() bool { return false },
+		Events: event.NewRecorder("entry", clock, nil, 0), Scope: scope,
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*PollInterval)
+	defer cancel()
+	qt.Assert(t, client.Start(ctx), qt.IsNil)
+	polls := scope.Snapshot().Counters()["directory_polls_sent+"].Value()
+	// Two intervals hold three polls at most; first polls are four times as often.
+	qt.Check(t, polls >= 5, qt.IsTrue, qt.Commentf("%d polls in %s", polls, 2*PollInterval))
+	qt.Check(t, polls <= int64(2*PollInterval/startInterval*3/2), qt.IsTrue, qt.Commentf("%d polls", polls))
+}
+
+// Guards against loads that are told late while engines are behind, and against
+// the cost of frequent polls at all other times.
+func TestLoadInterval(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		entries int
+		busy    bool
+		want    time.Duration
+	}{
+		{"few entries", 8, false, minLoadInterval}, {"many entries", 72, false, 72 * loadIntervalPerEntry},
+		{"many busy entries", 72, true, 72 * busyIntervalPerEntry}, {"more entries than a member can answer", 390, true, PollInterval},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := NewClient(ClientOptions{Busy: func() bool { return c.busy }})
+			client.snapshot.Store(&Snapshot{Entries: c.entries})
+			qt.Assert(t, client.loadInterval(), qt.Equals, c.want)
+		})
+	}
+}
--- a/internal/rpc/transport/client.go
+++ b/internal/rpc/transport/client.go
@@ -272,7 +272,7 @@
 		Protocols:           protocols(o.TLS != nil),
 		HTTP2:               http2Config(),
 		DisableCompression:  true,
-		TLSHandshakeTimeout: dialTimeout,
+		TLSHandshakeTimeout: handshakeTimeout,
 	}
 	if o.TLS != nil {
 		t.TLSClientConfig = o.TLS.Clone()
--- a/internal/rpc/transport/transport.go
+++ b/internal/rpc/transport/transport.go
@@ -29,8 +29,12 @@
 	PingIdle = 500 * time.Millisecond
 	// PingTimeout is the time in which a ping must be answered.
 	PingTimeout = 500 * time.Millisecond
-	// dialTimeout bounds the opening of a connection below the deadline of a call.
-	dialTimeout = 700 * time.Millisecond
+	// dialTimeout bounds the opening of a connection. A first packet that is lost,
+	// or sent to a machine without power, is sent again after 1 s only; another try
+	// or another member is sooner. Round trips take up to some 30 ms.
+	dialTimeout = 250 * time.Millisecond
+	// handshakeTimeout bounds a TLS handshake below the deadline of a call.
+	handshakeTimeout = 700 * time.Millisecond
 	// DefaultMaxMessage bounds requests and responses. A settings snapshot of
 	// 33,000 customers takes some 10 MB.
 	DefaultMaxMessage = 64 << 20
