Do not turn urgent customers away in a burst

Cause: the refusals in overload looked at time only. In a burst of long prompts a tenth of which belongs to urgent customers, 652 of 821 of these were answered, while four fifths of the others, less urgent at the same engines, were.

Change: a balancer compares the ranks of the last seconds; a request that is more urgent than most of them is sent even if it will be late, ahead of the others at its engine.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -46,7 +46,7 @@
 	switch {
 	case now.Add(c.Whole).After(d.Deadline):
 		return Refuse
-	case !c.Overload || c.Behind <= 0:
+	case !c.Overload || c.Urgent || c.Behind <= 0:
 		return Send
 	case now.Sub(d.Arrived) < time.Duration(waitShare*float64(d.Objective)):
 		return Wait
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -34,6 +34,9 @@
 	// in ms: while engines read prompts all the time, each step takes longer.
 	lagLight, lagHeavy float64
 	lagAt              time.Time
+	// ranks counts the requests of each rank, with a decay, as of ranksAt.
+	ranks   [MaxRank + 1]float64
+	ranksAt time.Time
 	// behindAt is when a request was last placed while engines were behind.
 	behindAt time.Time
 }
@@ -128,10 +131,38 @@
 			s.remote = Load{}
 		}
 	}
+	urgent := b.urgent(now, d)
+	choose := b.chooseEngine
 	if b.memory == nil {
-		return b.choosePlain(now, d, avoid)
+		choose = b.choosePlain
 	}
-	return b.chooseEngine(now, d, avoid)
+	c, ok := choose(now, d, avoid)
+	c.Urgent = urgent
+	return c, ok
+}
+
+// urgent counts a new request and reports whether most requests of the last
+// seconds were less urgent.
+func (b *Balancer) urgent(now time.Time, d Demand) bool {
+	rank := min(MaxRank, max(0, d.Rank))
+	if elapsed := now.Sub(b.ranksAt); elapsed > 0 {
+		fade := math.Exp(-float64(elapsed) / float64(rankMemory))
+		for i := range b.ranks {
+			b.ranks[i] *= fade
+		}
+		b.ranksAt = now
+	}
+	if now.Sub(d.Arrived) < WaitStep { // Not one that waits and is placed again.
+		b.ranks[rank]++
+	}
+	all, less := 0.0, 0.0
+	for i, n := range b.ranks {
+		all += n
+		if i > rank {
+			less += n
+		}
+	}
+	return less > all/2
 }
 
 func (b *Balancer) candidates(now time.Time, avoid []string) []*state {
--- a/internal/dispatch/replay_cases_test.go
+++ b/internal/dispatch/replay_cases_test.go
@@ -32,7 +32,7 @@
 
 func rotaPlan(rate func(float64) float64) *replayClass {
 	return &replayClass{
-		name: "plan", rank: 4, objective: 600 * time.Millisecond, patience: 5 * time.Second, gap: 400, worth: 3.2, late: 0.98,
+		name: "plan", things: "plan", rank: 4, objective: 600 * time.Millisecond, patience: 5 * time.Second, gap: 400, worth: 3.2, late: 0.98,
 		prompt: 2890, spread: 1, output: 52, outSpread: 1.4,
 		shared: []replayPart{{2520, 0.4, 4}, {3780, 0.7, 2323}}, rate: rate,
 	}
@@ -40,7 +40,7 @@
 
 func crewChat(rate func(float64) float64) *replayClass {
 	return &replayClass{
-		name: "chat", light: true, rank: 3, objective: 600 * time.Millisecond, patience: 15 * time.Second, gap: 250, worth: 1.6, late: 0.15,
+		name: "chat", things: "chat", light: true, rank: 3, objective: 600 * time.Millisecond, patience: 15 * time.Second, gap: 250, worth: 1.6, late: 0.15,
 		prompt: 628, spread: 1, output: 291, outSpread: 0.69,
 		shared: []replayPart{{119, 0.4, 40}, {79, 0.7, 739}}, rate: rate,
 	}
@@ -82,3 +82,17 @@
 		})
 	}
 }
+
+// Guards against urgent customers that are turned away in a burst while less
+// urgent requests of the same kind are served.
+func TestReplayUrgentCustomersInBurst(t *testing.T) {
+	urgent := rotaPlan(burst(34, 2.76, 500, 9500))
+	urgent.name, urgent.rank = "urgent plan", 1
+	r := grownCera(1)
+	r.classes = []*replayClass{rotaPlan(burst(302, 2.76, 500, 9500)), urgent, crewChat(constant(151))}
+	got := runReplay(r)
+	t.Log(got, got.timely["urgent plan"], got.lateN["urgent plan"])
+	answered := got.timely["urgent plan"] + got.lateN["urgent plan"] + got.gaps["urgent plan"]
+	qt.Check(t, float64(answered) >= 0.99*float64(got.count["urgent plan"]), qt.IsTrue, qt.Commentf("%d of %d", answered, got.count["urgent plan"]))
+	qt.Check(t, got.worth() >= targetWorth, qt.IsTrue, qt.Commentf("worth %.3f", got.worth()))
+}
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -25,7 +25,7 @@
 
 // replayClass is a kind of request of the users' sheets.
 type replayClass struct {
-	name                string
+	name, things        string // things names whose parts the prompts share
 	light               bool
 	rank                int
 	objective, patience time.Duration
@@ -263,7 +263,7 @@
 	for k, s := range class.shared {
 		// Things are asked for with a mild skew.
 		thing := int(float64(s.things) * math.Pow(p.arrivals.Float64(), 1/(1-0.3)))
-		id := fmt.Sprintf("%s-%d-%d", class.name, k, thing)
+		id := fmt.Sprintf("%s-%d-%d", class.things, k, thing)
 		if p.sizes[id] == 0 {
 			p.sizes[id] = p.lognormal(s.tokens, s.spread)
 		}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -32,6 +32,9 @@
 	Arrived, Deadline time.Time
 }
 
+// MaxRank is the least urgent rank.
+const MaxRank = 9
+
 // Endpoint is a place to run requests, as announced.
 type Endpoint struct {
 	ID          string
@@ -108,6 +111,9 @@
 	Behind time.Duration
 	// Overload tells that the endpoints as a whole are behind.
 	Overload bool
+	// Urgent tells that most requests to the service lately were less urgent. Such a
+	// request is not turned away for being late; the others make room for it.
+	Urgent bool
 	// FetchFrom is the address of the endpoint that is expected to have the shared
 	// parts of the prompt, "" if the chosen one is.
 	FetchFrom string
--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -89,6 +89,9 @@
 	// is asked for more often, and busyFor how long that lasts.
 	busyShare = 0.5
 	busyFor   = time.Second
+	// rankMemory is the time over which the ranks of requests are compared: long
+	// enough for some tens of requests of an entry, shorter than a burst.
+	rankMemory = 3 * time.Second
 	// lightPrior is the share of all slots that light requests are expected to take
 	// until their load is known; it is a fifth on both users' sheets.
 	lightPrior = 0.2
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -118,7 +118,7 @@
 	}
 	q.server.options.Events.Emit(eventPlaced, event.Request(q.call.ID), event.F("route", q.route.Name), event.F("attempt", q.sends+1),
 		event.F("endpoint", c.Endpoint.ID), event.F("address", c.Endpoint.Address), event.F("predicted_ms", c.Predicted.Milliseconds()), event.F("waited_ms", now.Sub(q.arrived).Milliseconds()),
-		event.F("uncached", c.Uncached), event.F("rank", q.sendRank(&c)), event.F("late", c.Late),
+		event.F("uncached", c.Uncached), event.F("rank", q.sendRank(&c)), event.F("late", c.Late), event.F("overload", c.Overload), event.F("urgent", c.Urgent),
 		event.F("fetch_from", c.FetchFrom), event.F("home", c.Home), event.F("candidates", endpoints),
 		event.F("load_age_ms", loadAge.Milliseconds()), event.F("table", q.tableVersion()))
 	return c, ""
--- a/internal/router/codec.go
+++ b/internal/router/codec.go
@@ -37,7 +37,7 @@
 	Customer string
 	// Left is how long the endpoint may work on it.
 	Left time.Duration
-	// Rank orders requests at the endpoint, 0 first, at most MaxRank.
+	// Rank orders requests at the endpoint, 0 first, at most dispatch.MaxRank.
 	Rank      int
 	LastEvent string
 	// FetchFrom is the address of an endpoint that is expected to have parts of
@@ -45,9 +45,6 @@
 	FetchFrom string
 }
 
-// MaxRank is the rank of the least urgent requests.
-const MaxRank = 9
-
 // Answer is what an endpoint says of a request besides its content.
 type Answer struct {
 	// RequestID is the request that the answer belongs to, "" if it does not say.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -154,7 +154,7 @@
 		customer = *q.customer.Priority
 	}
 	route := min(max(0, q.route.Priority), routePriorities-1)
-	return min(MaxRank, max(0, customer)*routePriorities+route)
+	return min(dispatch.MaxRank, max(0, customer)*routePriorities+route)
 }
 
 func (q *request) readBody(r *http.Request, limits routing.Limits) *verdict.Error {
