Split the choice of an engine; overload as a share of the objective

A query holds what is known of a request while it is placed; the placements of light requests and of long prompts are functions of their own. Overload is a fifth of the request's objective, 120 ms at the users' 600 ms, so that it fits services with other objectives.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -234,71 +234,80 @@
 	all := b.candidates(now, avoid)
 	pool := b.poolSize(all)
 	noteLight(now, all, pool)
-	light := d.Prompt.Tokens < heavyPrompt
-	own := all[pool:]
-	if light {
-		own = all[:pool]
+	b.decayLag(now)
+	q := query{now: now, demand: d, light: d.Prompt.Tokens < heavyPrompt, own: all[pool:], others: all[:pool]}
+	if q.light {
+		q.own, q.others = q.others, q.own
 	}
-	if len(own) == 0 {
-		own = all
+	if len(q.own) == 0 {
+		q.own = all
 	}
-	b.decayLag(now)
-	lag := milliseconds(*b.lag(light))
+	lag := milliseconds(*b.lag(q.light))
 	left := d.Arrived.Add(d.Objective).Sub(now)
-	bound := time.Duration(timelyBound*float64(left)) - lag
-	backlog := backlogMs(own)
-	if backlog > busyShare*overloadMs {
+	q.bound = time.Duration(timelyBound*float64(left)) - lag
+	overloadAt := overloadShare * float64(d.Objective.Milliseconds())
+	backlog := backlogMs(q.own)
+	if backlog > busyShare*overloadAt {
 		b.behindAt = now
 	}
-	overload := !light && backlog > overloadMs
-	var line []*state
-	if !light {
-		line = homesOf(own, d.Prompt.Parts)
-	}
-	stay := overload && len(line) > 0 && b.staysHome(now, line[0], d.Prompt)
-	if stay {
-		line = line[:1]
-	}
-	source := fetchSource(now, all[:pool], line, d.Prompt.Parts)
-	best := b.firstTimely(now, d, line, source, left-lag)
-	switch {
-	case best.state != nil:
-	case stay:
-		best = b.place(now, line[0], d, line, source, light)
-	default:
-		from := b.sample(own)
-		if light {
-			from = append(b.near(own), from...)
-		}
-		best = b.cheapest(now, d, from, line, source, light)
-		if atHome := b.cheapest(now, d, line, line, source, light); atHome.state != nil &&
-			milliseconds(best.timely) > bound && atHome.cost < best.cost+float64(awayLate.Milliseconds()) {
-			best = atHome
-		}
-		if light && milliseconds(best.timely) > time.Duration(poolBehind*float64(left)) {
-			// No light request starves for long prompts: engines begin it first.
-			other := b.cheapest(now, d, b.sample(all[pool:]), nil, nil, true)
-			if other.state != nil && other.cost+float64(offPool.Milliseconds()) < best.cost {
-				best = other
-			}
-		}
-	}
+	overload := !q.light && backlog > overloadAt
+	best := b.bestEngine(&q, overload, left-lag)
 	if best.state == nil {
 		return Choice{}, false
 	}
-	c, ok := b.choice(now, best.state, best.timely, best.uncached, light)
-	c.FetchFrom, c.Home, c.Overload = best.fetchFrom, 1+slices.Index(line, best.state), overload
+	c, ok := b.choice(now, best.state, best.timely, best.uncached, q.light)
+	c.FetchFrom, c.Home, c.Overload = best.fetchFrom, 1+slices.Index(q.line, best.state), overload
 	alone := min(milliseconds(best.alone), time.Duration(ownBound*float64(d.Objective)))
-	c.Behind = milliseconds(best.timely-best.alone) + alone - bound
+	c.Behind = milliseconds(best.timely-best.alone) + alone - q.bound
 	if c.Predicted > left-lag {
 		c.Late = true
 		c.Predicted = milliseconds(best.late)
 	}
 	c.Predicted += lag
-	c.Whole = c.Predicted + milliseconds(*b.run(light))
+	c.Whole = c.Predicted + milliseconds(*b.run(q.light))
 	return c, ok
 }
 
+// bestEngine returns the placement of a request, given the time in which its
+// first event is timely.
+func (b *Balancer) bestEngine(q *query, overload bool, timely time.Duration) placement {
+	if q.light {
+		return b.bestLight(q, timely)
+	}
+	q.line = homesOf(q.own, q.demand.Prompt.Parts)
+	stay := overload && len(q.line) > 0 && b.staysHome(q.now, q.line[0], q.demand.Prompt)
+	if stay {
+		q.line = q.line[:1]
+	}
+	q.source = fetchSource(q.now, q.others, q.line, q.demand.Prompt.Parts)
+	if p := b.firstTimely(q, timely); p.state != nil {
+		return p
+	}
+	atHome := b.cheapest(q, q.line)
+	if stay {
+		return atHome
+	}
+	best := b.cheapest(q, b.sample(q.own))
+	if atHome.state != nil && milliseconds(best.timely) > q.bound && atHome.cost < best.cost+float64(awayLate.Milliseconds()) {
+		return atHome
+	}
+	return best
+}
+
+// bestLight returns the placement of a light request. None starves for long
+// prompts: where its own engines are behind, it goes beside those, which begin it
+// first.
+func (b *Balancer) bestLight(q *query, timely time.Duration) placement {
+	best := b.cheapest(q, append(b.near(q.own), b.sample(q.own)...))
+	if milliseconds(best.timely) <= time.Duration(poolBehind*float64(timely)) {
+		return best
+	}
+	if other := b.cheapest(q, b.sample(q.others)); other.state != nil && other.cost+float64(offPool.Milliseconds()) < best.cost {
+		return other
+	}
+	return best
+}
+
 // staysHome reports whether a request of an overloaded service goes to its home or
 // nowhere. Elsewhere its shared parts would be read again and push out others,
 // which makes the overload worse. A home without memory is left, and so is one
@@ -320,9 +329,9 @@
 }
 
 // cheapest returns the placement with the lowest cost.
-func (b *Balancer) cheapest(now time.Time, d Demand, from []*state, line []*state, source *state, light bool) (best placement) {
+func (b *Balancer) cheapest(q *query, from []*state) (best placement) {
 	for _, s := range from {
-		if p := b.place(now, s, d, line, source, light); best.state == nil || p.cost < best.cost {
+		if p := b.place(q, s); best.state == nil || p.cost < best.cost {
 			best = p
 		}
 	}
@@ -364,9 +373,9 @@
 // firstTimely returns the first endpoint in the line of homes that is timely. It
 // answers bursts with shared prompts: as long as their home keeps up, no other
 // engine reads them again.
-func (b *Balancer) firstTimely(now time.Time, d Demand, line []*state, source *state, bound time.Duration) placement {
-	for _, s := range line {
-		if p := b.place(now, s, d, line, source, false); milliseconds(p.timely+b.price(now, s)+float64(s.own.Light+s.remote.Light)*lightHarm) <= bound {
+func (b *Balancer) firstTimely(q *query, timely time.Duration) placement {
+	for _, s := range q.line {
+		if p := b.place(q, s); milliseconds(p.timely+b.price(q.now, s)+float64(s.own.Light+s.remote.Light)*lightHarm) <= timely {
 			return p
 		}
 	}
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -316,3 +316,24 @@
 		qt.Check(t, s.own, qt.Equals, Load{}, qt.Commentf(id))
 	}
 }
+
+// Measures one decision for a long prompt, at the size of the users' larger
+// deployment and at their target in two years.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{112, 600} {
+		b.Run(fmt.Sprint(n, " engines"), func(b *testing.B) {
+			balancer := newEngines(n, 72)
+			random := rand.New(rand.NewPCG(5, 5))
+			things := make([]Demand, 2323)
+			for i := range things {
+				things[i] = long(fmt.Sprint(i), at(0))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := balancer.Choose(at(1), things[random.IntN(len(things))], nil); !ok {
+					b.Fatal("no endpoint")
+				}
+			}
+		})
+	}
+}
--- a/internal/dispatch/homes.go
+++ b/internal/dispatch/homes.go
@@ -66,7 +66,8 @@
 // uncached estimates the prompt tokens that an endpoint has to read, and the
 // time in ms to fetch others, 0 for no fetch. A part counts as cached only if
 // all parts before it are.
-func (b *Balancer) uncached(now time.Time, s *state, p Prompt, line []*state, source *state) (tokens, fetchMs float64) {
+func (b *Balancer) uncached(q *query, s *state) (tokens, fetchMs float64) {
+	p, line := &q.demand.Prompt, q.line
 	left, shared := float64(p.Tokens), 0.0
 	if left == 0 {
 		for _, part := range p.Parts {
@@ -75,7 +76,7 @@
 	}
 	known := true
 	for i, part := range p.Parts {
-		known = known && s.believes(now, part.ID)
+		known = known && s.believes(q.now, part.ID)
 		switch {
 		case known:
 			left -= float64(part.Tokens)
@@ -87,7 +88,7 @@
 	if len(line) == 0 || shared == 0 {
 		return left, 0
 	}
-	if s != source && b.memory.FetchPerMs > 0 && shared >= minFetch {
+	if s != q.source && b.memory.FetchPerMs > 0 && shared >= minFetch {
 		fetchMs = float64(fetchSetup.Milliseconds()) + shared/b.memory.FetchPerMs
 	} else if s != line[0] {
 		return left, 0
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -2,6 +2,21 @@
 
 import "time"
 
+// query is a request that is being placed.
+type query struct {
+	now    time.Time
+	demand Demand
+	light  bool
+	// own are the endpoints for requests of its kind, others those for the other kind.
+	own, others []*state
+	// line are the homes of its parts, and source the endpoint to fetch them from;
+	// both are empty for light requests.
+	line   []*state
+	source *state
+	// bound is the time up to which the predicted first event counts as timely.
+	bound time.Duration
+}
+
 // placement is what placing a request at an endpoint comes to, in ms.
 type placement struct {
 	state     *state
@@ -14,23 +29,23 @@
 	alone float64
 }
 
-func (b *Balancer) place(now time.Time, s *state, d Demand, line []*state, source *state, light bool) placement {
+func (b *Balancer) place(q *query, s *state) placement {
 	p := placement{state: s}
-	uncached, fetched := b.uncached(now, s, d.Prompt, line, source)
+	uncached, fetched := b.uncached(q, s)
 	p.uncached = int(uncached)
 	if fetched > 0 {
-		p.fetchFrom = source.Address
+		p.fetchFrom = q.source.Address
 	}
-	slow := s.slowFactor(now)
+	slow := s.slowFactor(q.now)
 	base := float64(firstEventBase.Milliseconds()) + fetched
 	backlog := float64(s.own.PromptTokens + s.remote.PromptTokens)
 	behind := float64(s.own.LateTokens + s.remote.LateTokens)
 	late := s.own.Late + s.remote.Late
-	requests := s.requests(now)
+	requests := s.requests(q.now)
 	slots := float64(max(1, s.Slots))
-	run := *b.run(light)
+	run := *b.run(q.light)
 	wait := run * max(0, float64(requests-late+1)-slots) / slots
-	if over := b.memoryOver(s, d.Prompt); over > 0 {
+	if over := b.memoryOver(s, q.demand.Prompt); over > 0 {
 		wait += run * (memoryWait + over)
 	}
 	if float64(requests) >= queueRoom*slots {
@@ -39,12 +54,12 @@
 	p.alone = (base + uncached/readRate) * slow
 	p.timely = (base+(backlog+uncached)/readRate)*slow + wait
 	p.late = (base+(backlog+behind+uncached)/readRate)*slow + wait + run*float64(late)/slots
-	p.cost = p.timely + (p.late-p.timely)*lateWeight + b.price(now, s)
-	if len(line) > 0 && s != line[0] {
+	p.cost = p.timely + (p.late-p.timely)*lateWeight + b.price(q.now, s)
+	if len(q.line) > 0 && s != q.line[0] {
 		p.cost += float64(awayPrice.Milliseconds())
 	}
 	beside := float64(s.own.Light + s.remote.Light)
-	if light {
+	if q.light {
 		// Light requests slow each other down a little, step by step.
 		p.cost += beside * stepPrice
 		if s.Domain != b.domain {
--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -76,16 +76,16 @@
 	// counts against it. A prompt that takes longer to read cannot be timely at
 	// all; it is sent where next to nothing is ahead of it, and does not starve.
 	ownBound = 0.58
-	// overloadMs is the mean time in ms that the engines for long prompts need for
-	// the prompts sent to them, from which on the service counts as overloaded: a
-	// sixth to a fifth of the users' objectives. Below it, the spread over the
-	// engines lets late work catch up.
-	overloadMs = 120.0
+	// overloadShare is the mean time that the engines for long prompts need for the
+	// prompts sent to them, as a share of a request's objective, from which on the
+	// service counts as overloaded for it. Below it, the spread over the engines lets
+	// late work catch up.
+	overloadShare = 0.2
 	// plainOverload is the number of requests for each slot of a plain service from
 	// which on it counts as overloaded. Its queues make a request late at two to
 	// three for each slot.
 	plainOverload = 1.5
-	// busyShare is the part of overloadMs and plainOverload from which on the load of the other entries
+	// busyShare is the part of overloadShare and plainOverload from which on the load of the other entries
 	// is asked for more often, and busyFor how long that lasts.
 	busyShare = 0.5
 	busyFor   = time.Second
