--- a/internal/dispatch/replay_plain_test.go
+++ b/internal/dispatch/replay_plain_test.go
@@ -23,12 +23,11 @@
 }
 
 type plainRequest struct {
-	d       Demand
-	first   float64
-	tries   int
-	entry   int
-	choice  Choice
-	expired bool
+	d      Demand
+	first  float64
+	tries  int
+	entry  int
+	choice Choice
 }
 
 type plainEndpoint struct {
