--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -85,12 +85,15 @@
 func (b *Balancer) SetRemote(at time.Time, load func(id string) Load) {
 	elapsed := min(1, max(0, at.Sub(b.remoteAt).Seconds()))
 	b.remoteAt = at
-	light := 0
+	light, all := 0, 0
 	for id, s := range b.states {
 		s.remote = load(id)
 		light += s.own.Light + s.remote.Light
+		all += s.own.Requests + s.remote.Requests
+	}
+	if all > 0 { // Without any load, what was known of its kinds stays.
+		b.light = max(float64(light), b.light*(1-lightDecay*elapsed))
 	}
-	b.light = max(float64(light), b.light*(1-lightDecay*elapsed))
 }
 
 // Own calls f with the load that this entry has at each endpoint, if any.
--- a/internal/dispatch/balancer_test.go
+++ b/internal/dispatch/balancer_test.go
@@ -80,6 +80,21 @@
 	}
 }
 
+// Guards against light requests that begin beside long prompts on a few engines
+// because entries waited for the first request for a while after their start.
+func TestLightPoolBeforeTheFirstRequest(t *testing.T) {
+	b := newEngines(testEngines, 72)
+	for i := range 50 {
+		b.SetRemote(at(400*i), func(string) Load { return Load{} })
+	}
+	qt.Check(t, b.poolSize(b.order) >= testEngines/5, qt.IsTrue, qt.Commentf("%d engines", b.poolSize(b.order)))
+	busy := Load{Requests: 5}
+	for i := range 50 {
+		b.SetRemote(at(20_000+400*i), func(string) Load { return busy })
+	}
+	qt.Check(t, b.poolSize(b.order), qt.Equals, 1, qt.Commentf("without light requests under load"))
+}
+
 // Guards against all light requests on one engine because it has many slots: they
 // read their prompts beside each other, and all of them are late when it is slow.
 func TestLightRequestsUseSeveralLargeEngines(t *testing.T) {
