router: split the placement of an attempt from the wait for it; test of overload

Found by reading the change as a newcomer: choose mixed the loop of a waiting request with the placement and its log line, and named overload as the cause where a request could not end in its time. TestOverload guards refusal, return time and room that comes while a request waits.

--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -85,8 +85,8 @@
 	// which on it counts as overloaded. Its queues make a request late at two to
 	// three for each slot.
 	plainOverload = 1.5
-	// busyShare is the part of overloadShare and plainOverload from which on the load of the other entries
-	// is asked for more often, and busyFor how long that lasts.
+	// busyShare is the part of overloadShare and plainOverload from which on the load
+	// of the other entries is asked for more often, and busyFor how long that lasts.
 	busyShare = 0.5
 	busyFor   = time.Second
 	// rankMemory is the time over which the ranks of requests are compared: long
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -78,52 +78,61 @@
 // choose places the next attempt. Before the first one it waits as long as the
 // request may wait for an endpoint. It returns a reason where no attempt is made.
 func (q *request) choose(ctx context.Context) (c dispatch.Choice, reason string) {
-	var now time.Time
-	var endpoints int
-	var loadAge time.Duration
-	for {
-		now = time.Now()
-		decision := dispatch.Send
-		q.locked(func(b *dispatch.Balancer) {
-			var ok bool
-			c, ok = b.Choose(now, q.demand, q.avoid)
-			endpoints, loadAge = b.Size(now), b.RemoteAge(now)
-			switch {
-			case !ok:
-				reason = "no endpoint of the service is available"
-				return
-			case q.sends == 0:
-				decision = dispatch.Admit(now, q.demand, c)
-			}
-			if decision == dispatch.Send {
-				b.Sent(now, &c, q.demand)
-			}
-		})
-		q.behind = c.Behind
-		if decision == dispatch.Refuse {
-			reason = "the endpoints cannot end the request in its time"
-			if c.Overload {
-				reason = "the service is overloaded and the answer would be late"
-			}
-		}
-		if decision != dispatch.Wait {
-			break
-		}
+	p := q.place()
+	for p.decision == dispatch.Wait {
 		if kernel.Sleep(ctx, dispatch.WaitStep) != nil {
-			return c, "the request ended while it waited"
+			return p.choice, "the request ended while it waited"
 		}
+		p = q.place()
 	}
-	if reason != "" {
-		return c, reason
+	c = p.choice
+	q.behind = c.Behind
+	switch {
+	case !p.found:
+		return c, "no endpoint of the service is available"
+	case p.decision == dispatch.Refuse && p.at.Add(c.Whole).After(q.deadline):
+		return c, "the endpoints cannot end the request in its time"
+	case p.decision == dispatch.Refuse:
+		return c, "the service is overloaded and the answer would be late"
 	}
 	q.server.options.Events.Emit(eventPlaced, event.Request(q.call.ID), event.F("route", q.route.Name), event.F("attempt", q.sends+1),
-		event.F("endpoint", c.Endpoint.ID), event.F("address", c.Endpoint.Address), event.F("predicted_ms", c.Predicted.Milliseconds()), event.F("waited_ms", now.Sub(q.arrived).Milliseconds()),
-		event.F("uncached", c.Uncached), event.F("rank", q.sendRank(&c)), event.F("late", c.Late), event.F("overload", c.Overload), event.F("urgent", c.Urgent),
-		event.F("fetch_from", c.FetchFrom), event.F("home", c.Home), event.F("candidates", endpoints),
-		event.F("load_age_ms", loadAge.Milliseconds()), event.F("table", q.tableVersion()))
+		event.F("endpoint", c.Endpoint.ID), event.F("address", c.Endpoint.Address), event.F("predicted_ms", c.Predicted.Milliseconds()),
+		event.F("waited_ms", p.at.Sub(q.arrived).Milliseconds()), event.F("uncached", c.Uncached), event.F("rank", q.sendRank(&c)), event.F("late", c.Late),
+		event.F("overload", c.Overload), event.F("urgent", c.Urgent), event.F("fetch_from", c.FetchFrom), event.F("home", c.Home), event.F("candidates", p.candidates),
+		event.F("load_age_ms", p.loadAge.Milliseconds()), event.F("table", q.tableVersion()))
 	return c, ""
 }
 
+// placed is where a request would go at a moment, and what becomes of it.
+type placed struct {
+	at         time.Time
+	found      bool // whether there is any endpoint
+	choice     dispatch.Choice
+	decision   dispatch.Decision
+	candidates int
+	loadAge    time.Duration
+}
+
+// place places a request and counts it as sent if it may be. Only its first
+// attempt is subject to admission.
+func (q *request) place() (p placed) {
+	p.at, p.decision = time.Now(), dispatch.Refuse
+	q.locked(func(b *dispatch.Balancer) {
+		p.choice, p.found = b.Choose(p.at, q.demand, q.avoid)
+		p.candidates, p.loadAge = b.Size(p.at), b.RemoteAge(p.at)
+		if !p.found {
+			return
+		}
+		if p.decision = dispatch.Send; q.sends == 0 {
+			p.decision = dispatch.Admit(p.at, q.demand, p.choice)
+		}
+		if p.decision == dispatch.Send {
+			b.Sent(p.at, &p.choice, q.demand)
+		}
+	})
+	return p
+}
+
 // sendRank puts late work behind timely work of the same priorities, unless that
 // would make it equal to a less urgent route.
 func (q *request) sendRank(c *dispatch.Choice) int {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -479,3 +479,42 @@
 	qt.Check(t, <-slow, qt.Equals, 200)
 	qt.Check(t, <-stopped, qt.IsNil)
 }
+
+// Guards against late work that is queued at endpoints that are full, against
+// refusals of work for which room comes while it waits, and against a refusal that
+// is held back or does not tell when to come back.
+func TestOverload(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		roomAfter time.Duration // 0 for none
+		status    int
+		runs      int64
+	}{{"no room", 0, http.StatusServiceUnavailable, 0}, {"room while it waits", 5 * time.Millisecond, http.StatusOK, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newStandIn(t, "e1", whole(http.StatusOK, "fine"))
+			s, address := start(t, e)
+			load := func(requests int) {
+				b := s.fleet.backend("s")
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				b.balancer.SetRemote(time.Now(), func(string) dispatch.Load { return dispatch.Load{Requests: requests} })
+			}
+			load(30)
+			if c.roomAfter > 0 {
+				time.AfterFunc(c.roomAfter, func() { load(0) })
+			}
+			began := time.Now()
+			resp, _, err := get(t, address, "/look/x", nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, resp.StatusCode, qt.Equals, c.status)
+			qt.Check(t, e.runs.Load(), qt.Equals, c.runs)
+			if c.status == http.StatusOK {
+				return
+			}
+			qt.Check(t, time.Since(began) < 150*time.Millisecond, qt.IsTrue, qt.Commentf("refused after %v", time.Since(began)))
+			after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, after > 0 && after < 2, qt.IsTrue, qt.Commentf("come back after %v s", after))
+		})
+	}
+}
