--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -24,7 +24,9 @@
 	Now            func() time.Time
 	// Sleep returns after the duration or when the context is done.
 	Sleep func(context.Context, time.Duration)
-	NewID func() string
+	// WithTimeout returns a context that ends after the duration on the clock of Now.
+	WithTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
+	NewID       func() string
 	// Actor is the default author of a change.
 	Actor string
 }
@@ -32,7 +34,7 @@
 // SystemEnv returns an Env with the standard streams, the system clock and random IDs.
 // The actor is USER@HOST.
 func SystemEnv() Env {
-	return Env{Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now, Sleep: sleep, NewID: uuid.NewString, Actor: systemActor()}
+	return Env{Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now, Sleep: sleep, WithTimeout: context.WithTimeout, NewID: uuid.NewString, Actor: systemActor()}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -32,6 +32,12 @@
 	lastID      int
 }
 
+// withoutTimeout returns a context that does not end by itself: the clock of the tests
+// stands still during a call.
+func withoutTimeout(ctx context.Context, _ time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithCancel(ctx)
+}
+
 // env returns an Env whose clock advances only while a command sleeps, and whose IDs are
 // change-1, change-2 and so on.
 func (s *scriptState) env(ts *testscript.TestScript) Env {
@@ -42,7 +48,8 @@
 			defer s.mu.Unlock()
 			s.now = s.now.Add(d)
 		},
-		NewID: func() string { s.lastID++; return fmt.Sprintf("change-%d", s.lastID) }}
+		WithTimeout: withoutTimeout,
+		NewID:       func() string { s.lastID++; return fmt.Sprintf("change-%d", s.lastID) }}
 }
 
 type stateKey struct{}
@@ -164,7 +171,7 @@
 	var out, errs bytes.Buffer
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	env := Env{Stdout: &out, Stderr: &errs, Now: func() time.Time { return now },
-		Sleep: func(_ context.Context, d time.Duration) { now = now.Add(d) }}
+		Sleep: func(_ context.Context, d time.Duration) { now = now.Add(d) }, WithTimeout: withoutTimeout}
 	c.Assert(Run([]string{"member", "list"}, env), qt.Equals, CodeUnreachable)
 	c.Assert(errs.String(), qt.Contains, "certificate signed by unknown authority")
 	t.Setenv("AUBURNSTEP_TLS_CA", ca)
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -206,7 +206,7 @@
 // the deadline of the command, whichever is earlier.
 func (s *session) callContext() (context.Context, context.CancelFunc) {
 	remaining := max(s.deadline.Sub(s.Now()), 0)
-	return context.WithTimeout(s.ctx, min(remaining, s.callTimeout))
+	return s.WithTimeout(s.ctx, min(remaining, s.callTimeout))
 }
 
 // isRefusal reports whether a server responded that it will not execute the call.
--- a/internal/control/feed/client_test.go
+++ b/internal/control/feed/client_test.go
@@ -264,3 +264,43 @@
 		qt.Assert(t, last[0].Epoch, qt.Equals, uint64(0))
 	})
 }
+
+// TestSelectorReturnsToFirstChoice guards against instances that all stay with the
+// member that answered first after a time without a leader, and against a lost first
+// choice that costs a failed poll every time.
+func TestSelectorReturnsToFirstChoice(t *testing.T) {
+	s := newSelector([]string{"m0", "m1", "m2"})
+	s.setKey("entry")
+	first := s.pick()
+	lost := true
+	tries, polls := 0, 0
+	poll := func() {
+		polls++
+		for {
+			address := s.pick()
+			if address == first && lost {
+				tries++
+				s.recordFailure(address)
+				continue
+			}
+			s.recordSuccess(address, []string{"m0", "m1", "m2"})
+			return
+		}
+	}
+	for range 400 {
+		poll()
+	}
+	qt.Check(t, tries > 1 && tries < 20, qt.IsTrue, qt.Commentf("the lost member was tried %d times in %d polls", tries, polls))
+	lost = false
+	for range 2 * maxReturnAfter {
+		poll()
+	}
+	qt.Check(t, s.pick(), qt.Equals, first)
+	// After one failure the next returns are quick again.
+	s.recordFailure(first)
+	s.recordSuccess(s.candidates()[1], nil)
+	for range minReturnAfter {
+		poll()
+	}
+	qt.Check(t, s.pick(), qt.Equals, first)
+}
--- a/internal/control/feed/selector.go
+++ b/internal/control/feed/selector.go
@@ -57,8 +57,19 @@
 	// or empty if neither is known.
 	target string
 	next   int
+	// awayPolls counts the successive responses of members other than the first choice,
+	// and returnAfter is their number after which the first choice is tried again.
+	awayPolls, returnAfter int
 }
 
+const (
+	// minReturnAfter and maxReturnAfter bound the responses of another member after
+	// which a selector with a key tries its first choice again. The number doubles with
+	// each try that fails, so that a lost member costs few polls.
+	minReturnAfter = 1
+	maxReturnAfter = 64
+)
+
 func newSelector(seeds []string) *selector { return &selector{seeds: slices.Clone(seeds)} }
 
 // pick returns the target member. While there is none, successive calls cycle through
@@ -69,23 +80,30 @@
 	if r.target != "" {
 		return r.target
 	}
+	all := r.candidates()
+	if len(all) == 0 {
+		return ""
+	}
+	r.next++
+	return all[(r.next-1)%len(all)]
+}
+
+// candidates returns the members and seeds in the order in which pick tries them. The
+// caller holds mu.
+func (r *selector) candidates() []string {
 	all := r.members
 	for _, s := range r.seeds {
 		if !slices.Contains(all, s) {
 			all = append(all[:len(all):len(all)], s)
 		}
 	}
-	if len(all) == 0 {
-		return ""
-	}
 	if r.key != "" {
 		all = slices.Clone(all)
 		slices.SortFunc(all, func(a, b string) int {
 			return cmp.Or(cmp.Compare(r.rendezvousWeight(b), r.rendezvousWeight(a)), cmp.Compare(a, b))
 		})
 	}
-	r.next++
-	return all[(r.next-1)%len(all)]
+	return all
 }
 
 // setKey sets the key of the rendezvous order, which spreads instances over the
@@ -145,4 +163,22 @@
 	if len(members) > 0 {
 		r.members = slices.Clone(members)
 	}
+	if r.key != "" {
+		r.returnToFirstChoice()
+	}
+}
+
+// returnToFirstChoice gives up a target that is not the first choice after a number of
+// its responses. Without it, instances that searched while members had no leader would
+// all stay with the member that answered first. The caller holds mu.
+func (r *selector) returnToFirstChoice() {
+	if all := r.candidates(); len(all) == 0 || r.target == all[0] {
+		r.awayPolls, r.returnAfter = 0, 0
+		return
+	}
+	if r.awayPolls++; r.awayPolls < max(minReturnAfter, r.returnAfter) {
+		return
+	}
+	r.returnAfter = min(maxReturnAfter, 2*max(minReturnAfter, r.returnAfter))
+	r.target, r.awayPolls = "", 0
 }
--- a/internal/control/replace_test.go
+++ b/internal/control/replace_test.go
@@ -28,16 +28,23 @@
 	c.start(name)
 }
 
-// waitForVoters waits until the voters are exactly the named members.
+// waitForVoters waits until the voters are exactly the named members in the view of
+// each of them. The leader alone is not enough: a membership is in force there as soon
+// as it is appended, and the next loss may come before it is committed.
 func (c *cluster) waitForVoters(names ...string) {
 	c.waitFor("the voters", func() bool {
-		s := c.member(c.leader()).status.Load().Members
-		for _, name := range names {
-			if !s.IsVoter(c.id(name)) {
+		for _, at := range names {
+			s := c.member(at).status.Load().Members
+			for _, name := range names {
+				if !s.IsVoter(c.id(name)) {
+					return false
+				}
+			}
+			if len(s.Voters) != len(names) {
 				return false
 			}
 		}
-		return len(s.Voters) == len(names)
+		return true
 	})
 }
 
--- a/internal/httpconn/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -131,21 +131,34 @@
 		afterResponse func(conn net.Conn) bool
 	}{
 		{"closed", func(net.Conn) bool { return false }},
-		{"unsolicited bytes", func(conn net.Conn) bool { time.Sleep(20 * time.Millisecond); return writeOK(conn, "") }},
+		{"unsolicited bytes", func(conn net.Conn) bool { return writeOK(conn, "") }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			// The server acts only once the client has taken the response and returned
+			// the connection to the pool.
+			taken, done := make(chan struct{}), make(chan struct{})
 			address, connections := startServer(t, func(conn net.Conn, r *bufio.Reader) bool {
 				if _, complete := readRequest(r); !complete {
 					return false
 				}
-				return writeOK(conn, "") && c.afterResponse(conn)
+				if !writeOK(conn, "") {
+					return false
+				}
+				<-taken
+				again := c.afterResponse(conn)
+				if !again {
+					_ = conn.Close()
+				}
+				done <- struct{}{}
+				return again
 			})
 			p := NewPool(nil)
 			for range 3 {
 				got, err := roundTrip(p, address, post("body"))
 				qt.Assert(t, err, qt.IsNil)
 				qt.Assert(t, got, qt.Equals, "fine")
-				time.Sleep(60 * time.Millisecond)
+				taken <- struct{}{}
+				<-done
 			}
 			qt.Assert(t, connections.Load(), qt.Equals, int64(3))
 		})
