Protection of a rank counts refusals of less urgent work only

The log shows the chain: one refused label in some ten made all less urgent work at that entry yield, up to the share at which labels and guides lost their protection, and their own refusals then kept them unprotected. Change: a rank is protected while less than 0.85 of the less urgent work is refused; the rule by which less urgent work yields altogether is gone.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -49,8 +49,6 @@
 	switch {
 	case now.Add(c.PredictedTotal).After(d.Deadline):
 		return Refuse
-	case c.Yields:
-		return Refuse
 	case !c.Overload || c.Protected || c.Lateness <= 0:
 		return Send
 	case now.Sub(d.Arrived) < time.Duration(maxWaitShare*float64(d.Objective)):
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -150,7 +150,7 @@
 	if ok && now.Sub(d.Arrived) < WaitStep { // Excludes requests that waited and are placed again.
 		b.mix.recordOffered(now, d.Rank, c.work(), c.Light)
 	}
-	c.Protected, c.Yields = b.mix.isProtected(d.Rank), c.Overload && b.mix.yields(d.Rank)
+	c.Protected = b.mix.isProtected(d.Rank)
 	return c, ok
 }
 
--- a/internal/dispatch/mix.go
+++ b/internal/dispatch/mix.go
@@ -12,9 +12,6 @@
 	// maxYield is the part of the work of the less urgent ranks up to which refusals may
 	// rise before a rank is refused as well. The rest keeps the less urgent from starving.
 	maxYield = 0.85
-	// toleratedRefusals is the part of their work that may be refused to more urgent ranks
-	// before a rank yields to them altogether.
-	toleratedRefusals = 1.0 / 24
 )
 
 // requestMix holds the work that callers asked for within the last seconds and the part of
@@ -70,28 +67,15 @@
 }
 
 // isProtected reports whether requests of a rank are sent although they would be late,
-// because the refusals that the load requires can be made among less urgent requests.
+// because less urgent work can still be refused in their place. Refusals of the rank itself
+// do not count, so that it is protected again as soon as the less urgent are served.
 func (m *requestMix) isProtected(rank int) bool {
-	var lessUrgent, refused float64
-	for i := range m.offered {
-		refused += m.refused[i]
-		if i > clampRank(rank) {
-			lessUrgent += m.offered[i]
-		}
-	}
-	return lessUrgent > 0 && refused < maxYield*lessUrgent
-}
-
-// yields reports whether requests of a rank are refused in overload, also those that would
-// be timely, because more urgent ones are being refused.
-func (m *requestMix) yields(rank int) bool {
-	var moreUrgent, refused float64
-	for i := range clampRank(rank) {
-		moreUrgent += m.offered[i]
+	var offered, refused float64
+	for i := clampRank(rank) + 1; i <= MaxRank; i++ {
+		offered += m.offered[i]
 		refused += m.refused[i]
 	}
-	own := clampRank(rank)
-	return refused > toleratedRefusals*moreUrgent && m.refused[own] < maxYield*m.offered[own]
+	return offered > 0 && refused < maxYield*offered
 }
 
 func clampRank(rank int) int { return min(MaxRank, max(0, rank)) }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -128,8 +128,6 @@
 	// Protected is set if less urgent requests are refused in place of this one. A
 	// protected request is not refused for being late.
 	Protected bool
-	// Yields is set if the request is refused because more urgent ones are.
-	Yields bool
 	// FetchFrom is the address of the endpoint that is expected to have the shared
 	// parts of the prompt cached, "" if the chosen endpoint needs no fetch.
 	FetchFrom string
