A planned stop answers requests that arrive on kept connections

Cause: an entry that began to stop closed its idle connections at once, and all others once no request was in flight. Change: idle connections stay open while the entry accepts requests, and their next response asks to close. When it stops listening it waits up to 300 ms for heads that are arriving, and for requests in flight until the grace ends.

--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -281,3 +281,73 @@
 		}
 	}
 }
+
+// TestPlannedStopUnderLoad guards requests around a planned stop: one that was sent on an
+// open connection, kept or new, gets an answer, whatever the moment of the stop.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	for round := range 8 {
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			t.Parallel()
+			e := newFakeEndpoint(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+				time.Sleep(time.Duration(round) * time.Millisecond)
+				writeResponse(c, r, 200, "fine")
+				return true
+			})
+			s, address := startRouter(t, e)
+			stopped := make(chan struct{})
+			var wg sync.WaitGroup
+			for client := range 8 {
+				wg.Go(func() {
+					conn, reader := net.Conn(nil), (*bufio.Reader)(nil)
+					defer func() {
+						if conn != nil {
+							conn.Close()
+						}
+					}()
+					for i := 0; ; i++ {
+						if conn == nil {
+							var err error
+							if conn, err = net.Dial("tcp", address); err != nil {
+								return // The entry no longer listens.
+							}
+							reader = bufio.NewReader(conn)
+						}
+						path := []string{"/look/1", "/book/1"}[i%2]
+						_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key\r\nX-Request-Id: s%d-%d-%d\r\nContent-Length: 4\r\n\r\nbody", path, round, client, i)
+						if err == nil {
+							var resp *http.Response
+							if resp, err = http.ReadResponse(reader, nil); err == nil {
+								_, err = io.ReadAll(resp.Body)
+								if resp.Close {
+									conn.Close()
+									conn = nil
+								}
+							}
+						}
+						select {
+						case <-stopped:
+							return // Connections that reach the closed listener are cut by the kernel.
+						default:
+						}
+						if err != nil {
+							t.Errorf("request %d of client %d on a connection of the entry: %v", i, client, err)
+							return
+						}
+						time.Sleep(time.Duration(client) * 300 * time.Microsecond)
+					}
+				})
+			}
+			time.Sleep(time.Duration(20+7*round) * time.Millisecond)
+			go func() {
+				// The entry stops accepting after DrainWait.
+				time.Sleep(s.options.DrainWait - 5*time.Millisecond)
+				close(stopped)
+			}()
+			qt.Check(t, s.Stop(context.Background()), qt.IsNil)
+			wg.Wait()
+			for _, r := range e.requests() {
+				qt.Check(t, r.Header.Get(nativeRequestID) != "", qt.IsTrue)
+			}
+		})
+	}
+}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -31,6 +31,9 @@
 	// maxHeaderBytes bounds request headers. It is fixed at start as well; the lower
 	// bound that a routing table may name is not applied to the listener.
 	maxHeaderBytes = 64 << 10
+	// headGrace is how long an entry that stops listening waits for requests whose head is
+	// arriving.
+	headGrace = 300 * time.Millisecond
 	// defaultBodyMemory replaces a BodyMemory of 0.
 	defaultBodyMemory = 64 << 20
 )
@@ -161,8 +164,9 @@
 // request is in flight or Grace has passed.
 func (s *Server) Stop(ctx context.Context) error {
 	s.drainingSince.Store(int64(time.Since(s.started)))
+	// Idle connections stay open, since a request may already be on its way on them; its
+	// response asks the caller to close the connection.
 	s.draining.Store(true)
-	s.http.SetKeepAlivesEnabled(false)
 	s.options.Events.Emit(eventDraining, event.F("in_flight", s.inFlight.Load()))
 	began := time.Now()
 	for time.Since(began) < s.options.Grace {
@@ -173,6 +177,16 @@
 			break
 		}
 	}
+	// Requests whose head is being read are not in flight yet. Shutdown waits for them, and
+	// for new connections without a request.
+	shutdownCtx, cancel := context.WithTimeout(ctx, headGrace)
+	defer cancel()
+	err := s.http.Shutdown(shutdownCtx)
+	for s.inFlight.Load() > 0 && time.Since(began) < s.options.Grace && kernel.Sleep(ctx, updateInterval) == nil {
+	}
 	s.options.Events.Emit(eventDrained, event.F("in_flight", s.inFlight.Load()), event.F("took", time.Since(began)))
-	return s.http.Close()
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return s.http.Close()
+	}
+	return err
 }
