--- a/internal/dispatch/shortpool.go
+++ b/internal/dispatch/shortpool.go
@@ -17,7 +17,7 @@
 	// observed, and its bounds. However many slots an engine has, each prefill delays the
 	// events of the others, and a lost engine must not affect all short-prompt requests.
 	initialShortPerEngine = 32.0
-	minShortPerEngine     = 3.0
+	minShortPerEngine     = 24.0
 	maxShortPerEngine     = 72.0
 	// toleratedStalls is the share of the short-prompt streams that may have a pause over
 	// their limit. stallGain is the relative step by which such a stream lowers the number
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -228,7 +228,7 @@
 func (q *request) refuse(e *verdict.Error) {
 	q.server.metrics.refused.Inc(1)
 	q.server.options.Events.Emit(eventRefused, q.eventFields(event.F("status", e.Status), event.F("code", e.Code),
-		event.F("reason", e.Message), event.F("behind_ms", q.lateness.Milliseconds()), event.F("retry_after", e.RetryAfter))...)
+		event.F("reason", e.Message), event.F("rank", q.demand.Rank), event.F("behind_ms", q.lateness.Milliseconds()), event.F("retry_after", e.RetryAfter))...)
 	q.reply(e)
 }
 
