An endpoint that starts again under its id is not taken for the one that left

A member that had received no announcement of an endpoint records that it left without its incarnation. It now holds the incarnation that was known when the departure was first heard of. TestDeparturesSurviveMemberRestart plays it. maxYield is named maxRefusedShare.

--- a/internal/directory/client_test.go
+++ b/internal/directory/client_test.go
@@ -97,6 +97,15 @@
 	// Its delayed announcement reaches the restarted member.
 	first.view.apply(&directoryv1.SyncResponse{Epoch: 3, Endpoints: []*directoryv1.Endpoint{endpoint("left", 2)}})
 	check("after a delayed announcement")
+	// An endpoint that left at a member which did not know it starts again under its id.
+	first.view.apply(&directoryv1.SyncResponse{Epoch: 3, Endpoints: []*directoryv1.Endpoint{{Id: "stays", Gone: true}}})
+	qt.Check(t, merged()["stays"], qt.IsNil)
+	again := endpoint("stays", 1)
+	again.Incarnation = 7
+	second.view.apply(&directoryv1.SyncResponse{Epoch: 2, Endpoints: []*directoryv1.Endpoint{again}})
+	merged() // The first member has not heard of the new incarnation yet.
+	first.view.apply(&directoryv1.SyncResponse{Epoch: 3, Endpoints: []*directoryv1.Endpoint{again}})
+	qt.Check(t, merged()["stays"].GetIncarnation(), qt.Equals, int64(7))
 	// A new incarnation of the endpoint is used.
 	next := endpoint("left", 1)
 	next.Incarnation = 6
--- a/internal/directory/departures.go
+++ b/internal/directory/departures.go
@@ -4,6 +4,8 @@
 	"maps"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
 )
 
@@ -26,7 +28,17 @@
 			if !e.Gone && !e.Draining {
 				continue
 			}
-			if known, ok := d[id]; ok {
+			known, ok := d[id]
+			if e.Incarnation == 0 {
+				// The member does not know which incarnation left: the one that is known when
+				// it is first heard of. A later one may start while the member still says so.
+				latest := latestIncarnation(views, id)
+				if ok || latest == 0 {
+					continue
+				}
+				e = proto.CloneOf(e)
+				e.Incarnation = latest
+			} else if ok {
 				e = resolve(known.endpoint, e)
 			}
 			d[id] = departure{e, now}
@@ -34,6 +46,14 @@
 	}
 }
 
+// latestIncarnation returns the highest incarnation of an endpoint in the views.
+func latestIncarnation(views []*view, id string) (latest int64) {
+	for _, v := range views {
+		latest = max(latest, v.endpoints[id].GetIncarnation())
+	}
+	return latest
+}
+
 // view returns the departures as if a member had reported them.
 func (d departures) view() *view {
 	v := &view{endpoints: make(map[string]*directoryv1.Endpoint, len(d))}
--- a/internal/dispatch/mix.go
+++ b/internal/dispatch/mix.go
@@ -9,9 +9,9 @@
 	// mixMemory is the time over which the mix of requests is compared: long enough for
 	// some tens of requests of an entry, shorter than a burst.
 	mixMemory = 3 * time.Second
-	// maxYield is the part of the work of the less urgent ranks up to which refusals may
+	// maxRefusedShare is the part of the work of the less urgent ranks up to which refusals may
 	// rise before a rank is refused as well. The rest keeps the less urgent from starving.
-	maxYield = 0.85
+	maxRefusedShare = 0.85
 )
 
 // requestMix holds the work that callers asked for within the last seconds and the part of
@@ -75,7 +75,8 @@
 		offered += m.offered[i]
 		refused += m.refused[i]
 	}
-	return offered > 0 && refused < maxYield*offered
+	return offered > 0 && refused < maxRefusedShare*offered
 }
 
+// clampRank returns the nearest rank that the mix counts.
 func clampRank(rank int) int { return min(MaxRank, max(0, rank)) }
--- a/internal/dispatch/mix_test.go
+++ b/internal/dispatch/mix_test.go
@@ -63,7 +63,7 @@
 		for rank := MaxRank; rank > 0; rank-- {
 			refused += m.refused[rank]
 			offered += m.offered[rank]
-			if protected := m.isProtected(rank - 1); protected != (refused < maxYield*offered) {
+			if protected := m.isProtected(rank - 1); protected != (refused < maxRefusedShare*offered) {
 				t.Fatalf("rank %d: protected %v with %.0f of %.0f refused below it", rank-1, protected, refused, offered)
 			}
 		}
