--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -102,8 +102,8 @@
 
 // relayStream relays events as they arrive, each only once it is complete. It
 // sends the headers with the first event, so that until then another endpoint can
-// take over unnoticed. Blocks without fields before that event are sent with it. A stream that resumes at another endpoint keeps the headers
-// of the first one.
+// take over unnoticed. Blocks without fields before that event are sent with it. A
+// stream that resumes at another endpoint keeps the headers of the first one.
 func (q *request) relayStream(resp *httpconn.Response, onResponseStart func()) attemptResult {
 	reader := bufio.NewReaderSize(resp.Body, 4<<10)
 	control := http.NewResponseController(q.w)
