--- a/internal/dispatch/constants.go
+++ b/internal/dispatch/constants.go
@@ -4,9 +4,8 @@
 
 const (
 	// longPromptTokens is the size from which on a prompt delays the events of the
-	// requests that run beside it. The engine prefills it in chunks of 2,048
-	// tokens, one in each step, at 40 to 50 ms per chunk, and an event takes four
-	// to seven steps.
+	// requests that run beside it: engines prefill it in several chunks, one in each
+	// step, and an event takes several steps.
 	longPromptTokens = 4096
 	// maxMemoryFill is the share of an engine's memory that requests may fill. An
 	// engine that runs out of memory preempts requests and prefills them again.
@@ -90,8 +89,7 @@
 	busyShare    = 0.5
 	busyDuration = time.Second
 	// initialShortShare is the share of all slots that short-prompt requests are
-	// expected to use until their load is known; it is a fifth on the data sheets
-	// of both users.
+	// expected to use until their load is known.
 	initialShortShare = 0.2
 	// predictionLagDecay is the time in which the prediction lag of the service
 	// loses most of its weight. Without the decay, an entry that sends few requests
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -8,8 +8,7 @@
 
 const (
 	// assumedCacheTTL is the time after its last use for which a prompt part is
-	// assumed to stay in an engine's cache. At the current load an engine fills its
-	// memory in some 15 s.
+	// assumed to stay in an engine's cache.
 	assumedCacheTTL = 15 * time.Second
 	// maxCachedParts bounds the prompt parts recorded for one endpoint, at about
 	// 64 bytes each.
@@ -38,7 +37,7 @@
 	maxSlowdown   = 16
 	slowdownDecay = 3 * time.Second
 	// warmingSlowdown is the minimum slowdown factor assumed for an endpoint that
-	// reports that it is warming up; the users' data sheets state 1.6.
+	// reports that it is warming up.
 	warmingSlowdown = 1.6
 )
 
