--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -44,7 +44,9 @@
 	delivered bool
 	// notRun is true only if it is proven that the request has not run.
 	notRun bool
-	err    error
+	// begun reports that the head of the endpoint's own response has arrived.
+	begun bool
+	err   error
 	// response is an endpoint's complete error response, held back because another
 	// attempt may succeed.
 	response *bufferedResponse
@@ -182,7 +184,8 @@
 	if r.err != nil {
 		q.server.metrics.attemptsFailed.Inc(1)
 		q.server.options.Events.Emit(eventAttemptFailed, q.eventFields(event.F("endpoint", c.Endpoint.ID), event.F("address", c.Endpoint.Address),
-			event.F("not_run", r.notRun), event.F("error", r.err), event.F("last_event", q.lastEvent))...)
+			event.F("not_run", r.notRun), event.F("error", r.err), event.F("last_event", q.lastEvent),
+			event.F("begun", r.begun), event.F("parts", partsField(q.demand.Prompt.Parts)))...)
 	}
 	return r
 }
@@ -257,10 +260,14 @@
 		}
 		q.withBalancer(func(b *dispatch.Balancer) { b.RecordFirstEvent(time.Now(), c) })
 	}
+	var r attemptResult
 	if q.route.Kind == routing.Stream && resp.StatusCode == http.StatusOK {
-		return q.relayStream(resp, onResponseStart)
+		r = q.relayStream(resp, onResponseStart)
+	} else {
+		r = q.relayBuffered(resp, c, onResponseStart)
 	}
-	return q.relayBuffered(resp, c, onResponseStart)
+	r.begun = true
+	return r
 }
 
 // connectionFailure converts a connection error to an attempt result.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -282,6 +282,15 @@
 	return r.Name
 }
 
+// partsField returns the ids of prompt parts as an event field, separated by commas.
+func partsField(parts []dispatch.Part) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return strings.Join(ids, ",")
+}
+
 func (q *request) tableVersion() uint64 {
 	if index := q.server.options.Routing(); index != nil {
 		return index.Table.Version
