--- /dev/null
+++ b/internal/router/crash_test.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/routing"
+)
+
+// deadlyPart is the prompt part that crashes a crashingEndpoint.
+const deadlyPart = "deadly"
+
+// crashingEndpoint returns an endpoint that closes its listener and its connections as
+// soon as it begins to answer a request with deadlyPart. It counts these requests.
+func crashingEndpoint(t *testing.T, id string, deadly *atomic.Int64) *fakeEndpoint {
+	var crashed atomic.Bool
+	var e *fakeEndpoint
+	e = newFakeEndpoint(t, id, func(c net.Conn, r *http.Request, _ string) bool {
+		isDeadly := strings.Contains(r.Header.Get(nativePrompt), " "+deadlyPart+":")
+		if isDeadly {
+			deadly.Add(1)
+		}
+		switch {
+		case crashed.Load():
+			return false
+		case isDeadly:
+			crashed.Store(true)
+			e.listener.Close()
+			_, _ = io.WriteString(c, head(r, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+			return false
+		}
+		writeEvents(c, r, 0, 3, true)
+		return true
+	})
+	return e
+}
+
+// TestCrashingPromptPartKeepsReachingEndpoints guards against requests that crash one
+// endpoint after the other because a part of their prompts does, while nothing connects
+// the crashes. Requests that share the other parts must be served on.
+func TestCrashingPromptPartKeepsReachingEndpoints(t *testing.T) {
+	const (
+		rounds = 30
+		// maxDeadly is five crashes and three more requests.
+		maxDeadly = 8
+	)
+	for _, c := range []struct {
+		name    string
+		service routing.Service
+	}{
+		{"engines", routing.Service{Name: "s", Engine: &routing.Engine{KVTokens: 100_000}}},
+		{"plain endpoints", routing.Service{Name: "s"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var deadly atomic.Int64
+			var endpoints []*fakeEndpoint
+			for i := range 2 * rounds {
+				endpoints = append(endpoints, crashingEndpoint(t, fmt.Sprint("e", i), &deadly))
+			}
+			table := table()
+			table.Services = []routing.Service{c.service}
+			_, address := startRouterWithTable(t, table, endpoints...)
+			send := func(parts string) int {
+				resp, _, err := postRequest(t, address, "/plan/1", func(r *http.Request) { r.Header.Set(nativePrompt, "5000,10 system:1000 caller:500 "+parts) })
+				if err != nil {
+					return 0
+				}
+				return resp.StatusCode
+			}
+			for i := range rounds {
+				send(fmt.Sprintf("%s:300 own-%d:200", deadlyPart, i))
+				for j := range 4 {
+					qt.Check(t, send(fmt.Sprintf("file-%d:300 sound-%d-%d:200", j, i, j)), qt.Equals, 200)
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			qt.Check(t, deadly.Load() <= maxDeadly, qt.IsTrue, qt.Commentf("%d requests with the part reached endpoints", deadly.Load()))
+		})
+	}
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -132,6 +132,10 @@
 
 // startRouter runs a router with the given endpoints and returns its address.
 func startRouter(t *testing.T, endpoints ...*fakeEndpoint) (*Server, string) {
+	return startRouterWithTable(t, table(), endpoints...)
+}
+
+func startRouterWithTable(t *testing.T, table *routing.Table, endpoints ...*fakeEndpoint) (*Server, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	snapshot := &directory.Snapshot{Endpoints: make(map[string]*directoryv1.Endpoint), Entries: 1}
@@ -140,7 +144,7 @@
 			Id: e.id, Incarnation: 1, Service: "s", Address: e.listener.Addr().String(), Slots: 4,
 		}
 	}
-	index := routing.NewIndex(table())
+	index := routing.NewIndex(table)
 	s := New(Options{
 		Listener: l, Codec: NativeCodec{}, Routing: func() *routing.Index { return index },
 		Directory: &staticDirectory{snapshot, make(chan struct{})}, Retry: dispatch.RetryRules{Ratio: 1, Window: 10 * time.Second, Slack: 100},
