Prompt parts that crash endpoints are found by all entries together and refused

Cause: each entry took a crash for a fault of that engine alone, repeated the request at the next one, and knew nothing of the crashes of other entries' requests. Class: a failure that the request carries with it is treated as a failure of the place where it shows.

Change: an answer that breaks off as it begins, at an endpoint that then refuses connections, becomes a crash report with the parts of the prompt. Entries exchange reports with every poll of a member, and at once after a crash; members keep them, entries tell members that have lost them. A part is quarantined after three crashes, each under a request sent after the crash before, of more than one request, unless a complete answer clears it. Of the parts that explain the same crashes it is the narrowest one. Requests with it get 503 before they reach an endpoint, also while they wait and before a repeat.

Why it works: the conclusion follows from the reports alone, so all entries reach it, including those that start later. Its cost does not grow with entries: three crashes and one poll.

--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -77,6 +77,7 @@
 	peers           *transport.Server
 	feed            *feed.Client
 	directoryClient *directory.Client
+	crashes         *directory.Crashes
 	log             *event.AsyncWriter
 	// seeds are the addresses of control members in the settings. SetSeeds replaces
 	// them when the settings change.
@@ -92,6 +93,7 @@
 		Config: c, kernel: kernel.New(), clock: clock, metrics: metrics.New(c.Instance), log: asyncLog,
 		Events: event.NewRecorder(c.Instance, clock, asyncLog, c.LogLevel),
 	}
+	d.crashes = directory.NewCrashes(d.Events, d.metrics.Scope)
 	// Some libraries log to the standard logger. Record their lines as events.
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog{d.Events})
@@ -179,7 +181,7 @@
 		ReplaceLostVoters: true,
 	})
 	control.NewService(d.Member).Register(d.peers)
-	d.Directory = directory.NewService(d.Events)
+	d.Directory = directory.NewService(d.Events, d.crashes)
 	d.Directory.Register(d.peers)
 	if err := d.kernel.Register(ServiceControl, d.Member); err != nil {
 		return err
@@ -197,13 +199,13 @@
 	})
 	d.directoryClient = directory.NewClient(directory.ClientOptions{
 		Pool: d.pool, Members: d.memberAddresses, Self: d.directoryEntry, Loads: func() map[string]dispatch.Load { return d.Router.Loads() },
-		Busy: func() bool { return d.Router.Busy() }, Events: d.Events, Scope: d.metrics.Scope,
+		Busy: func() bool { return d.Router.Busy() }, Crashes: d.crashes, Events: d.Events, Scope: d.metrics.Scope,
 	})
 	d.Router = router.New(router.Options{
 		Listener: l, Codec: codec, Domain: d.Config.FailureDomain,
 		Routing:   func() *routing.Index { return d.feed.View().Routing },
 		Directory: d.directoryClient, Retry: d.Config.Retry, BodyMemory: d.Config.BodyMemory, DrainWait: d.Config.DrainWait, Grace: d.Config.Grace,
-		Events: d.Events, Scope: d.metrics.Scope,
+		Crashes: d.crashes, Events: d.Events, Scope: d.metrics.Scope,
 	})
 	if err := d.kernel.Register(ServiceFeed, d.feed); err != nil {
 		return err
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -13,6 +13,7 @@
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/kernel"
+	"auburnstep.example/auburnstep/internal/quarantine"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1/directoryv1connect"
 	"auburnstep.example/auburnstep/internal/rpc/transport"
@@ -46,6 +47,7 @@
 var (
 	eventMemberLost    = event.Define(7100, "directory-member-lost", event.Warn, "a control member does not respond to directory polls")
 	eventBadLoads      = event.Define(7102, "directory-loads-malformed", event.Warn, "a control member sent malformed loads; the previous loads stay in use")
+	eventBadReports    = event.Define(7103, "directory-reports-malformed", event.Warn, "an entry or a control member sent malformed crash reports; they are ignored")
 	eventMemberAnswers = event.Define(7101, "directory-member-answers", event.Info, "a control member responds to directory polls again")
 )
 
@@ -60,9 +62,11 @@
 	Loads func() map[string]dispatch.Load
 	// Busy reports whether this entry places requests while endpoints are expected to
 	// miss objectives, which requires recent loads of the other entries.
-	Busy   func() bool
-	Events *event.Recorder
-	Scope  tally.Scope
+	Busy func() bool
+	// Crashes holds the crash reports that entries and members share.
+	Crashes *Crashes
+	Events  *event.Recorder
+	Scope   tally.Scope
 }
 
 // Client polls all control members, each from its own goroutine, so that a member
@@ -88,6 +92,12 @@
 	view         view
 	lastResponse time.Time // the start of the poller until the first response
 	lost         bool
+	// knownReports is what the member has told or received in its present epoch, and
+	// crashCursor its revision of that.
+	knownReports knownReports
+	crashCursor  uint64
+	// wake receives a value if the member is to be polled at once.
+	wake chan struct{}
 }
 
 // NewClient returns a client that has not been started.
@@ -95,6 +105,9 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
+	if o.Crashes == nil {
+		o.Crashes = NewCrashes(o.Events, o.Scope)
+	}
 	c := &Client{
 		options: o, changed: make(chan struct{}, 1), pollers: make(map[string]*poller), departures: make(departures),
 		polls: o.Scope.Counter("directory_polls_sent"), failures: o.Scope.Counter("directory_polls_failed"),
@@ -121,10 +134,31 @@
 func (c *Client) Start(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	tick := time.NewTicker(PollInterval)
+	defer tick.Stop()
+	c.reconcilePollers(ctx, &wg)
 	for {
-		c.reconcilePollers(ctx, &wg)
-		if kernel.Sleep(ctx, PollInterval) != nil {
+		select {
+		case <-ctx.Done():
 			return nil
+		case <-tick.C:
+			c.reconcilePollers(ctx, &wg)
+			c.options.Crashes.Update(time.Now())
+		case <-c.options.Crashes.Added():
+			c.wakePollers()
+		}
+	}
+}
+
+// wakePollers makes the pollers report a crash at once: until the other entries know it,
+// requests like the one that caused it go on to crash endpoints.
+func (c *Client) wakePollers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pollers {
+		select {
+		case p.wake <- struct{}{}:
+		default:
 		}
 	}
 }
@@ -140,7 +174,9 @@
 			continue
 		}
 		pollCtx, cancel := context.WithCancel(ctx)
-		p := &poller{address: address, cancel: cancel, lastResponse: time.Now()}
+		p := &poller{
+			address: address, cancel: cancel, lastResponse: time.Now(), knownReports: make(knownReports), wake: make(chan struct{}, 1),
+		}
 		c.pollers[address] = p
 		wg.Add(1)
 		go func() {
@@ -169,8 +205,14 @@
 		case c.loadSource() == p:
 			interval = c.loadPollInterval()
 		}
-		if kernel.Sleep(ctx, interval*4/5+rand.N(interval*2/5)) != nil {
+		timer := time.NewTimer(interval*4/5 + rand.N(interval*2/5))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
 			return
+		case <-p.wake:
+			timer.Stop()
+		case <-timer.C:
 		}
 	}
 }
@@ -178,7 +220,10 @@
 func (c *Client) pollOnce(ctx context.Context, client directoryv1connect.DirectoryClient, p *poller) {
 	c.polls.Inc(1)
 	wantLoads := c.loadSource() == p
-	req := &directoryv1.SyncRequest{Self: c.options.Self(), Epoch: p.view.epoch, Cursor: p.view.cursor, WantLoads: wantLoads}
+	req := &directoryv1.SyncRequest{Self: c.options.Self(), Epoch: p.view.epoch, Cursor: p.view.cursor, WantLoads: wantLoads, CrashCursor: p.crashCursor}
+	sentAt := time.Now()
+	reports := c.options.Crashes.Missing(sentAt, func(k quarantine.Key) []quarantine.Soundness { return p.knownReports[k] }, forwardDelay)
+	req.CrashReports = packCrashReports(sentAt, reports)
 	var ownLoads map[uint32]dispatch.Load
 	if wantLoads {
 		ownLoads = make(map[uint32]dispatch.Load)
@@ -214,6 +259,7 @@
 			c.loads.Store(&Loads{At: now, byKey: otherLoads})
 		}
 	}
+	c.mergeReports(now, p, reports, res.Msg)
 	if p.view.apply(res.Msg) || !c.Synced() {
 		c.mergeViews(now)
 	}
@@ -223,6 +269,24 @@
 	}
 }
 
+// mergeReports merges the crash reports of a response to a poll that carried the reports
+// in sent. The caller must hold c.mu.
+func (c *Client) mergeReports(now time.Time, p *poller, sent []quarantine.Report, res *directoryv1.SyncResponse) {
+	if p.view.epoch != res.Epoch {
+		clear(p.knownReports)
+	}
+	p.crashCursor = res.CrashCursor
+	p.knownReports.add(sent)
+	received, err := unpackCrashReports(now, res.CrashReports)
+	if err != nil {
+		c.failures.Inc(1)
+		c.options.Events.Emit(eventBadReports, event.F("member", p.address), event.F("error", err))
+		return
+	}
+	p.knownReports.add(received)
+	c.options.Crashes.Merge(now, received)
+}
+
 // loadSource returns the member that is polled for the load of the other entries, or
 // nil if no member responds. It is the responding member with the lowest address.
 // All entries choose the same member, so that it knows the load of all of them.
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -37,6 +37,7 @@
 	kernel.Base
 	events  *event.Recorder
 	started time.Time
+	crashes *Crashes
 
 	mu            sync.Mutex
 	registry      *Registry
@@ -45,9 +46,9 @@
 
 var _ directoryv1connect.DirectoryHandler = (*Service)(nil)
 
-// NewService returns an empty directory.
-func NewService(events *event.Recorder) *Service {
-	return &Service{events: events, started: time.Now(), registry: NewRegistry(rand.Uint64() | 1)}
+// NewService returns an empty directory. It keeps the crash reports of entries in crashes.
+func NewService(events *event.Recorder, crashes *Crashes) *Service {
+	return &Service{events: events, started: time.Now(), crashes: crashes, registry: NewRegistry(rand.Uint64() | 1)}
 }
 
 // Register adds the handler to a server.
@@ -60,6 +61,7 @@
 func (s *Service) Start(ctx context.Context) error {
 	for kernel.Sleep(ctx, expireInterval) == nil {
 		now := time.Now()
+		s.crashes.Update(now)
 		s.mu.Lock()
 		silent := s.registry.Expire(now)
 		entries := len(s.registry.Entries(now))
@@ -78,12 +80,24 @@
 
 // Sync implements directoryv1connect.DirectoryHandler.
 func (s *Service) Sync(_ context.Context, r *connect.Request[directoryv1.SyncRequest]) (*connect.Response[directoryv1.SyncResponse], error) {
+	now := time.Now()
+	reports, err := unpackCrashReports(now, r.Msg.GetCrashReports())
+	if err != nil { // The rest of the poll is still of use.
+		s.events.Emit(eventBadReports, event.F("entry", r.Msg.GetSelf().GetInstance()), event.F("error", err))
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	res, err := s.registry.Sync(time.Now(), r.Msg)
+	res, err := s.registry.Sync(now, r.Msg)
+	s.mu.Unlock()
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	s.crashes.Merge(now, reports)
+	cursor := r.Msg.GetCrashCursor()
+	if r.Msg.GetEpoch() != res.Epoch {
+		cursor = 0
+	}
+	changed, revision := s.crashes.Since(cursor)
+	res.CrashReports, res.CrashCursor = packCrashReports(now, changed), revision
 	return connect.NewResponse(res), nil
 }
 
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -89,6 +89,16 @@
 	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}, nil
 }
 
+// RefusesConnections reports whether no process listens at an address.
+func RefusesConnections(ctx context.Context, address string) bool {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = c.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // noLimit is the value of readLimit.left that lifts the limit.
 const noLimit = math.MaxInt64
 
--- /dev/null
+++ b/internal/quarantine/ledger.go
@@ -0,0 +1,379 @@
+// Package quarantine finds prompt parts that crash the endpoints which run them. Entries
+// report each crash with the requests that the endpoint had begun to answer, and share
+// their reports through the control members, so that every entry reaches the same
+// conclusion from the crashes that all of them saw.
+//
+// It does no I/O and takes the time as an argument.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// minCrashes is the number of crashes, each under a request that was sent after the
+	// crash before it, from which on a part is quarantined.
+	minCrashes = 3
+	// settleTime is how long a part that was in complete answers before the crashes is given
+	// to be in one after them, before it is quarantined. It covers the time in which entries
+	// learn of each other's answers.
+	settleTime = time.Second
+	// ageTolerance is the error of the times in a report that other processes allow for.
+	// They are sent as ages, which the time of the transfer adds to.
+	ageTolerance = 50 * time.Millisecond
+	// reportRetention is how long a crash is remembered. A part is released once the
+	// crashes that speak against it are forgotten.
+	reportRetention = 15 * time.Minute
+	// maxReports bounds the reports of a ledger, at about 300 bytes each.
+	maxReports = 1024
+	// MaxParts bounds the parts of a report. Of a longer prompt the last ones are kept.
+	MaxParts = 64
+	// answeredRetention and maxAnswered bound the parts of complete answers that a ledger
+	// remembers.
+	answeredRetention = time.Minute
+	maxAnswered       = 4096
+)
+
+// Soundness is what is known of a prompt part with respect to one crash. Higher values
+// supersede lower ones.
+type Soundness byte
+
+// Values of Soundness.
+const (
+	Unknown Soundness = iota
+	// SoundBefore means that a request with the part got a complete answer before the crash.
+	SoundBefore
+	// SoundAfter means that one got a complete answer after the crash, so that the part did
+	// not cause it.
+	SoundAfter
+)
+
+// Report is a request whose endpoint crashed as it began to answer.
+type Report struct {
+	Endpoint    string
+	Incarnation int64
+	Request     string
+	// Parts lists the ids of the parts of the prompt but the last one, which no other
+	// request shares.
+	Parts []string
+	// Soundness has an element for each part.
+	Soundness []Soundness
+	// SentAt is when the request was sent and LostAt when the connection broke.
+	SentAt, LostAt time.Time
+}
+
+// Key identifies a report.
+type Key struct {
+	Endpoint    string
+	Incarnation int64
+	Request     string
+}
+
+// Key returns the key of the report.
+func (r *Report) Key() Key { return Key{r.Endpoint, r.Incarnation, r.Request} }
+
+// crash is the end of one incarnation of an endpoint.
+type crash struct {
+	endpoint    string
+	incarnation int64
+}
+
+// record is a report in a ledger.
+type record struct {
+	Report
+	// revision is the revision of the ledger at the last change, which happened at
+	// changedAt. own is set if the change was observed by this process.
+	revision  uint64
+	changedAt time.Time
+	own       bool
+}
+
+// Ledger holds crash reports and the conclusions from them. Merging the reports of two
+// ledgers in any order and any number of times gives the same result. It is not safe for
+// concurrent use.
+type Ledger struct {
+	revision    uint64
+	records     map[Key]*record
+	answered    map[string]time.Time
+	quarantined map[string]bool
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{records: make(map[Key]*record), answered: make(map[string]time.Time), quarantined: make(map[string]bool)}
+}
+
+// Add records a report that this process observed, and returns whether it is new.
+func (l *Ledger) Add(now time.Time, r Report) bool { return l.merge(now, r, true) }
+
+// Merge records a report of another ledger, and returns whether it changed anything.
+func (l *Ledger) Merge(now time.Time, r Report) bool { return l.merge(now, r, false) }
+
+func (l *Ledger) merge(now time.Time, r Report, own bool) bool {
+	if len(r.Parts) == 0 || now.Sub(r.LostAt) > reportRetention {
+		return false
+	}
+	rec := l.records[r.Key()]
+	isNew := rec == nil
+	if isNew {
+		l.makeRoom()
+		rec = &record{Report: r}
+		rec.Parts = slices.Clone(r.Parts[max(0, len(r.Parts)-MaxParts):])
+		rec.Soundness = make([]Soundness, len(rec.Parts))
+		l.records[r.Key()] = rec
+	}
+	changed := isNew
+	for i, s := range r.Soundness[:min(len(r.Soundness), len(rec.Soundness))] {
+		if s > rec.Soundness[i] {
+			rec.Soundness[i] = s
+			changed = true
+		}
+	}
+	if !changed {
+		return false
+	}
+	l.touch(now, rec, own)
+	for i, part := range rec.Parts {
+		if at, ok := l.answered[part]; ok && isNew {
+			l.mark(now, rec, i, at)
+		}
+	}
+	l.conclude(now)
+	return true
+}
+
+func (l *Ledger) touch(now time.Time, rec *record, own bool) {
+	l.revision++
+	rec.revision, rec.changedAt, rec.own = l.revision, now, own
+}
+
+// mark records that a request with part i of a report got a complete answer at a time.
+func (l *Ledger) mark(now time.Time, rec *record, i int, answeredAt time.Time) bool {
+	s := SoundBefore
+	if answeredAt.After(rec.LostAt) {
+		s = SoundAfter
+	}
+	if s <= rec.Soundness[i] {
+		return false
+	}
+	rec.Soundness[i] = s
+	l.touch(now, rec, true)
+	return true
+}
+
+// RecordAnswered records that this process relayed a complete answer to a request with
+// the parts.
+func (l *Ledger) RecordAnswered(now time.Time, parts []string) {
+	for _, part := range parts {
+		if _, ok := l.answered[part]; !ok && len(l.answered) >= maxAnswered {
+			l.forgetAnswered(now)
+		}
+		l.answered[part] = now
+	}
+	changed := false
+	for _, rec := range l.records {
+		for i, part := range rec.Parts {
+			if rec.Soundness[i] < SoundAfter && slices.Contains(parts, part) {
+				changed = l.mark(now, rec, i, now) || changed
+			}
+		}
+	}
+	if changed {
+		l.conclude(now)
+	}
+}
+
+// forgetAnswered makes room for the parts of further answers.
+func (l *Ledger) forgetAnswered(now time.Time) {
+	maps.DeleteFunc(l.answered, func(_ string, at time.Time) bool { return now.Sub(at) > answeredRetention })
+	for part := range l.answered {
+		if len(l.answered) < maxAnswered {
+			return
+		}
+		delete(l.answered, part)
+	}
+}
+
+// makeRoom removes a report if the ledger is full: the oldest of those that support no
+// quarantine, or else the oldest.
+func (l *Ledger) makeRoom() {
+	if len(l.records) < maxReports {
+		return
+	}
+	var victim *record
+	supports := func(r *record) bool {
+		return slices.ContainsFunc(r.Parts, func(p string) bool { return l.quarantined[p] })
+	}
+	for _, rec := range l.records {
+		if victim == nil || supports(victim) && !supports(rec) || supports(victim) == supports(rec) && rec.LostAt.Before(victim.LostAt) {
+			victim = rec
+		}
+	}
+	delete(l.records, victim.Key())
+}
+
+// Update draws the conclusions that depend on the time: it forgets reports after
+// reportRetention and quarantines parts after settleTime. It is to be called several
+// times per settleTime.
+func (l *Ledger) Update(now time.Time) {
+	if len(l.records) > 0 {
+		maps.DeleteFunc(l.records, func(_ Key, rec *record) bool { return now.Sub(rec.LostAt) > reportRetention })
+		l.conclude(now)
+	}
+}
+
+// suspicion is what speaks against a part.
+type suspicion struct {
+	part string
+	// crashes counts the crashes that cannot be parts of one event: each under a request
+	// that was sent after the crash before it, which was lost at lastLost.
+	crashes  int
+	lastLost time.Time
+	// reachedAt is when minCrashes was reached.
+	reachedAt time.Time
+	// request is the first request, and severalSent reports that there are others.
+	request     string
+	severalSent bool
+	// previous is the request of the last counted crash.
+	previous    string
+	soundBefore bool
+	// position is the largest index of the part in a prompt.
+	position int
+}
+
+// conclude sets the quarantined parts. It looks for the fewest parts that explain the
+// crashes. Of parts that explain the same crashes it takes one without complete answers
+// in the past, and the one that comes last in the prompts, which the fewest requests
+// share.
+func (l *Ledger) conclude(now time.Time) {
+	clear(l.quarantined)
+	records := slices.SortedFunc(maps.Values(l.records), func(a, b *record) int {
+		return cmp.Or(a.LostAt.Compare(b.LostAt), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	for {
+		var worst *suspicion
+		for _, s := range suspicions(records) {
+			if s.isSettled(now) && (worst == nil || s.worseThan(worst)) {
+				worst = s
+			}
+		}
+		if worst == nil {
+			return
+		}
+		l.quarantined[worst.part] = true
+		explained := make(map[crash]bool)
+		for _, rec := range records {
+			if slices.Contains(rec.Parts, worst.part) {
+				explained[crash{rec.Endpoint, rec.Incarnation}] = true
+			}
+		}
+		records = slices.DeleteFunc(records, func(rec *record) bool { return explained[crash{rec.Endpoint, rec.Incarnation}] })
+	}
+}
+
+// suspicions returns what the records, which are sorted by time, say of each part.
+func suspicions(records []*record) map[string]*suspicion {
+	out := make(map[string]*suspicion)
+	for _, rec := range records {
+		for i, part := range rec.Parts {
+			if rec.Soundness[i] == SoundAfter {
+				continue
+			}
+			s := out[part]
+			if s == nil {
+				s = &suspicion{part: part, request: rec.Request}
+				out[part] = s
+			}
+			// The attempts of one request follow each other.
+			if s.crashes == 0 || rec.Request == s.previous || !rec.SentAt.Before(s.lastLost.Add(-ageTolerance)) {
+				s.crashes++
+				s.lastLost, s.previous = rec.LostAt, rec.Request
+				if s.crashes == minCrashes {
+					s.reachedAt = rec.LostAt
+				}
+			}
+			s.severalSent = s.severalSent || rec.Request != s.request
+			s.soundBefore = s.soundBefore || rec.Soundness[i] == SoundBefore
+			s.position = max(s.position, i)
+		}
+	}
+	return out
+}
+
+// isSettled reports whether there is enough against the part to quarantine it.
+func (s *suspicion) isSettled(now time.Time) bool {
+	return s.crashes >= minCrashes && s.severalSent && (!s.soundBefore || now.Sub(s.reachedAt) >= settleTime)
+}
+
+func (s *suspicion) worseThan(o *suspicion) bool {
+	if s.soundBefore != o.soundBefore {
+		return o.soundBefore
+	}
+	return cmp.Or(cmp.Compare(s.crashes, o.crashes), cmp.Compare(s.position, o.position), cmp.Compare(s.part, o.part)) > 0
+}
+
+// Quarantined returns the quarantined parts.
+func (l *Ledger) Quarantined() map[string]bool { return maps.Clone(l.quarantined) }
+
+// Against returns the reports that speak against a part.
+func (l *Ledger) Against(part string) (out []Report) {
+	for _, rec := range l.records {
+		if i := slices.Index(rec.Parts, part); i >= 0 && rec.Soundness[i] < SoundAfter {
+			out = append(out, rec.copy())
+		}
+	}
+	return out
+}
+
+// Revision increases with each change of a report.
+func (l *Ledger) Revision() uint64 { return l.revision }
+
+// Since returns the reports that have changed since a revision.
+func (l *Ledger) Since(revision uint64) (out []Report) {
+	if revision == l.revision {
+		return nil
+	}
+	for _, rec := range l.records {
+		if rec.revision > revision {
+			out = append(out, rec.copy())
+		}
+	}
+	return out
+}
+
+// Missing returns the reports of which a ledger with the known soundness lacks something.
+// Those that this process has learned from others are left out for forwardDelay, since
+// their source is telling the others as well.
+func (l *Ledger) Missing(now time.Time, known func(Key) []Soundness, forwardDelay time.Duration) (out []Report) {
+	for key, rec := range l.records {
+		if !rec.own && now.Sub(rec.changedAt) < forwardDelay {
+			continue
+		}
+		if !covers(known(key), rec.Soundness) {
+			out = append(out, rec.copy())
+		}
+	}
+	return out
+}
+
+// covers reports whether known holds at least what soundness says.
+func covers(known, soundness []Soundness) bool {
+	if len(known) < len(soundness) {
+		return false
+	}
+	for i, s := range soundness {
+		if known[i] < s {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *record) copy() Report {
+	out := r.Report
+	out.Parts, out.Soundness = slices.Clone(r.Parts), slices.Clone(r.Soundness)
+	return out
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -47,6 +47,8 @@
 	// begun reports that the head of the endpoint's own response has arrived.
 	begun bool
 	err   error
+	// status is the status of the response that was delivered.
+	status int
 	// response is an endpoint's complete error response, held back because another
 	// attempt may succeed.
 	response *bufferedResponse
@@ -84,11 +86,17 @@
 // as long as admission control allows. If no attempt may be made, it returns the
 // reason.
 func (q *request) awaitPlacement(ctx context.Context) (c dispatch.Choice, reason string) {
+	if q.findQuarantined() {
+		return c, quarantinedReason
+	}
 	p := q.tryPlace()
 	for p.decision == dispatch.Wait {
 		if kernel.Sleep(ctx, dispatch.WaitStep) != nil {
 			return p.choice, "the request ended while it waited"
 		}
+		if q.findQuarantined() {
+			return c, quarantinedReason
+		}
 		p = q.tryPlace()
 	}
 	c = p.choice
@@ -164,7 +172,10 @@
 	if stall != nil {
 		defer stall.Stop()
 	}
+	sentAt := time.Now()
+	q.attemptEventAt = time.Time{}
 	r := q.exchange(ctx, &c, stall)
+	q.trackCrashes(ctx, &c, r, sentAt)
 	if cause := context.Cause(ctx); r.err != nil && cause != nil {
 		r.err = cause
 		if !errors.Is(cause, errStalled) && !errors.Is(cause, errTimeLimit) {
@@ -322,6 +333,8 @@
 			status, code = http.StatusGatewayTimeout, "time-limit"
 		}
 		q.fail(status, code, last.err)
+	case q.quarantinedPart != "":
+		q.refuse(refusal(http.StatusServiceUnavailable, "part-quarantined", reason, quarantineRetryAfter))
 	default:
 		if reason == "" {
 			reason = "no endpoint took the request"
--- /dev/null
+++ b/internal/router/crash.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"auburnstep.example/auburnstep/internal/dispatch"
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/httpconn"
+	"auburnstep.example/auburnstep/internal/quarantine"
+)
+
+const (
+	// answerStart is how long after its first event an answer counts as just begun.
+	answerStart = 250 * time.Millisecond
+	// crashCheckDelay is the time between the loss of a connection and the check whether the
+	// endpoint has crashed: the process may close the connection before its listener.
+	crashCheckDelay = 20 * time.Millisecond
+	// crashCheckTimeout bounds the check.
+	crashCheckTimeout = 500 * time.Millisecond
+	// maxCrashChecks bounds the checks that run at the same time.
+	maxCrashChecks = 32
+	// quarantineRetryAfter is the Retry-After of requests with a quarantined part. The
+	// quarantine lasts for minutes.
+	quarantineRetryAfter = time.Minute
+
+	quarantinedReason = "a part of the prompt has crashed the endpoints that ran it"
+)
+
+// findQuarantined sets quarantinedPart and reports whether there is one. It is called
+// before each attempt, since the quarantine may begin while a request waits or runs.
+func (q *request) findQuarantined() bool {
+	part, found := q.server.options.Crashes.Find(partIDs(q.demand.Prompt.Parts))
+	q.quarantinedPart = part
+	return found
+}
+
+// trackCrashes records the result of an attempt with respect to the parts of the prompt.
+// An answer that breaks off as it begins and whose endpoint is then gone speaks against
+// them, a complete answer for them.
+func (q *request) trackCrashes(ctx context.Context, c *dispatch.Choice, r attemptResult, sentAt time.Time) {
+	parts := sharedParts(q.demand.Prompt.Parts)
+	if len(parts) == 0 || !r.begun || ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	switch {
+	case r.outcome == dispatch.Answered && r.status < http.StatusMultipleChoices:
+		q.server.options.Crashes.RecordAnswered(now, parts)
+	case r.outcome == dispatch.Broken && (q.attemptEventAt.IsZero() || now.Sub(q.attemptEventAt) < answerStart):
+		q.server.checkCrash(c.Endpoint, quarantine.Report{
+			Endpoint: c.Endpoint.ID, Incarnation: c.Endpoint.Incarnation, Request: q.call.ID, Parts: parts, SentAt: sentAt, LostAt: now,
+		})
+	}
+}
+
+// checkCrash adds a report if the endpoint refuses connections. It does not block.
+func (s *Server) checkCrash(e dispatch.Endpoint, r quarantine.Report) {
+	fields := []event.Field{event.Request(r.Request), event.F("endpoint", e.ID), event.F("address", e.Address), event.F("parts", r.Parts)}
+	select {
+	case s.crashChecks <- struct{}{}:
+	default:
+		s.options.Events.Emit(eventCrashUnchecked, fields...)
+		return
+	}
+	go func() {
+		defer func() { <-s.crashChecks }()
+		time.Sleep(crashCheckDelay)
+		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+		defer cancel()
+		if !httpconn.RefusesConnections(ctx, e.Address) {
+			return
+		}
+		s.options.Events.Emit(eventEndpointCrashed, fields...)
+		s.options.Crashes.Add(time.Now(), r)
+	}()
+}
+
+// sharedParts returns the ids of the parts that several requests may share, which are all
+// but the last.
+func sharedParts(parts []dispatch.Part) []string {
+	if len(parts) < 2 {
+		return nil
+	}
+	return partIDs(parts[:len(parts)-1])
+}
+
+// partIDs returns the ids of prompt parts.
+func partIDs(parts []dispatch.Part) []string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -20,6 +20,8 @@
 	eventDrained          = event.Define(8008, "entry-drained", event.Info, "the entry has stopped accepting requests")
 	eventRetryBudgetSpent = event.Define(8009, "retry-budget-spent", event.Info, "a request is not sent again because the retry budget is exhausted")
 	eventStreamResumed    = event.Define(8010, "stream-resumed", event.Info, "a stream resumes at another endpoint")
+	eventEndpointCrashed  = event.Define(8012, "endpoint-crashed", event.Warn, "an endpoint refuses connections after it broke off an answer that it had begun")
+	eventCrashUnchecked   = event.Define(8013, "crash-unchecked", event.Warn, "an endpoint broke off an answer that it had begun; too many checks for crashes are running")
 	eventResetFailed      = event.Define(8011, "reset-failed", event.Warn, "the connection of a caller could not be reset; a broken response may look complete to it")
 )
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -64,10 +64,10 @@
 			return attemptResult{outcome: dispatch.Errored, response: buffered, err: errors.New(http.StatusText(buffered.status))}
 		}
 		q.sendBuffered(buffered)
-		return attemptResult{outcome: dispatch.Errored, delivered: true}
+		return attemptResult{outcome: dispatch.Errored, delivered: true, status: buffered.status}
 	}
 	q.sendBuffered(buffered)
-	return attemptResult{outcome: dispatch.Answered, delivered: true}
+	return attemptResult{outcome: dispatch.Answered, delivered: true, status: buffered.status}
 }
 
 // sendBuffered sends a complete response to the caller.
@@ -148,6 +148,9 @@
 
 // recordPause updates the longest pause with the arrival of an event.
 func (q *request) recordPause(now time.Time) {
+	if q.attemptEventAt.IsZero() {
+		q.attemptEventAt = now
+	}
 	if !q.lastEventAt.IsZero() {
 		q.longestPause = max(q.longestPause, now.Sub(q.lastEventAt))
 	}
@@ -199,5 +202,5 @@
 		q.server.options.Events.Emit(eventAttemptFailed, q.eventFields(event.F("error", err))...)
 	}
 	q.answered(resp.StatusCode)
-	return attemptResult{outcome: dispatch.Answered, delivered: true}
+	return attemptResult{outcome: dispatch.Answered, delivered: true, status: resp.StatusCode}
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -72,6 +72,10 @@
 	// the longest time between two of its events.
 	lastEventAt  time.Time
 	longestPause time.Duration
+	// attemptEventAt is when the first event of the present attempt arrived.
+	attemptEventAt time.Time
+	// quarantinedPart is the part of the prompt for which the request is refused.
+	quarantinedPart string
 	// closeDelimited is set if the caller's protocol marks the end of a response of unknown
 	// length only by closing the connection.
 	closeDelimited bool
@@ -228,7 +232,8 @@
 func (q *request) refuse(e *verdict.Error) {
 	q.server.metrics.refused.Inc(1)
 	q.server.options.Events.Emit(eventRefused, q.eventFields(event.F("status", e.Status), event.F("code", e.Code),
-		event.F("reason", e.Message), event.F("rank", q.demand.Rank), event.F("behind_ms", q.lateness.Milliseconds()), event.F("retry_after", e.RetryAfter))...)
+		event.F("reason", e.Message), event.F("rank", q.demand.Rank), event.F("behind_ms", q.lateness.Milliseconds()), event.F("retry_after", e.RetryAfter),
+		event.F("part", q.quarantinedPart))...)
 	q.reply(e)
 }
 
@@ -283,13 +288,7 @@
 }
 
 // partsField returns the ids of prompt parts as an event field, separated by commas.
-func partsField(parts []dispatch.Part) string {
-	ids := make([]string, len(parts))
-	for i, p := range parts {
-		ids[i] = p.ID
-	}
-	return strings.Join(ids, ",")
-}
+func partsField(parts []dispatch.Part) string { return strings.Join(partIDs(parts), ",") }
 
 func (q *request) tableVersion() uint64 {
 	if index := q.server.options.Routing(); index != nil {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -52,7 +52,9 @@
 		Changed() <-chan struct{}
 		Synced() bool
 	}
-	Retry dispatch.RetryRules
+	// Crashes holds the crash reports that entries share.
+	Crashes *directory.Crashes
+	Retry   dispatch.RetryRules
 	// BodyMemory bounds the bytes of all bodies that are buffered at the same time, 0 for
 	// defaultBodyMemory.
 	BodyMemory int64
@@ -80,7 +82,9 @@
 	// drainingSince is when draining began, in nanoseconds since started.
 	drainingSince atomic.Int64
 	started       time.Time
-	lastIndex     *routing.Index // last table applied; used only by runUpdates
+	// crashChecks bounds the checks for crashed endpoints that run at the same time.
+	crashChecks chan struct{}
+	lastIndex   *routing.Index // last table applied; used only by runUpdates
 }
 
 // New returns a server that has not been started.
@@ -88,7 +92,10 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	s := &Server{options: o, started: time.Now(), registry: newRegistry(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope),
+	if o.Crashes == nil {
+		o.Crashes = directory.NewCrashes(o.Events, o.Scope)
+	}
+	s := &Server{options: o, started: time.Now(), crashChecks: make(chan struct{}, maxCrashChecks), registry: newRegistry(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope),
 		metrics: newMetrics(o.Scope)}
 	half := cmp.Or(o.BodyMemory, defaultBodyMemory) / 2
 	s.requestBodies, s.responseBodies = bytebudget.New(half), bytebudget.New(half)
