Attempts with a quarantined part are cancelled while they wait at an endpoint

Such attempts are cancelled unless their answers have begun; the caller gets 502, since the request may have run.

--- a/internal/directory/crashes.go
+++ b/internal/directory/crashes.go
@@ -26,6 +26,8 @@
 	size   tally.Gauge
 	// added receives a value after this process has observed a crash.
 	added chan struct{}
+	// changed receives a value after the quarantined parts have changed.
+	changed chan struct{}
 	// quarantined is read for each request, without the lock.
 	quarantined atomic.Pointer[map[string]bool]
 
@@ -38,7 +40,7 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	c := &Crashes{events: events, size: scope.Gauge("quarantined_parts"), added: make(chan struct{}, 1), ledger: quarantine.NewLedger()}
+	c := &Crashes{events: events, size: scope.Gauge("quarantined_parts"), added: make(chan struct{}, 1), changed: make(chan struct{}, 1), ledger: quarantine.NewLedger()}
 	c.quarantined.Store(&map[string]bool{})
 	return c
 }
@@ -46,6 +48,9 @@
 // Added returns a channel that receives a value after Add.
 func (c *Crashes) Added() <-chan struct{} { return c.added }
 
+// Changed returns a channel that receives a value after a change of the quarantine.
+func (c *Crashes) Changed() <-chan struct{} { return c.changed }
+
 // Add records a crash that this process observed.
 func (c *Crashes) Add(now time.Time, r quarantine.Report) {
 	c.update(func(l *quarantine.Ledger) bool { return l.Add(now, r) })
@@ -122,6 +127,10 @@
 		return
 	}
 	c.quarantined.Store(&after)
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
 	c.size.Update(float64(len(after)))
 	for part := range after {
 		if !before[part] {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -87,7 +87,7 @@
 // reason.
 func (q *request) awaitPlacement(ctx context.Context) (c dispatch.Choice, reason string) {
 	if q.findQuarantined() {
-		return c, quarantinedReason
+		return c, errQuarantined.Error()
 	}
 	p := q.tryPlace()
 	for p.decision == dispatch.Wait {
@@ -95,7 +95,7 @@
 			return p.choice, "the request ended while it waited"
 		}
 		if q.findQuarantined() {
-			return c, quarantinedReason
+			return c, errQuarantined.Error()
 		}
 		p = q.tryPlace()
 	}
@@ -168,17 +168,26 @@
 	q.server.metrics.attempts.Inc(1)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	begun := q.server.attempts.add(partIDs(q.demand.Prompt.Parts), cancel)
+	defer begun()
+	if q.findQuarantined() { // The quarantine began after the placement.
+		cancel(errQuarantined)
+	}
 	stall := q.stallTimer(c, cancel)
 	if stall != nil {
 		defer stall.Stop()
 	}
 	sentAt := time.Now()
 	q.attemptEventAt = time.Time{}
-	r := q.exchange(ctx, &c, stall)
+	r := q.exchange(ctx, &c, stall, begun)
 	q.trackCrashes(ctx, &c, r, sentAt)
 	if cause := context.Cause(ctx); r.err != nil && cause != nil {
 		r.err = cause
-		if !errors.Is(cause, errStalled) && !errors.Is(cause, errTimeLimit) {
+		switch {
+		case errors.Is(cause, errStalled), errors.Is(cause, errTimeLimit):
+		case errors.Is(cause, errQuarantined):
+			r.outcome = dispatch.Abandoned
+		default:
 			r.outcome, r.err = dispatch.Abandoned, errCallerDisconnected
 		}
 	}
@@ -223,8 +232,9 @@
 	})
 }
 
-// exchange sends a request to the chosen endpoint and relays the response.
-func (q *request) exchange(ctx context.Context, c *dispatch.Choice, stall *time.Timer) attemptResult {
+// exchange sends a request to the chosen endpoint and relays the response. It calls begun
+// once the head of the endpoint's own response has arrived.
+func (q *request) exchange(ctx context.Context, c *dispatch.Choice, stall *time.Timer, begun func()) attemptResult {
 	codec := q.server.options.Codec
 	send := Attempt{Endpoint: c.Endpoint.ID, TimeLeft: time.Until(q.deadline), Rank: q.attemptRank(c), LastEvent: q.call.LastEvent, FetchFrom: c.FetchFrom}
 	if q.customer != nil {
@@ -271,6 +281,7 @@
 		}
 		q.withBalancer(func(b *dispatch.Balancer) { b.RecordFirstEvent(time.Now(), c) })
 	}
+	begun()
 	var r attemptResult
 	if q.route.Kind == routing.Stream && resp.StatusCode == http.StatusOK {
 		r = q.relayStream(resp, onResponseStart)
@@ -298,7 +309,7 @@
 // from the budget.
 func (q *request) takeRetry(ctx context.Context, r attemptResult) bool {
 	now := time.Now()
-	if ctx.Err() != nil || errors.Is(r.err, errCallerDisconnected) || q.attemptCount >= maxAttempts || q.deadline.Sub(now) < minAttemptTime {
+	if ctx.Err() != nil || errors.Is(r.err, errCallerDisconnected) || errors.Is(r.err, errQuarantined) || q.attemptCount >= maxAttempts || q.deadline.Sub(now) < minAttemptTime {
 		return false
 	}
 	if !r.notRun && (!q.route.Repeatable() || q.runs >= max(1, q.route.Attempts)) {
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"sync"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/directory"
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/httpconn"
@@ -24,10 +27,55 @@
 	// quarantineRetryAfter is the Retry-After of requests with a quarantined part. The
 	// quarantine lasts for minutes.
 	quarantineRetryAfter = time.Minute
-
-	quarantinedReason = "a part of the prompt has crashed the endpoints that ran it"
 )
 
+// errQuarantined ends requests with a quarantined part.
+var errQuarantined = errors.New("a part of the prompt has crashed the endpoints that ran it")
+
+// attemptSet holds the attempts in flight that no endpoint has begun to answer. It is safe
+// for concurrent use.
+type attemptSet struct {
+	mu       sync.Mutex
+	attempts map[*pendingAttempt]struct{}
+}
+
+type pendingAttempt struct {
+	parts  []string
+	cancel context.CancelCauseFunc
+}
+
+func newAttemptSet() *attemptSet {
+	return &attemptSet{attempts: make(map[*pendingAttempt]struct{})}
+}
+
+// add adds an attempt and returns the function that removes it, which may be called twice.
+func (s *attemptSet) add(parts []string, cancel context.CancelCauseFunc) (remove func()) {
+	if len(parts) == 0 {
+		return func() {}
+	}
+	a := &pendingAttempt{parts, cancel}
+	s.mu.Lock()
+	s.attempts[a] = struct{}{}
+	s.mu.Unlock()
+	return func() {
+		s.mu.Lock()
+		delete(s.attempts, a)
+		s.mu.Unlock()
+	}
+}
+
+// cancelQuarantined cancels the attempts with a quarantined part. Requests that wait at an
+// endpoint would crash it when their turn comes.
+func (s *attemptSet) cancelQuarantined(crashes *directory.Crashes) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for a := range s.attempts {
+		if _, found := crashes.Find(a.parts); found {
+			a.cancel(errQuarantined)
+		}
+	}
+}
+
 // findQuarantined sets quarantinedPart and reports whether there is one. It is called
 // before each attempt, since the quarantine may begin while a request waits or runs.
 func (q *request) findQuarantined() bool {
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"auburnstep.example/auburnstep/internal/quarantine"
 	"auburnstep.example/auburnstep/internal/routing"
 )
 
@@ -87,3 +88,42 @@
 		})
 	}
 }
+
+// TestRequestWaitsAtEndpointWithQuarantinedPart guards against requests that were sent
+// before the quarantine began and crash their endpoints after it: they are cancelled
+// unless their answers have begun.
+func TestRequestWaitsAtEndpointWithQuarantinedPart(t *testing.T) {
+	waiting, cancelled := make(chan struct{}), make(chan struct{})
+	e := newFakeEndpoint(t, "e1", func(c net.Conn, _ *http.Request, _ string) bool {
+		close(waiting)
+		_, _ = c.Read(make([]byte, 1)) // Returns when the router closes the connection.
+		close(cancelled)
+		return false
+	})
+	s, address := startRouter(t, e)
+	status := make(chan int, 1)
+	go func() {
+		resp, _, err := postRequest(t, address, "/plan/1", func(r *http.Request) { r.Header.Set(nativePrompt, "500,10 "+deadlyPart+":300 own:200") })
+		if err != nil {
+			t.Error(err)
+			status <- 0
+			return
+		}
+		status <- resp.StatusCode
+	}()
+	<-waiting
+	now := time.Now()
+	for i, id := range []string{"a", "b", "c"} {
+		lost := now.Add(time.Duration(i-3) * time.Second)
+		s.options.Crashes.Add(now, quarantine.Report{
+			Endpoint: "gone-" + id, Request: id, Parts: []string{deadlyPart}, SentAt: lost.Add(-time.Second), LostAt: lost,
+		})
+	}
+	<-cancelled
+	qt.Check(t, <-status, qt.Equals, http.StatusBadGateway) // It may have run.
+	resp, _, err := postRequest(t, address, "/plan/1", func(r *http.Request) { r.Header.Set(nativePrompt, "500,10 "+deadlyPart+":300 own:200") })
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, resp.Header.Get("Retry-After"), qt.Equals, "60.000")
+	qt.Check(t, e.runs.Load(), qt.Equals, int64(1))
+}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -84,6 +84,7 @@
 	started       time.Time
 	// crashChecks bounds the checks for crashed endpoints that run at the same time.
 	crashChecks chan struct{}
+	attempts    *attemptSet
 	lastIndex   *routing.Index // last table applied; used only by runUpdates
 }
 
@@ -95,7 +96,7 @@
 	if o.Crashes == nil {
 		o.Crashes = directory.NewCrashes(o.Events, o.Scope)
 	}
-	s := &Server{options: o, started: time.Now(), crashChecks: make(chan struct{}, maxCrashChecks), registry: newRegistry(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope),
+	s := &Server{options: o, started: time.Now(), crashChecks: make(chan struct{}, maxCrashChecks), attempts: newAttemptSet(), registry: newRegistry(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope),
 		metrics: newMetrics(o.Scope)}
 	half := cmp.Or(o.BodyMemory, defaultBodyMemory) / 2
 	s.requestBodies, s.responseBodies = bytebudget.New(half), bytebudget.New(half)
@@ -157,6 +158,8 @@
 			return
 		case <-s.options.Directory.Changed():
 			s.update(index)
+		case <-s.options.Crashes.Changed():
+			s.attempts.cancelQuarantined(s.options.Crashes)
 		case <-tick.C:
 		}
 	}
