--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -249,8 +249,11 @@
 }
 
 // abort ends the connection without a proper end of the response, so that the response
-// does not look complete. It does not return.
+// does not look complete. Events that were relayed are sent before. It does not return.
 func (q *request) abort() {
+	if q.responseStarted {
+		_ = http.NewResponseController(q.w).Flush() // Fails only if the caller has disconnected.
+	}
 	if q.responseStarted && q.closeDelimited {
 		q.resetConnection()
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -534,3 +534,21 @@
 		})
 	}
 }
+
+// TestEventsBeforeBreakAreDelivered guards against the loss of events that had arrived
+// together with the end of their connection.
+func TestEventsBeforeBreakAreDelivered(t *testing.T) {
+	e := newFakeEndpoint(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+		var text strings.Builder
+		text.WriteString(head(r, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+		for _, s := range []string{eventsText(4), "id: 5\ndat"} {
+			fmt.Fprintf(&text, "%x\r\n%s\r\n", len(s), s)
+		}
+		_, _ = io.WriteString(c, text.String())
+		return false
+	})
+	_, address := startRouter(t, e)
+	_, body, err := postRequest(t, address, "/chat/1", nil)
+	qt.Check(t, err, qt.IsNotNil)
+	qt.Check(t, body, qt.Equals, eventsText(4))
+}
