A stream that ends inside an event, or without one and without a length, was broken off

A stream without a length whose endpoint crashed before the first event was relayed as complete and empty, and counted as an answer that clears the prompt parts. One that ended inside an event in proper chunks was relayed with the partial event. TestStreamWithoutLength (ends before its first event, ends after a comment) and TestStreamEndsInsideEvent fail without the change.

--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -177,12 +177,13 @@
 	return control.Flush()
 }
 
-// endStream ends an attempt at the end of the body. Bytes after the last complete
-// event are part of the response only if its length or transfer encoding shows
-// that the body is complete.
+// endStream ends an attempt at the end of the body. A stream that ends inside an event
+// was broken off. One without a length and transfer encoding also was if it has no event
+// or other bytes after the last one, since its end may be that of the connection.
 func (q *request) endStream(resp *httpconn.Response, rest streamEvent, err error) attemptResult {
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if !isCleanEOF(err) || len(rest.raw) > 0 && !delimited {
+	brokenOff := hasField(rest.raw) || !delimited && (len(rest.raw) > 0 || q.attemptEventAt.IsZero())
+	if !isCleanEOF(err) || brokenOff {
 		_ = resp.Close(false)
 		if isCleanEOF(err) {
 			err = errTruncated
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -552,3 +552,58 @@
 	qt.Check(t, err, qt.IsNotNil)
 	qt.Check(t, body, qt.Equals, eventsText(4))
 }
+
+// TestStreamWithoutLength guards against a stream that has neither a length nor chunks and
+// is taken for complete although it was broken off: inside an event, before its first
+// event, or by a reset.
+func TestStreamWithoutLength(t *testing.T) {
+	respond := func(text string, reset bool) func(net.Conn, *http.Request, string) bool {
+		return func(c net.Conn, r *http.Request, _ string) bool {
+			_, _ = io.WriteString(c, head(r, "Content-Type: text/event-stream\r\n")+text)
+			if reset {
+				time.Sleep(20 * time.Millisecond) // The reset would discard what has not been read.
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			return false
+		}
+	}
+	for _, c := range []struct {
+		name     string
+		text     string
+		reset    bool
+		complete bool
+	}{
+		{"whole", eventsText(9), false, true},
+		{"ends inside a comment", eventsText(4) + ": on", false, false},
+		{"ends inside an event", eventsText(4) + "id: 5\nda", false, false},
+		{"ends after a line of an event", eventsText(4) + "id: 5\n", false, false},
+		{"ends before its first event", "", false, false},
+		{"ends after a comment", ": begins\n\n", false, false},
+		{"reset", eventsText(4), true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newFakeEndpoint(t, "e1", respond(c.text, c.reset))
+			_, address := startRouter(t, e)
+			resp, body, err := postRequest(t, address, "/chat/1", nil)
+			delivered := err == nil && resp.StatusCode == http.StatusOK
+			qt.Check(t, delivered, qt.Equals, c.complete, qt.Commentf("%q %v", body, err))
+			if c.complete {
+				qt.Check(t, body, qt.Equals, c.text)
+			}
+		})
+	}
+}
+
+// TestStreamEndsInsideEvent guards against a stream that is delimited by chunks and ends
+// inside an event: the endpoint has broken it off.
+func TestStreamEndsInsideEvent(t *testing.T) {
+	e := newFakeEndpoint(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+		writeEvents(c, r, 0, 4, false)
+		fmt.Fprint(c, "9\r\nid: 5\ndat\r\n0\r\n\r\n")
+		return true
+	})
+	_, address := startRouter(t, e)
+	_, body, err := postRequest(t, address, "/chat/1", nil)
+	qt.Check(t, err, qt.IsNotNil)
+	qt.Check(t, body, qt.Equals, eventsText(4))
+}
--- a/internal/router/sse.go
+++ b/internal/router/sse.go
@@ -72,6 +72,16 @@
 	}
 }
 
+// hasField reports whether text has a line other than empty ones and comments.
+func hasField(text []byte) bool {
+	for line := range bytes.Lines(text) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // isCleanEOF reports whether an error of readEvent is the regular end of the body.
 func isCleanEOF(err error) bool {
 	return errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
