Members keep crash reports in their data directories

Reports need no quorum, so that each member writes its own file, from a goroutine of its own; a full or stalled disk delays nothing else.

--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -181,7 +181,7 @@
 		ReplaceLostVoters: true,
 	})
 	control.NewService(d.Member).Register(d.peers)
-	d.Directory = directory.NewService(d.Events, d.crashes)
+	d.Directory = directory.NewService(d.Events, d.crashes, d.Config.DataDirectory)
 	d.Directory.Register(d.peers)
 	if err := d.kernel.Register(ServiceControl, d.Member); err != nil {
 		return err
--- a/internal/directory/crashes_test.go
+++ b/internal/directory/crashes_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,7 +20,7 @@
 type localMember struct{ service *Service }
 
 func newLocalMember() *localMember {
-	return &localMember{NewService(nil, NewCrashes(nil, nil))}
+	return &localMember{NewService(nil, NewCrashes(nil, nil), "")}
 }
 
 // Sync implements directoryv1connect.DirectoryClient.
@@ -81,7 +84,7 @@
 	qt.Check(t, started.refuses("x"), qt.IsTrue)
 
 	// The member restarts without its memory.
-	first.service = NewService(nil, NewCrashes(nil, nil))
+	first.service = NewService(nil, NewCrashes(nil, nil), "")
 	reporter.poll(first)
 	reporter.poll(first)
 	late := newTestEntry("late")
@@ -127,3 +130,36 @@
 		qt.Check(t, err, qt.IsNil)
 	}
 }
+
+// TestQuarantineOutlivesLossOfAllProcesses guards against prompt parts that crash endpoints
+// again after every process has ended, and against stored reports that are damaged.
+func TestQuarantineOutlivesLossOfAllProcesses(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "data")
+	quarantined := func() bool {
+		crashes := NewCrashes(nil, nil)
+		NewService(nil, crashes, dir)
+		_, found := crashes.Find([]string{"x"})
+		return found
+	}
+	qt.Check(t, quarantined(), qt.IsFalse)
+
+	e := newTestEntry("e")
+	e.reportCrashes("x")
+	service := NewService(nil, e.options.Crashes, dir)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*saveInterval)
+	defer cancel()
+	qt.Assert(t, service.Start(ctx), qt.IsNil)
+	qt.Check(t, quarantined(), qt.IsTrue)
+
+	path := filepath.Join(dir, reportsFile)
+	stored, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	for n := 0; n < len(stored); n += 13 {
+		damaged := slices.Clone(stored)
+		damaged[n] ^= 1
+		qt.Assert(t, os.WriteFile(path, damaged, 0o600), qt.IsNil)
+		qt.Assert(t, quarantined(), qt.IsFalse)
+		qt.Assert(t, os.WriteFile(path, stored[:n], 0o600), qt.IsNil)
+		qt.Assert(t, quarantined(), qt.IsFalse)
+	}
+}
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -38,6 +38,7 @@
 	events  *event.Recorder
 	started time.Time
 	crashes *Crashes
+	store   *reportStore // nil if crash reports are not stored
 
 	mu            sync.Mutex
 	registry      *Registry
@@ -46,9 +47,15 @@
 
 var _ directoryv1connect.DirectoryHandler = (*Service)(nil)
 
-// NewService returns an empty directory. It keeps the crash reports of entries in crashes.
-func NewService(events *event.Recorder, crashes *Crashes) *Service {
-	return &Service{events: events, started: time.Now(), crashes: crashes, registry: NewRegistry(rand.Uint64() | 1)}
+// NewService returns an empty directory. It keeps the crash reports of entries in crashes,
+// and in a data directory unless dir is empty.
+func NewService(events *event.Recorder, crashes *Crashes, dir string) *Service {
+	s := &Service{events: events, started: time.Now(), crashes: crashes, registry: NewRegistry(rand.Uint64() | 1)}
+	if dir != "" {
+		s.store = &reportStore{dir: dir, crashes: crashes, events: events}
+		s.store.load(s.started)
+	}
+	return s
 }
 
 // Register adds the handler to a server.
@@ -59,6 +66,9 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(ctx context.Context) error {
+	if s.store != nil {
+		go s.store.run(ctx)
+	}
 	for kernel.Sleep(ctx, expireInterval) == nil {
 		now := time.Now()
 		s.crashes.Update(now)
