Prompts that crash engines are refused by the scheduler of the native data plane

The same fault in the other data plane: a chat request that crashes its engine was sent to up to four engines, and the next one like it to four more. The entry reports in the outcome of a grant that the engine crashed as it began to answer; the scheduler of the group keeps the same ledger, with the prefix hashes of the prompt as parts, refuses new and waiting requests with a quarantined prefix (503 prompt_quarantined), and sends nothing more to a crashed engine. A request is not repeated after two crashes of its own. Plain services of this plane have no prompts and repeat at most three times as before.

A scheduler that takes over a group starts with an empty ledger, and groups do not share theirs: listed in the postmortem.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -20,6 +20,10 @@
 // bound the retries of all requests together.
 const maxAttempts = 4
 
+// maxCrashes bounds the endpoints that crash as they begin to answer the same request,
+// since the request may be the cause.
+const maxCrashes = 2
+
 // retrier runs one request; no other layer retries. For each attempt it acquires a
 // grant and calls a function with it. After a failure it tries another endpoint if
 // that is allowed.
@@ -31,6 +35,8 @@
 	// leastCertain is NotRun until an attempt has ended without proof that the
 	// request did not run; then it is the verdict of the last such attempt.
 	leastCertain verdict.Verdict
+	// crashes counts the endpoints that crashed as they began to answer.
+	crashes int
 }
 
 // attemptResult is the result of one attempt.
@@ -38,7 +44,9 @@
 	tokens int
 	// timeToFirstToken counts from the start of the attempt.
 	timeToFirstToken time.Duration
-	err              error
+	// crashed reports that the endpoint crashed as it began to answer.
+	crashed bool
+	err     error
 }
 
 // newRetrier returns the retrier of a request.
@@ -93,11 +101,14 @@
 		rt.avoidEndpoint(lease.Grant.Endpoint)
 	}
 	v := verdict.From(r.err)
+	if r.crashed {
+		rt.crashes++
+	}
 	if ctx.Err() == nil {
 		rt.s.opts.Events.Emit(eventAttemptFailed, rt.q.fields(event.F("attempt", id), event.F("endpoint", lease.Grant.Endpoint),
-			event.F("verdict", v.Verdict), event.F("error", v.Error()))...)
+			event.F("verdict", v.Verdict), event.F("crashed", r.crashed), event.F("error", v.Error()))...)
 	}
-	return v, retryable(r.err, v, rt.q.class.Idempotent)
+	return v, rt.crashes < maxCrashes && retryable(r.err, v, rt.q.class.Idempotent)
 }
 
 func (rt *retrier) avoidEndpoint(endpoint string) {
@@ -145,6 +156,7 @@
 		DurationMs: uint32(time.Since(start).Milliseconds()), Failed: r.err != nil,
 	}
 	if r.err != nil {
+		o.Crashed = r.crashed
 		o.EndpointFault = upstream.IsEndpointFault(r.err)
 		o.ConnectRefused = upstream.ReasonOf(r.err) == upstream.ReasonUnreachable
 		o.Unused = upstream.ReasonOf(r.err) == upstream.ReasonGrantExpired
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -11,6 +11,7 @@
 
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/grants"
+	"auburnstep.example/auburnstep/internal/httpconn"
 	"auburnstep.example/auburnstep/internal/openai"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
@@ -113,6 +114,9 @@
 	timeToFirstToken time.Duration
 }
 
+// answerStart is how long after its first token an answer counts as just begun.
+const answerStart = 250 * time.Millisecond
+
 // errCallerDisconnected reports that a write to the caller failed.
 var errCallerDisconnected = errors.New("could not write the response to the caller")
 
@@ -178,7 +182,9 @@
 			return attemptResult{tokens: c.deliveredTokens - before, timeToFirstToken: attemptFirstToken}
 		}
 		if err != nil {
-			return attemptResult{tokens: c.deliveredTokens - before, timeToFirstToken: attemptFirstToken, err: err}
+			justBegun := attemptFirstToken == 0 || time.Since(start)-attemptFirstToken < answerStart
+			return attemptResult{tokens: c.deliveredTokens - before, timeToFirstToken: attemptFirstToken, err: err,
+				crashed: justBegun && upstream.IsLost(err) && httpconn.HasCrashed(ctx, l.Grant.Address)}
 		}
 		if chunk.Tokens > 0 && attemptFirstToken == 0 {
 			attemptFirstToken = time.Since(start)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -400,3 +401,34 @@
 	}
 	qt.Check(t, cached.Stats().Received-before, qt.Equals, int64(5))
 }
+
+// TestCrashingPromptKeepsReachingEngines guards against requests that crash one engine
+// after the other because of a part of their prompts. Requests that share the beginning of
+// the prompt must be served on.
+func TestCrashingPromptKeepsReachingEngines(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	const engines = 8
+	for range engines {
+		s := b.StartEndpoint(t, engineConfig())
+		s.Inject(fakeengine.Fault{Kind: fakeengine.FaultDeadly, Text: "deadly"})
+	}
+	shared := strings.Repeat("conservation file ", 80)
+	send := func(prompt string) (int, string) {
+		res, text := call{path: "/v1/chat/completions", body: chatBody(shared+prompt, `,"max_tokens":2`)}.send(t, b)
+		return res.StatusCode, text
+	}
+	for i := range 12 { // Fills the retry budget.
+		status, text := send(strconv.Itoa(i))
+		qt.Check(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	}
+	const deadlyRequests = 6
+	for i := range deadlyRequests {
+		status, text := send(strings.Repeat("deadly part ", 100) + strconv.Itoa(i))
+		if i >= 3 {
+			qt.Check(t, status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", text))
+			qt.Check(t, strings.Contains(text, "prompt_quarantined"), qt.IsTrue, qt.Commentf("%s", text))
+		}
+		status, text = send(strings.Repeat("statue ", 150) + strconv.Itoa(i))
+		qt.Check(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	}
+}
--- a/internal/fakeengine/chat.go
+++ b/internal/fakeengine/chat.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,6 +28,7 @@
 	promptTokens int
 	crossed      bool
 	truncated    bool
+	deadly       bool
 	reset        bool
 }
 
@@ -104,6 +106,9 @@
 	_, job.crossed = s.faults.trigger(FaultCrossed)
 	_, job.truncated = s.faults.trigger(FaultTruncated)
 	_, job.reset = s.faults.trigger(FaultReset)
+	if f, ok := s.faults.trigger(FaultDeadly); ok {
+		job.deadly = strings.Contains(prompt, f.Text)
+	}
 	return job
 }
 
@@ -186,6 +191,11 @@
 		if err != nil {
 			return err
 		}
+		if job.deadly {
+			_ = flusher.Flush() // The engine crashes in any case.
+			s.runInBackground(func() { s.inject(Fault{Kind: FaultCrash}) })
+			return errStopped
+		}
 		for ; sent < n; sent++ {
 			if sent == faultOffset {
 				if job.truncated || job.reset {
--- a/internal/fakeengine/fault.go
+++ b/internal/fakeengine/fault.go
@@ -35,7 +35,10 @@
 	FaultReset FaultKind = "reset"
 	// FaultOverload rejects a request with the verdict not-run.
 	FaultOverload FaultKind = "overload"
-	FaultClear    FaultKind = "clear"
+	// FaultDeadly crashes the engine, as FaultCrash does, when it begins to answer a request
+	// whose prompt contains Text.
+	FaultDeadly FaultKind = "deadly"
+	FaultClear  FaultKind = "clear"
 )
 
 // Fault describes one fault. Probability and Count select the requests to which a
@@ -46,6 +49,7 @@
 	Delay       time.Duration
 	Probability float64
 	Count       int
+	Text        string
 	// After is the delay before the fault takes effect.
 	After time.Duration
 }
@@ -66,10 +70,12 @@
 			f.Probability, err = strconv.ParseFloat(value, 64)
 		case "count":
 			f.Count, err = strconv.Atoi(value)
+		case "text":
+			f.Text = value
 		case "after":
 			f.After, err = time.ParseDuration(value)
 		default:
-			return Error.New("fault %s has no key %q; allowed: factor, delay, probability, count, after", f.Kind, key)
+			return Error.New("fault %s has no key %q; allowed: factor, delay, probability, count, text, after", f.Kind, key)
 		}
 		if err != nil {
 			return Error.New("fault %s: %s: %w", f.Kind, key, err)
@@ -88,6 +94,10 @@
 		if f.Delay <= 0 {
 			return Error.New("fault late needs a delay above 0")
 		}
+	case FaultDeadly:
+		if f.Text == "" {
+			return Error.New("fault deadly needs a text")
+		}
 	case FaultCrash, FaultFreeze, FaultSilent, FaultCrossed, FaultTruncated, FaultReset, FaultOverload, FaultClear:
 	default:
 		return Error.New("fault %q is unknown", f.Kind)
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -89,8 +89,24 @@
 	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}, nil
 }
 
-// RefusesConnections reports whether no process listens at an address.
-func RefusesConnections(ctx context.Context, address string) bool {
+const (
+	// crashCheckDelay is the time between the loss of a connection and the check whether the
+	// process has ended: it may close the connection before its listener.
+	crashCheckDelay = 20 * time.Millisecond
+	// crashCheckTimeout bounds the check.
+	crashCheckTimeout = 500 * time.Millisecond
+)
+
+// HasCrashed reports whether no process listens at an address to which a connection has
+// just been lost.
+func HasCrashed(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(crashCheckDelay):
+	}
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err == nil {
 		_ = c.Close()
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -186,11 +186,12 @@
 	}
 }
 
-// forgetAnswered makes room for the parts of further answers.
+// forgetAnswered makes room for the parts of further answers, a quarter of all at least,
+// since it visits all of them.
 func (l *Ledger) forgetAnswered(now time.Time) {
 	maps.DeleteFunc(l.answered, func(_ string, at time.Time) bool { return now.Sub(at) > answeredRetention })
 	for part := range l.answered {
-		if len(l.answered) < maxAnswered {
+		if len(l.answered) <= maxAnswered*3/4 {
 			return
 		}
 		delete(l.answered, part)
@@ -318,6 +319,17 @@
 // Quarantined returns the quarantined parts.
 func (l *Ledger) Quarantined() map[string]bool { return maps.Clone(l.quarantined) }
 
+// Any reports whether any part is quarantined.
+func (l *Ledger) Any() bool { return len(l.quarantined) > 0 }
+
+// Find returns the first quarantined part.
+func (l *Ledger) Find(parts []string) (string, bool) {
+	if i := slices.IndexFunc(parts, func(p string) bool { return l.quarantined[p] }); i >= 0 {
+		return parts[i], true
+	}
+	return "", false
+}
+
 // Against returns the reports that speak against a part.
 func (l *Ledger) Against(part string) (out []Report) {
 	for _, rec := range l.records {
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -17,11 +17,6 @@
 const (
 	// answerStart is how long after its first event an answer counts as just begun.
 	answerStart = 250 * time.Millisecond
-	// crashCheckDelay is the time between the loss of a connection and the check whether the
-	// endpoint has crashed: the process may close the connection before its listener.
-	crashCheckDelay = 20 * time.Millisecond
-	// crashCheckTimeout bounds the check.
-	crashCheckTimeout = 500 * time.Millisecond
 	// maxCrashChecks bounds the checks that run at the same time.
 	maxCrashChecks = 32
 	// quarantineRetryAfter is the Retry-After of requests with a quarantined part. The
@@ -114,10 +109,7 @@
 	}
 	go func() {
 		defer func() { <-s.crashChecks }()
-		time.Sleep(crashCheckDelay)
-		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-		defer cancel()
-		if !httpconn.RefusesConnections(ctx, e.Address) {
+		if !httpconn.HasCrashed(context.Background(), e.Address) {
 			return
 		}
 		s.options.Events.Emit(eventEndpointCrashed, fields...)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -7,6 +7,7 @@
 
 	"auburnstep.example/auburnstep/internal/estimate"
 	"auburnstep.example/auburnstep/internal/limit"
+	"auburnstep.example/auburnstep/internal/quarantine"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
 
@@ -72,6 +73,8 @@
 	latencyModel    latencyModel
 	models          map[modelTier]*modelRates
 
+	crashes *quarantine.Ledger
+
 	candidates []*endpoint // endpoints with a free slot; reused by dispatch
 }
 
@@ -83,7 +86,7 @@
 		customers: map[string]*customer{}, classes: map[string]*class{},
 		endpoints: map[string]*endpoint{}, prefixes: map[uint64][]*cacheEntry{},
 		grants: map[string]*grant{}, byRequest: map[string]*grant{}, ended: map[string]ended{},
-		awaitedEntries: map[string]struct{}{}, models: map[modelTier]*modelRates{},
+		awaitedEntries: map[string]struct{}{}, crashes: quarantine.NewLedger(), models: map[modelTier]*modelRates{},
 	}
 	c.customerLRU.prev, c.customerLRU.next = &c.customerLRU, &c.customerLRU
 	for i := range c.tiers {
@@ -151,7 +154,7 @@
 }
 
 func (c *Core) newWaiter(now time.Time, r Request) *waiter {
-	w := &waiter{request: r, arrived: now.Add(-r.Waited), lastEnqueued: now}
+	w := &waiter{request: r, prefixes: promptParts(r.Prefixes), arrived: now.Add(-r.Waited), lastEnqueued: now}
 	c.sequence++
 	w.sequence = c.sequence
 	w.customer = c.customerOf(now, r.Customer)
@@ -247,7 +250,8 @@
 
 // Tick applies timeouts. It must be called about every 50 ms.
 func (c *Core) Tick(now time.Time) []Decision {
-	var out []Decision
+	c.crashes.Update(now)
+	out := c.refuseQuarantined(now, nil)
 	c.expireGrants(now)
 	c.expireShares(now)
 	for c.waiterExpiry.len() > 0 && !now.Before(c.waiterExpiry.top().expires) {
--- a/internal/scheduler/grants.go
+++ b/internal/scheduler/grants.go
@@ -27,7 +27,8 @@
 	endpoint        *endpoint
 	class           *class
 	customer        *customer
-	model           string // empty if not known
+	model           string   // empty if not known
+	prefixes        []string // of the prompt; see promptParts
 	tier            int
 	epoch           uint64
 	granted         time.Time
@@ -66,7 +67,7 @@
 	id := strconv.FormatUint(c.config.Epoch, 36) + "-" + strconv.FormatUint(c.sequence, 36)
 	g := &grant{
 		id: id, requestID: w.request.ID, entry: w.request.Entry, endpoint: ep, class: w.class,
-		customer: w.customer, model: w.request.Model, tier: w.request.Tier, epoch: c.config.Epoch, granted: now,
+		customer: w.customer, model: w.request.Model, prefixes: w.prefixes, tier: w.request.Tier, epoch: c.config.Epoch, granted: now,
 		validUntil: now.Add(grantUseTimeout), work: w.work, cost: w.cost,
 		uncachedTokens: c.uncachedTokens(w, ep), inFlightAtGrant: ep.inFlight + 1, reserved: reserved,
 		inAvoidList: slices.Contains(w.request.Avoid, ep.spec.ID),
@@ -158,7 +159,7 @@
 	c.recordOutcome(now, g, o)
 	c.removeGrant(now, g, ended{outcomeRecorded: true})
 	c.updateHealth(now, g.endpoint, o, probe)
-	return c.dispatch(now, nil)
+	return c.dispatch(now, c.trackCrashes(now, g, o))
 }
 
 // recordOutcome replaces the estimated cost that was charged for a grant by the
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -57,7 +57,7 @@
 		h.probing = false
 	}
 	switch {
-	case o.ConnectRefused:
+	case o.ConnectRefused, o.Crashed:
 		h.eject(now, true)
 	case o.EndpointFault:
 		h.faults++
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -11,6 +11,7 @@
 // waiter is a waiting request.
 type waiter struct {
 	request      Request
+	prefixes     []string // of the prompt; see promptParts
 	arrived      time.Time
 	lastEnqueued time.Time // time of the last Enqueue
 	due          time.Time // latest start that meets the target
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -158,6 +158,8 @@
 	// ConnectRefused is set if the endpoint did not accept a connection. The
 	// core then ejects the endpoint at once.
 	ConnectRefused bool
+	// Crashed is set if the endpoint crashed as it began to answer. It refuses connections.
+	Crashed bool
 	// Unused is set if the grant was returned before any byte was sent.
 	Unused bool
 }
--- a/internal/schedulerhost/convert.go
+++ b/internal/schedulerhost/convert.go
@@ -40,7 +40,7 @@
 	return scheduler.Outcome{
 		Tokens: int(o.Tokens), FirstToken: time.Duration(o.FirstTokenMs) * time.Millisecond,
 		Duration: time.Duration(o.DurationMs) * time.Millisecond, Failed: o.Failed, EndpointFault: o.EndpointFault,
-		ConnectRefused: o.ConnectRefused, Unused: o.Unused,
+		ConnectRefused: o.ConnectRefused, Crashed: o.Crashed, Unused: o.Unused,
 	}
 }
 
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -88,6 +88,13 @@
 	return errors.As(err, &reqErr) && reqErr.EndpointFault
 }
 
+// IsLost reports whether err is a RequestError because the endpoint's response or its
+// connection ended early.
+func IsLost(err error) bool {
+	reason := ReasonOf(err)
+	return reason == ReasonConnectionLost || reason == ReasonResponseTruncated
+}
+
 // ReasonOf returns the reason of err, or "" if err is not a RequestError.
 func ReasonOf(err error) Reason {
 	var reqErr *RequestError
