--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -71,6 +71,9 @@
 	// replaced is set once a different endpoint responds at the address.
 	replaced bool
 
+	// limit is the endpoint's limit of requests.
+	limit Limit
+
 	// slowdown is the smoothed ratio of observed to predicted time as of
 	// slowdownAt.
 	slowdown   float64
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -259,6 +259,9 @@
 	if head.Load != nil {
 		q.withBalancer(func(b *dispatch.Balancer) { b.RecordReport(time.Now(), c, *head.Load) })
 	}
+	if head.Limit != nil || head.Executed {
+		q.recordLimit(c, head.Limit)
+	}
 	switch {
 	case head.RequestID == "" && resp.Reused:
 		// It may be a late response to an earlier request on the connection, and proves
--- a/internal/router/codec.go
+++ b/internal/router/codec.go
@@ -63,6 +63,9 @@
 	Replaced bool
 	// Load is the load of the endpoint, nil if the endpoint does not report it.
 	Load *dispatch.Report
+	// Limit is the number of requests per second that the endpoint takes from all entries
+	// together, nil if it names no limit.
+	Limit *float64
 }
 
 // Codec translates between the wire format and the types of this package.
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -22,6 +22,8 @@
 	eventStreamResumed    = event.Define(8010, "stream-resumed", event.Info, "a stream resumes at another endpoint")
 	eventEndpointCrashed  = event.Define(8012, "endpoint-crashed", event.Warn, "an endpoint refuses connections after it broke off an answer that it had begun")
 	eventCrashUnchecked   = event.Define(8013, "crash-unchecked", event.Warn, "an endpoint broke off an answer that it had begun; too many checks for crashes are running")
+	eventLimitNamed       = event.Define(8014, "endpoint-limit-named", event.Info, "an endpoint names the requests per second that it takes from all entries together")
+	eventLimitEnded       = event.Define(8015, "endpoint-limit-ended", event.Info, "an endpoint names no limit any more")
 	eventResetFailed      = event.Define(8011, "reset-failed", event.Warn, "the connection of a caller could not be reset; a broken response may look complete to it")
 )
 
--- a/internal/router/native.go
+++ b/internal/router/native.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +19,7 @@
 	nativeWaitMs    = "X-Auburnstep-Wait-Ms"
 	nativeRank      = "X-Priority"
 	nativeLoad      = "X-Auburnstep-Load"
+	nativeLimit     = "X-Auburnstep-Limit"
 	nativePrompt    = "X-Auburnstep-Prompt"
 	nativeFetchFrom = "X-Auburnstep-Fetch-From"
 	nativeLastEvent = "Last-Event-Id"
@@ -84,6 +86,7 @@
 		RequestID: r.Header.Get(nativeRequestID), NotRun: notRun, Replaced: r.StatusCode == http.StatusMisdirectedRequest,
 	}
 	head.Executed = head.RequestID != "" && !notRun
+	head.Limit = DecodeLimit(r.Header.Get(nativeLimit))
 	fields := strings.Split(r.Header.Get(nativeLoad), ",")
 	if len(fields) != 3 {
 		return head
@@ -100,6 +103,16 @@
 	return head
 }
 
+// DecodeLimit decodes the number of requests per second in a header, nil if it is empty
+// or malformed.
+func DecodeLimit(v string) *float64 {
+	perSecond, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return nil
+	}
+	return &perSecond
+}
+
 func errBadHeader(name, value string) error {
 	return Error.New("the header %s has the value %q", name, value)
 }
