--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -29,6 +29,7 @@
 // can truncate, corrupt and repeat responses as a faulty endpoint does.
 type fakeEndpoint struct {
 	id       string
+	domain   string // failure domain
 	listener net.Listener
 	// handle responds to one request; it returns false to close the connection.
 	handle   func(c net.Conn, r *http.Request, body string) bool
@@ -141,7 +142,7 @@
 	snapshot := &directory.Snapshot{Endpoints: make(map[string]*directoryv1.Endpoint), Entries: 1}
 	for _, e := range endpoints {
 		snapshot.Endpoints[e.id] = &directoryv1.Endpoint{
-			Id: e.id, Incarnation: 1, Service: "s", Address: e.listener.Addr().String(), Slots: 4,
+			Id: e.id, Incarnation: 1, Service: "s", Address: e.listener.Addr().String(), FailureDomain: e.domain, Slots: 4,
 		}
 	}
 	index := routing.NewIndex(table)
