Endpoints with a limit get requests only with permits that all entries share

Callers saw nothing yet; endpoints in need got about twice the requests that they had named (LIMIT).

Cause: the limit was not read. Class: a bound that holds for all entries together has no owner; each entry would have to know what the others send.

Change: an entry that chooses an endpoint with a limit asks its coordinator for a permit. The coordinator is the responding member with the highest rendezvous weight for the endpoint; it keeps a token bucket that is empty at first, so that a change of the coordinator gives no permits twice. Without a permit the endpoint is left out until the next one is due. While no member responds, an entry uses its part of the limit. Entries tell members, and these the other entries, which endpoints have limits. A limit ends with an answer without one to a request that was sent after the last answer with one. Since limits count requests, long prompts go to endpoints with limits and short ones to those without, and shared prompt parts prefer endpoints by what these may serve; otherwise most long prompts would be prefilled anew at other engines.

Why it works: permits are counted in one place for each endpoint, so that the sum does not grow with the number of entries.

TestEntriesTogetherExceedLimitOfEndpoint: 233 requests in 4 s before, at most 17 now.

--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -197,15 +197,16 @@
 	d.feed = feed.NewClient(feed.Options{
 		Members: d.Config.Peers, MemberClient: feed.NewMemberClient(d.pool), Self: d.entryInfo, Events: d.Events, Scope: d.metrics.Scope,
 	})
+	limits := directory.NewLimits(d.metrics.Scope)
 	d.directoryClient = directory.NewClient(directory.ClientOptions{
 		Pool: d.pool, Members: d.memberAddresses, Self: d.directoryEntry, Loads: func() map[string]dispatch.Load { return d.Router.Loads() },
-		Busy: func() bool { return d.Router.Busy() }, Crashes: d.crashes, Events: d.Events, Scope: d.metrics.Scope,
+		Busy: func() bool { return d.Router.Busy() }, Crashes: d.crashes, Limits: limits, Events: d.Events, Scope: d.metrics.Scope,
 	})
 	d.Router = router.New(router.Options{
 		Listener: l, Codec: codec, Domain: d.Config.FailureDomain,
 		Routing:   func() *routing.Index { return d.feed.View().Routing },
 		Directory: d.directoryClient, Retry: d.Config.Retry, BodyMemory: d.Config.BodyMemory, DrainWait: d.Config.DrainWait, Grace: d.Config.Grace,
-		Crashes: d.crashes, Events: d.Events, Scope: d.metrics.Scope,
+		Crashes: d.crashes, Limits: limits, Events: d.Events, Scope: d.metrics.Scope,
 	})
 	if err := d.kernel.Register(ServiceFeed, d.feed); err != nil {
 		return err
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -65,8 +66,10 @@
 	Busy func() bool
 	// Crashes holds the crash reports that entries and members share.
 	Crashes *Crashes
-	Events  *event.Recorder
-	Scope   tally.Scope
+	// Limits holds the limits of endpoints.
+	Limits *Limits
+	Events *event.Recorder
+	Scope  tally.Scope
 }
 
 // Client polls all control members, each from its own goroutine, so that a member
@@ -96,6 +99,11 @@
 	// crashCursor its revision of that.
 	knownReports knownReports
 	crashCursor  uint64
+	// reportedLimits is what the member has been told of limits in its present epoch, and
+	// limitsCursor its revision of the limits.
+	reportedLimits map[endpointKey]dispatch.Limit
+	limitsCursor   uint64
+	client         directoryv1connect.DirectoryClient
 	// wake receives a value if the member is to be polled at once.
 	wake chan struct{}
 }
@@ -112,6 +120,10 @@
 		options: o, changed: make(chan struct{}, 1), pollers: make(map[string]*poller), departures: make(departures),
 		polls: o.Scope.Counter("directory_polls_sent"), failures: o.Scope.Counter("directory_polls_failed"),
 	}
+	if o.Limits == nil {
+		c.options.Limits = NewLimits(o.Scope)
+	}
+	c.options.Limits.coordinate, c.options.Limits.entries = c.acquire, func() int { return c.Snapshot().Entries }
 	c.snapshot.Store(&Snapshot{Entries: 1})
 	c.loads.Store(&Loads{})
 	return c
@@ -176,6 +188,7 @@
 		pollCtx, cancel := context.WithCancel(ctx)
 		p := &poller{
 			address: address, cancel: cancel, lastResponse: time.Now(), knownReports: make(knownReports), wake: make(chan struct{}, 1),
+			reportedLimits: make(map[endpointKey]dispatch.Limit), client: directoryv1connect.NewDirectoryClient(c.options.Pool.Peer(address).Client()),
 		}
 		c.pollers[address] = p
 		wg.Add(1)
@@ -194,9 +207,8 @@
 }
 
 func (c *Client) runPoller(ctx context.Context, p *poller) {
-	client := directoryv1connect.NewDirectoryClient(c.options.Pool.Peer(p.address).Client())
 	for {
-		c.pollOnce(ctx, client, p)
+		c.pollOnce(ctx, p)
 		// Jitter of 20 % keeps the polls of many entries from coinciding.
 		interval := PollInterval
 		switch {
@@ -217,13 +229,15 @@
 	}
 }
 
-func (c *Client) pollOnce(ctx context.Context, client directoryv1connect.DirectoryClient, p *poller) {
+func (c *Client) pollOnce(ctx context.Context, p *poller) {
 	c.polls.Inc(1)
 	wantLoads := c.loadSource() == p
-	req := &directoryv1.SyncRequest{Self: c.options.Self(), Epoch: p.view.epoch, Cursor: p.view.cursor, WantLoads: wantLoads, CrashCursor: p.crashCursor}
+	req := &directoryv1.SyncRequest{Self: c.options.Self(), Epoch: p.view.epoch, Cursor: p.view.cursor, WantLoads: wantLoads, CrashCursor: p.crashCursor, LimitsCursor: p.limitsCursor}
 	sentAt := time.Now()
 	reports := c.options.Crashes.Missing(sentAt, func(k quarantine.Key) []quarantine.Soundness { return p.knownReports[k] }, forwardDelay)
 	req.CrashReports = packCrashReports(sentAt, reports)
+	limits := c.options.Limits.unreported(sentAt, p.reportedLimits)
+	req.Limits = packLimits(sentAt, limits)
 	var ownLoads map[uint32]dispatch.Load
 	if wantLoads {
 		ownLoads = make(map[uint32]dispatch.Load)
@@ -234,7 +248,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(transport.MarkIdempotent(ctx), pollTimeout)
 	defer cancel()
-	res, err := client.Sync(callCtx, connect.NewRequest(req))
+	res, err := p.client.Sync(callCtx, connect.NewRequest(req))
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -259,7 +273,14 @@
 			c.loads.Store(&Loads{At: now, byKey: otherLoads})
 		}
 	}
+	if p.view.epoch != res.Msg.Epoch {
+		clear(p.knownReports)
+		clear(p.reportedLimits)
+	}
 	c.mergeReports(now, p, reports, res.Msg)
+	maps.Copy(p.reportedLimits, limits)
+	p.limitsCursor = res.Msg.LimitsCursor
+	c.options.Limits.merge(now, res.Msg.Limits)
 	if p.view.apply(res.Msg) || !c.Synced() {
 		c.mergeViews(now)
 	}
@@ -272,9 +293,6 @@
 // mergeReports merges the crash reports of a response to a poll that carried the reports
 // in sent. The caller must hold c.mu.
 func (c *Client) mergeReports(now time.Time, p *poller, sent []quarantine.Report, res *directoryv1.SyncResponse) {
-	if p.view.epoch != res.Epoch {
-		clear(p.knownReports)
-	}
 	p.crashCursor = res.CrashCursor
 	p.knownReports.add(sent)
 	received, err := unpackCrashReports(now, res.CrashReports)
@@ -302,6 +320,30 @@
 	return first
 }
 
+// acquire asks the coordinator of an endpoint for a permit: the responding member with the
+// highest weight. All entries choose the same one, so that the permits of all entries
+// together keep to the limit.
+func (c *Client) acquire(ctx context.Context, key endpointKey, l dispatch.Limit) (granted bool, wait time.Duration, err error) {
+	c.mu.Lock()
+	var coordinator *poller
+	for _, p := range c.pollers {
+		if !p.lost && p.view.epoch != 0 && (coordinator == nil || coordinatorWeight(p.address, key) > coordinatorWeight(coordinator.address, key)) {
+			coordinator = p
+		}
+	}
+	c.mu.Unlock()
+	if coordinator == nil {
+		return false, 0, Error.New("no control member responds")
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	res, err := coordinator.client.Acquire(ctx, connect.NewRequest(&directoryv1.AcquireRequest{Limit: packLimit(time.Now(), key, l)}))
+	if err != nil {
+		return false, 0, Error.Wrap(err)
+	}
+	return res.Msg.Granted, time.Duration(res.Msg.WaitMs) * time.Millisecond, nil
+}
+
 // loadPollInterval returns the time between polls for load. It grows with the number
 // of entries, so that the number of polls at the load source does not, and is shorter
 // while this entry is busy.
--- a/internal/directory/crashes_test.go
+++ b/internal/directory/crashes_test.go
@@ -28,6 +28,11 @@
 	return m.service.Sync(ctx, r)
 }
 
+// Acquire implements directoryv1connect.DirectoryClient.
+func (m *localMember) Acquire(ctx context.Context, r *connect.Request[directoryv1.AcquireRequest]) (*connect.Response[directoryv1.AcquireResponse], error) {
+	return m.service.Acquire(ctx, r)
+}
+
 // testEntry is a client without goroutines that polls members on demand.
 type testEntry struct {
 	*Client
@@ -42,9 +47,9 @@
 
 func (e *testEntry) poll(m *localMember) {
 	if e.pollers[m] == nil {
-		e.pollers[m] = &poller{knownReports: make(knownReports)}
+		e.pollers[m] = &poller{knownReports: make(knownReports), reportedLimits: make(map[endpointKey]dispatch.Limit), client: m}
 	}
-	e.pollOnce(context.Background(), m, e.pollers[m])
+	e.pollOnce(context.Background(), e.pollers[m])
 }
 
 // reportCrashes reports three crashes under requests with the part.
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
@@ -42,6 +43,7 @@
 
 	mu            sync.Mutex
 	registry      *Registry
+	limits        *limitTable
 	listedEntries int // number of listed entries at the last check, for the event
 }
 
@@ -50,7 +52,7 @@
 // NewService returns an empty directory. It keeps the crash reports of entries in crashes,
 // and in a data directory unless dir is empty.
 func NewService(events *event.Recorder, crashes *Crashes, dir string) *Service {
-	s := &Service{events: events, started: time.Now(), crashes: crashes, registry: NewRegistry(rand.Uint64() | 1)}
+	s := &Service{events: events, started: time.Now(), crashes: crashes, registry: NewRegistry(rand.Uint64() | 1), limits: newLimitTable()}
 	if dir != "" {
 		s.store = &reportStore{dir: dir, crashes: crashes, events: events}
 		s.store.load(s.started)
@@ -74,6 +76,7 @@
 		s.crashes.Update(now)
 		s.mu.Lock()
 		silent := s.registry.Expire(now)
+		s.limits.expire(now)
 		entries := len(s.registry.Entries(now))
 		changed := entries != s.listedEntries
 		s.listedEntries = entries
@@ -97,20 +100,40 @@
 	}
 	s.mu.Lock()
 	res, err := s.registry.Sync(now, r.Msg)
-	s.mu.Unlock()
 	if err != nil {
+		s.mu.Unlock()
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	s.crashes.Merge(now, reports)
-	cursor := r.Msg.GetCrashCursor()
+	crashCursor, limitsCursor := r.Msg.GetCrashCursor(), r.Msg.GetLimitsCursor()
 	if r.Msg.GetEpoch() != res.Epoch {
-		cursor = 0
+		crashCursor, limitsCursor = 0, 0
+	}
+	for _, m := range r.Msg.GetLimits() {
+		key, limit := unpackLimit(now, m)
+		s.limits.observe(now, key, limit)
 	}
-	changed, revision := s.crashes.Since(cursor)
+	res.Limits, res.LimitsCursor = packLimits(now, s.limits.since(limitsCursor)), s.limits.revision
+	s.mu.Unlock()
+	s.crashes.Merge(now, reports)
+	changed, revision := s.crashes.Since(crashCursor)
 	res.CrashReports, res.CrashCursor = packCrashReports(now, changed), revision
 	return connect.NewResponse(res), nil
 }
 
+// Acquire implements directoryv1connect.DirectoryHandler.
+func (s *Service) Acquire(_ context.Context, r *connect.Request[directoryv1.AcquireRequest]) (*connect.Response[directoryv1.AcquireResponse], error) {
+	now := time.Now()
+	key, limit := unpackLimit(now, r.Msg.GetLimit())
+	granted, wait := s.acquire(now, key, limit)
+	return connect.NewResponse(&directoryv1.AcquireResponse{Granted: granted, WaitMs: uint32(wait.Milliseconds())}), nil
+}
+
+func (s *Service) acquire(now time.Time, key endpointKey, l dispatch.Limit) (granted bool, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limits.acquire(now, key, l)
+}
+
 // Announce records an announcement. It returns false if the directory is full.
 func (s *Service) Announce(e *directoryv1.Endpoint) bool {
 	s.mu.Lock()
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -57,6 +57,15 @@
 	return Refuse
 }
 
+// AdmitBlocked decides whether a request that no endpoint may get because of their limits
+// waits or is refused.
+func AdmitBlocked(now time.Time, d Demand) Decision {
+	if now.Sub(d.Arrived) < time.Duration(maxWaitShare*float64(d.Objective)) {
+		return Wait
+	}
+	return Refuse
+}
+
 // RetryAfter returns the time after which a caller should retry, given the lateness
 // of its request: early enough for a timely response, or, if that is not possible,
 // once the endpoints have caught up. random is in [0, 1).
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -43,6 +43,8 @@
 	shortPerEngine float64
 	// mix holds the recent requests.
 	mix requestMix
+	// longArrivals is the rate of this entry's requests with long prompts.
+	longArrivals arrivalRate
 	// backlogSeenAt is the time at which a request was last placed while the
 	// backlog or queues exceeded the busy level (see busyShare).
 	backlogSeenAt time.Time
@@ -83,8 +85,20 @@
 	for _, s := range next {
 		b.poolOrder = append(b.poolOrder, s)
 	}
+	b.sortPools()
+}
+
+// sortPools sorts poolOrder. Endpoints with a limit come last, where long prompts run:
+// limits count requests, and long prompts are the most work for a request.
+func (b *Balancer) sortPools() {
+	limited := func(s *endpointState) int {
+		if s.limit.PerSecond > 0 {
+			return 1
+		}
+		return 0
+	}
 	slices.SortFunc(b.poolOrder, func(x, y *endpointState) int {
-		return cmp.Or(cmp.Compare(x.rendezvousWeight(0), y.rendezvousWeight(0)), cmp.Compare(x.ID, y.ID))
+		return cmp.Or(cmp.Compare(limited(x), limited(y)), cmp.Compare(x.rendezvousWeight(0), y.rendezvousWeight(0)), cmp.Compare(x.ID, y.ID))
 	})
 }
 
@@ -149,6 +163,9 @@
 	c, ok := choose(now, d, avoid)
 	if ok && now.Sub(d.Arrived) < WaitStep { // Excludes requests that waited and are placed again.
 		b.mix.recordOffered(now, d.Rank, c.work(), c.Light)
+		if !c.Light {
+			b.longArrivals.add(now)
+		}
 	}
 	c.Protected = b.mix.isProtected(d.Rank)
 	return c, ok
@@ -188,6 +205,10 @@
 	var best *endpointState
 	bestCost, bestMs, bestQueued := math.Inf(1), 0.0, false
 	all := b.candidates(now, avoid)
+	if len(all) > 0 && len(open(now, &d, all)) == 0 {
+		return blockedChoice(now, all), false
+	}
+	all = open(now, &d, all)
 	perSlot := requestsPerSlot(now, all)
 	if perSlot > busyShare*plainOverloadPerSlot {
 		b.backlogSeenAt = now
@@ -234,17 +255,25 @@
 	updatePools(now, all, poolSize)
 	b.decayPredictionLag(now)
 	q := query{now: now, demand: d, shortPrompt: d.Prompt.Tokens < longPromptTokens, pool: all[poolSize:], otherPool: all[:poolSize]}
+	b.shareCapacity(now, q.pool)
 	if q.shortPrompt {
 		q.pool, q.otherPool = q.otherPool, q.pool
 	}
 	if len(q.pool) == 0 {
 		q.pool = all
 	}
+	q.open = open(now, &d, q.pool)
+	if len(q.open) == 0 {
+		q.open = open(now, &d, all)
+	}
+	if len(q.open) == 0 && len(all) > 0 {
+		return blockedChoice(now, all), false
+	}
 	predictionLag := milliseconds(*b.predictionLag(q.shortPrompt))
 	timeLeft := d.Arrived.Add(d.Objective).Sub(now)
 	q.timelyLimit = time.Duration(timelyShare*float64(timeLeft)) - predictionLag
 	overloadAt := overloadBacklogShare * float64(d.Objective.Milliseconds())
-	backlog := b.backlogMs(q.pool, maxEngineBacklog*overloadAt)
+	backlog := b.backlogMs(q.open, maxEngineBacklog*overloadAt)
 	if backlog > busyShare*overloadAt {
 		b.backlogSeenAt = now
 	}
@@ -274,7 +303,7 @@
 		return b.bestShortPrompt(q, timely)
 	}
 	q.preferred = preferredEndpoints(q.pool, q.demand.Prompt.Parts)
-	stays := overload && len(q.preferred) > 0 && !b.mix.isProtected(q.demand.Rank) && b.staysAtPreferred(q.now, q.preferred[0], q.demand.Prompt)
+	stays := overload && len(q.preferred) > 0 && q.preferred[0].isOpen(q.now, &q.demand) && !b.mix.isProtected(q.demand.Rank) && b.staysAtPreferred(q.now, q.preferred[0], q.demand.Prompt)
 	if stays {
 		q.preferred = q.preferred[:1]
 	}
@@ -282,11 +311,11 @@
 	if p := b.firstTimelyPreferred(q, timely); p.endpointState != nil {
 		return p
 	}
-	atPreferred := b.cheapest(q, q.preferred)
+	atPreferred := b.cheapest(q, open(q.now, &q.demand, q.preferred))
 	if stays {
 		return atPreferred
 	}
-	best := b.cheapest(q, b.sample(q.pool))
+	best := b.cheapest(q, b.sample(q.open))
 	if atPreferred.endpointState != nil && milliseconds(best.timely) > q.timelyLimit && atPreferred.cost < best.cost+float64(lateNonPreferredPenalty.Milliseconds()) {
 		return atPreferred
 	}
@@ -297,11 +326,11 @@
 // engines of its own pool are late, the request goes to the engines for long
 // prompts, which start it first. This keeps it from starving.
 func (b *Balancer) bestShortPrompt(q *query, timely time.Duration) placement {
-	best := b.cheapest(q, append(b.sampleLocal(q.pool), b.sample(q.pool)...))
+	best := b.cheapest(q, append(b.sampleLocal(q.open), b.sample(q.open)...))
 	if milliseconds(best.timely) <= time.Duration(overflowShare*float64(timely)) {
 		return best
 	}
-	if other := b.cheapest(q, b.sample(q.otherPool)); other.endpointState != nil && other.cost+float64(otherPoolPenalty.Milliseconds()) < best.cost {
+	if other := b.cheapest(q, b.sample(open(q.now, &q.demand, q.otherPool))); other.endpointState != nil && other.cost+float64(otherPoolPenalty.Milliseconds()) < best.cost {
 		return other
 	}
 	return best
@@ -377,7 +406,7 @@
 // As long as one of them keeps up with a burst of shared prompts, no other engine
 // prefills the shared parts again.
 func (b *Balancer) firstTimelyPreferred(q *query, timely time.Duration) placement {
-	for _, s := range q.preferred {
+	for _, s := range open(q.now, &q.demand, q.preferred) {
 		if p := b.estimate(q, s); milliseconds(p.timely+b.endpointPenaltyMs(q.now, s)+float64(s.ownLoad.Light+s.remoteLoad.Light)*longBesideShortPenaltyMs) <= timely {
 			return p
 		}
@@ -431,7 +460,7 @@
 		return Choice{}, false
 	}
 	return Choice{
-		Endpoint: s.Endpoint, Predicted: milliseconds(predictedMs), PredictedTotal: milliseconds(predictedMs), Uncached: uncached, Light: shortPrompt, sentAt: now,
+		Endpoint: s.Endpoint, Limit: s.limit, Predicted: milliseconds(predictedMs), PredictedTotal: milliseconds(predictedMs), Uncached: uncached, Light: shortPrompt, sentAt: now,
 	}, true
 }
 
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,8 +72,12 @@
 	// replaced is set once a different endpoint responds at the address.
 	replaced bool
 
-	// limit is the endpoint's limit of requests.
-	limit Limit
+	// limit is the endpoint's limit of requests. blockedUntil is when it allows the next one.
+	limit        Limit
+	blockedUntil time.Time
+	// capacityShare is the part of the long-prompt requests of an endpoint without a limit
+	// that the endpoint gets, at most 1.
+	capacityShare float64
 
 	// slowdown is the smoothed ratio of observed to predicted time as of
 	// slowdownAt.
@@ -81,7 +86,7 @@
 }
 
 func newEndpointState(e Endpoint) *endpointState {
-	return &endpointState{Endpoint: e, seed: xxhash.Sum64String(e.ID), cachedParts: make(map[string]time.Time), slowdown: 1}
+	return &endpointState{Endpoint: e, seed: xxhash.Sum64String(e.ID), cachedParts: make(map[string]time.Time), slowdown: 1, capacityShare: 1}
 }
 
 // requests estimates the number of requests at the endpoint: those of this entry
@@ -165,6 +170,13 @@
 	}
 }
 
+// preference returns the weight of the endpoint for a key in rendezvous hashing, such that
+// it is the preferred one of a part of the keys that corresponds to its capacityShare.
+func (s *endpointState) preference(key uint64) float64 {
+	const keys = 1 << 64
+	return -s.capacityShare / math.Log((float64(s.rendezvousWeight(key))+0.5)/keys)
+}
+
 // rendezvousWeight returns the weight of the endpoint for a key in rendezvous
 // hashing.
 func (s *endpointState) rendezvousWeight(key uint64) uint64 {
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -10,6 +10,9 @@
 	// pool holds the endpoints for requests with prompts of this kind, long or
 	// short, and otherPool those for the other kind.
 	pool, otherPool []*endpointState
+	// open holds the endpoints of the pool whose limits let the request be sent there, or
+	// those of both pools if there are none.
+	open []*endpointState
 	// preferred holds the preferred endpoints of the prompt's shared parts, and
 	// source is the endpoint to fetch these parts from. Both are empty for
 	// short-prompt requests.
--- a/internal/dispatch/preferred.go
+++ b/internal/dispatch/preferred.go
@@ -18,9 +18,9 @@
 	key := sharedPrefixKey(parts)
 	preferred := make([]*endpointState, 0, preferredCount+1)
 	for _, s := range pool {
-		weight := s.rendezvousWeight(key)
+		weight := s.preference(key)
 		index := len(preferred)
-		for index > 0 && preferred[index-1].rendezvousWeight(key) < weight {
+		for index > 0 && preferred[index-1].preference(key) < weight {
 			index--
 		}
 		if index < preferredCount {
@@ -42,7 +42,7 @@
 	}
 	key, best := sharedPrefixKey(parts), preferred[0]
 	for _, s := range otherPool {
-		if now.Sub(s.shortPoolSince) < assumedCacheTTL && s.rendezvousWeight(key) > best.rendezvousWeight(key) {
+		if now.Sub(s.shortPoolSince) < assumedCacheTTL && s.preference(key) > best.preference(key) {
 			best = s
 		}
 	}
--- a/internal/dispatch/shortpool.go
+++ b/internal/dispatch/shortpool.go
@@ -43,7 +43,11 @@
 
 // shortCapacity returns the number of short-prompt requests that an engine serves well.
 func (b *Balancer) shortCapacity(s *endpointState) float64 {
-	return min(float64(s.Slots), b.shortPerEngine)
+	capacity := min(float64(s.Slots), b.shortPerEngine)
+	if s.limit.PerSecond > 0 {
+		capacity = min(capacity, s.limit.PerSecond*b.shortGenerationMs/1000)
+	}
+	return capacity
 }
 
 // shortPoolSize returns the number of endpoints, from the beginning of all, that
@@ -53,13 +57,13 @@
 	if len(all) < 2 {
 		return len(all)
 	}
-	capacity := 0.0
-	for _, s := range all {
-		capacity += b.shortCapacity(s)
+	needed, size := b.shortInFlight/poolUtilization, 0
+	for needed > 0 && size < len(all) {
+		needed -= max(1, b.shortCapacity(all[size]))
+		size++
 	}
-	perEngine := poolUtilization * capacity / float64(len(all))
 	longEngines := max(1, int(math.Round(longPoolShare*b.mix.longShare()*float64(len(all)))))
-	return max(1, min(len(all)-longEngines, int(math.Ceil(b.shortInFlight/max(1, perEngine)))))
+	return max(1, min(len(all)-longEngines, size))
 }
 
 // updatePools records which endpoints belong to the short-prompt pool: the first
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -36,6 +36,8 @@
 	// LateLast is set if the endpoint runs the request after timely ones of the same
 	// rank once it is late. Otherwise late and timely work share a queue.
 	LateLast bool
+	// AvoidLimited leaves out the endpoints that name a limit.
+	AvoidLimited bool
 	// Arrived is the time at which the entry received the request. Deadline is the
 	// time at which the caller or the route gives up.
 	Arrived, Deadline time.Time
@@ -128,6 +130,12 @@
 	// Protected is set if less urgent requests are refused in place of this one. A
 	// protected request is not refused for being late.
 	Protected bool
+	// Limit is the limit that the endpoint names. A request may be sent to it only with a
+	// permit if PerSecond is not 0.
+	Limit Limit
+	// BlockedFor is set in place of an endpoint if the limits of all endpoints allow no
+	// request for this time.
+	BlockedFor time.Duration
 	// FetchFrom is the address of the endpoint that is expected to have the shared
 	// parts of the prompt cached, "" if the chosen endpoint needs no fetch.
 	FetchFrom string
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -89,7 +89,7 @@
 	if q.findQuarantined() {
 		return c, errQuarantined.Error()
 	}
-	p := q.tryPlace()
+	p := q.placeWithPermit(ctx)
 	for p.decision == dispatch.Wait {
 		if kernel.Sleep(ctx, dispatch.WaitStep) != nil {
 			return p.choice, "the request ended while it waited"
@@ -97,11 +97,13 @@
 		if q.findQuarantined() {
 			return c, errQuarantined.Error()
 		}
-		p = q.tryPlace()
+		p = q.placeWithPermit(ctx)
 	}
 	c = p.choice
 	q.lateness = c.Lateness
 	switch {
+	case !p.hasEndpoint && c.BlockedFor > 0:
+		return c, "the endpoints have got the requests that their limits allow"
 	case !p.hasEndpoint:
 		return c, "no endpoint of the service is available"
 	case p.decision == dispatch.Refuse && p.at.Add(c.PredictedTotal).After(q.deadline):
@@ -129,7 +131,7 @@
 }
 
 // tryPlace chooses an endpoint for the next attempt and, if the request may be
-// sent, records it as sent. Only the first attempt is subject to admission
+// sent, records it as sent unless the endpoint names a limit. Only the first attempt is subject to admission
 // control.
 func (q *request) tryPlace() (p placement) {
 	p.at, p.decision = time.Now(), dispatch.Refuse
@@ -137,6 +139,9 @@
 		p.choice, p.hasEndpoint = b.Choose(p.at, q.demand, q.avoid)
 		p.candidates, p.loadAge = b.Available(p.at), b.RemoteLoadAge(p.at)
 		if !p.hasEndpoint {
+			if p.choice.BlockedFor > 0 {
+				p.decision = dispatch.AdmitBlocked(p.at, q.demand)
+			}
 			return
 		}
 		if p.decision = dispatch.Send; q.attemptCount == 0 {
@@ -144,7 +149,9 @@
 		}
 		switch p.decision {
 		case dispatch.Send:
-			b.RecordSent(p.at, &p.choice, q.demand)
+			if p.choice.Limit.PerSecond == 0 {
+				b.RecordSent(p.at, &p.choice, q.demand)
+			}
 		case dispatch.Refuse:
 			b.RecordRefused(p.at, &p.choice, q.demand)
 		case dispatch.Wait:
--- a/internal/router/limit_test.go
+++ b/internal/router/limit_test.go
@@ -11,12 +11,16 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/directory"
 )
 
 // startEntries runs routers that send to the same endpoints.
 func startEntries(t *testing.T, n int, endpoints ...*fakeEndpoint) (addresses []string) {
+	service := directory.NewService(nil, directory.NewCrashes(nil, nil), "")
 	for range n {
-		_, address := startRouter(t, endpoints...)
+		s, address := startRouter(t, endpoints...)
+		s.options.Limits.UseService(service, n)
 		addresses = append(addresses, address)
 	}
 	return addresses
@@ -43,6 +47,7 @@
 	var arrivals []time.Time
 	var ended atomic.Bool
 	respond := func(c net.Conn, r *http.Request, limit string) bool {
+		time.Sleep(30 * time.Millisecond) // As long as entries expect of an endpoint that they do not know.
 		_, err := c.Write([]byte("HTTP/1.1 200 X\r\nX-Request-Id: " + r.Header.Get(nativeRequestID) + "\r\n" + limit + "Content-Length: 4\r\n\r\nfine"))
 		return err == nil
 	}
--- a/internal/router/registry.go
+++ b/internal/router/registry.go
@@ -50,10 +50,10 @@
 	return r.entries
 }
 
-// update applies the routing table, the endpoints and the load reported by other
-// entries. Endpoints of a service that the table does not list are used once it
+// update applies the routing table, the endpoints, and the load and the limits reported by
+// other entries. Endpoints of a service that the table does not list are used once it
 // does.
-func (r *registry) update(index *routing.Index, s *directory.Snapshot, loads *directory.Loads) {
+func (r *registry) update(index *routing.Index, s *directory.Snapshot, loads *directory.Loads, limits *directory.Limits) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.entries = s.Entries
@@ -61,6 +61,13 @@
 		r.index, r.snapshot = index, s
 		r.setEndpoints()
 	}
+	if limits.Changed() {
+		for _, state := range r.byName {
+			state.mu.Lock()
+			state.balancer.MergeLimits(limits.Of)
+			state.mu.Unlock()
+		}
+	}
 	if !loads.At.After(r.loadsAt) {
 		return
 	}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -54,7 +54,9 @@
 	}
 	// Crashes holds the crash reports that entries share.
 	Crashes *directory.Crashes
-	Retry   dispatch.RetryRules
+	// Limits holds the limits of endpoints and acquires permits.
+	Limits *directory.Limits
+	Retry  dispatch.RetryRules
 	// BodyMemory bounds the bytes of all bodies that are buffered at the same time, 0 for
 	// defaultBodyMemory.
 	BodyMemory int64
@@ -96,6 +98,9 @@
 	if o.Crashes == nil {
 		o.Crashes = directory.NewCrashes(o.Events, o.Scope)
 	}
+	if o.Limits == nil {
+		o.Limits = directory.NewLimits(o.Scope)
+	}
 	s := &Server{options: o, started: time.Now(), crashChecks: make(chan struct{}, maxCrashChecks), attempts: newAttemptSet(), registry: newRegistry(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope),
 		metrics: newMetrics(o.Scope)}
 	half := cmp.Or(o.BodyMemory, defaultBodyMemory) / 2
@@ -166,7 +171,7 @@
 }
 
 func (s *Server) update(index *routing.Index) {
-	s.registry.update(index, s.options.Directory.Snapshot(), s.options.Directory.Loads())
+	s.registry.update(index, s.options.Directory.Snapshot(), s.options.Directory.Loads(), s.options.Limits)
 }
 
 // Stop implements kernel.Service. The entry keeps accepting requests for
--- a/internal/rpc/directoryv1/directoryv1connect/directory.connect.go
+++ b/internal/rpc/directoryv1/directoryv1connect/directory.connect.go
@@ -36,11 +36,14 @@
 const (
 	// DirectorySyncProcedure is the fully-qualified name of the Directory's Sync RPC.
 	DirectorySyncProcedure = "/auburnstep.directory.v1.Directory/Sync"
+	// DirectoryAcquireProcedure is the fully-qualified name of the Directory's Acquire RPC.
+	DirectoryAcquireProcedure = "/auburnstep.directory.v1.Directory/Acquire"
 )
 
 // DirectoryClient is a client for the auburnstep.directory.v1.Directory service.
 type DirectoryClient interface {
 	Sync(context.Context, *connect.Request[directoryv1.SyncRequest]) (*connect.Response[directoryv1.SyncResponse], error)
+	Acquire(context.Context, *connect.Request[directoryv1.AcquireRequest]) (*connect.Response[directoryv1.AcquireResponse], error)
 }
 
 // NewDirectoryClient constructs a client for the auburnstep.directory.v1.Directory service. By
@@ -60,12 +63,19 @@
 			connect.WithSchema(directoryMethods.ByName("Sync")),
 			connect.WithClientOptions(opts...),
 		),
+		acquire: connect.NewClient[directoryv1.AcquireRequest, directoryv1.AcquireResponse](
+			httpClient,
+			baseURL+DirectoryAcquireProcedure,
+			connect.WithSchema(directoryMethods.ByName("Acquire")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // directoryClient implements DirectoryClient.
 type directoryClient struct {
-	sync *connect.Client[directoryv1.SyncRequest, directoryv1.SyncResponse]
+	sync    *connect.Client[directoryv1.SyncRequest, directoryv1.SyncResponse]
+	acquire *connect.Client[directoryv1.AcquireRequest, directoryv1.AcquireResponse]
 }
 
 // Sync calls auburnstep.directory.v1.Directory.Sync.
@@ -73,9 +83,15 @@
 	return c.sync.CallUnary(ctx, req)
 }
 
+// Acquire calls auburnstep.directory.v1.Directory.Acquire.
+func (c *directoryClient) Acquire(ctx context.Context, req *connect.Request[directoryv1.AcquireRequest]) (*connect.Response[directoryv1.AcquireResponse], error) {
+	return c.acquire.CallUnary(ctx, req)
+}
+
 // DirectoryHandler is an implementation of the auburnstep.directory.v1.Directory service.
 type DirectoryHandler interface {
 	Sync(context.Context, *connect.Request[directoryv1.SyncRequest]) (*connect.Response[directoryv1.SyncResponse], error)
+	Acquire(context.Context, *connect.Request[directoryv1.AcquireRequest]) (*connect.Response[directoryv1.AcquireResponse], error)
 }
 
 // NewDirectoryHandler builds an HTTP handler from the service implementation. It returns the path
@@ -91,10 +107,18 @@
 		connect.WithSchema(directoryMethods.ByName("Sync")),
 		connect.WithHandlerOptions(opts...),
 	)
+	directoryAcquireHandler := connect.NewUnaryHandler(
+		DirectoryAcquireProcedure,
+		svc.Acquire,
+		connect.WithSchema(directoryMethods.ByName("Acquire")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/auburnstep.directory.v1.Directory/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case DirectorySyncProcedure:
 			directorySyncHandler.ServeHTTP(w, r)
+		case DirectoryAcquireProcedure:
+			directoryAcquireHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -107,3 +131,7 @@
 func (UnimplementedDirectoryHandler) Sync(context.Context, *connect.Request[directoryv1.SyncRequest]) (*connect.Response[directoryv1.SyncResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.directory.v1.Directory.Sync is not implemented"))
 }
+
+func (UnimplementedDirectoryHandler) Acquire(context.Context, *connect.Request[directoryv1.AcquireRequest]) (*connect.Response[directoryv1.AcquireResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.directory.v1.Directory.Acquire is not implemented"))
+}
