A coordinator of permits that does not respond is replaced at once

Until the polls showed that a member was lost, each request for an endpoint with a limit waited 100 ms for it, up to three times. Found by reading. TestSilentCoordinatorIsReplaced.

--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"sync"
@@ -95,6 +96,9 @@
 	view         view
 	lastResponse time.Time // the start of the poller until the first response
 	lost         bool
+	// noPermits is set if the member did not respond to a request for a permit since its
+	// last response to a poll.
+	noPermits bool
 	// knownReports is what the member has told or received in its present epoch, and
 	// crashCursor its revision of that.
 	knownReports knownReports
@@ -264,7 +268,7 @@
 		p.lost = false
 		c.options.Events.Emit(eventMemberAnswers, event.F("member", p.address), event.F("outage", now.Sub(p.lastResponse)))
 	}
-	p.lastResponse = now
+	p.lastResponse, p.noPermits = now, false
 	if wantLoads {
 		if otherLoads, err := p.view.otherLoads(res.Msg, ownLoads); err != nil {
 			c.failures.Inc(1)
@@ -327,7 +331,7 @@
 	c.mu.Lock()
 	var coordinator *poller
 	for _, p := range c.pollers {
-		if !p.lost && p.view.epoch != 0 && (coordinator == nil || coordinatorWeight(p.address, key) > coordinatorWeight(coordinator.address, key)) {
+		if !p.lost && !p.noPermits && p.view.epoch != 0 && (coordinator == nil || coordinatorWeight(p.address, key) > coordinatorWeight(coordinator.address, key)) {
 			coordinator = p
 		}
 	}
@@ -339,6 +343,11 @@
 	defer cancel()
 	res, err := coordinator.client.Acquire(ctx, connect.NewRequest(&directoryv1.AcquireRequest{Limit: packLimit(time.Now(), key, l)}))
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) || ctx.Err() == nil {
+			c.mu.Lock()
+			coordinator.noPermits = true
+			c.mu.Unlock()
+		}
 		return false, 0, Error.Wrap(err)
 	}
 	return res.Msg.Granted, time.Duration(res.Msg.WaitMs) * time.Millisecond, nil
--- a/internal/directory/crashes_test.go
+++ b/internal/directory/crashes_test.go
@@ -17,10 +17,13 @@
 )
 
 // localMember calls the directory of a member in the same process.
-type localMember struct{ service *Service }
+type localMember struct {
+	service *Service
+	silent  bool // does not respond to requests for permits
+}
 
 func newLocalMember() *localMember {
-	return &localMember{NewService(nil, NewCrashes(nil, nil), "")}
+	return &localMember{service: NewService(nil, NewCrashes(nil, nil), "")}
 }
 
 // Sync implements directoryv1connect.DirectoryClient.
@@ -30,6 +33,10 @@
 
 // Acquire implements directoryv1connect.DirectoryClient.
 func (m *localMember) Acquire(ctx context.Context, r *connect.Request[directoryv1.AcquireRequest]) (*connect.Response[directoryv1.AcquireResponse], error) {
+	if m.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return m.service.Acquire(ctx, r)
 }
 
--- a/internal/directory/limits_test.go
+++ b/internal/directory/limits_test.go
@@ -126,6 +126,35 @@
 	qt.Check(t, sum, qt.Equals, endpoints)
 }
 
+// TestSilentCoordinatorIsReplaced guards against requests that each wait for a member that
+// does not respond.
+func TestSilentCoordinatorIsReplaced(t *testing.T) {
+	members := []*localMember{newLocalMember(), newLocalMember()}
+	e := newTestEntry("a")
+	for i, m := range members {
+		e.poll(m)
+		e.Client.pollers[fmt.Sprint("m", i)] = e.pollers[m]
+		e.pollers[m].address = fmt.Sprint("m", i)
+	}
+	key, limit := endpointKey{"e", 1}, dispatch.Limit{PerSecond: 100, At: time.Now()}
+	coordinator, other := members[0], members[1]
+	if coordinatorWeight("m1", key) > coordinatorWeight("m0", key) {
+		coordinator, other = other, coordinator
+	}
+	coordinator.silent = true
+	_, _, err := e.acquire(context.Background(), key, limit)
+	qt.Check(t, err, qt.IsNotNil)
+	_, _, err = e.acquire(context.Background(), key, limit)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, other.service.limits.limits, qt.HasLen, 1)
+
+	coordinator.silent = false
+	e.poll(coordinator)
+	_, _, err = e.acquire(context.Background(), key, limit)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, coordinator.service.limits.limits, qt.HasLen, 1)
+}
+
 // TestPermitsWithoutCoordinator guards against entries that exceed a limit together, or
 // send nothing, while no control member responds.
 func TestPermitsWithoutCoordinator(t *testing.T) {
