Shares of endpoints with limits follow from an even rate of all

Where the limits of the long-prompt pool added up to more than the demand, the rate of an endpoint without a limit came out as zero or less, and an endpoint with a low limit was preferred by as many shared parts as any other. Found by reading; TestEvenRate.

--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -57,22 +58,16 @@
 // long-prompt pool. An endpoint with a limit is preferred only by as many as it can serve,
 // since the rest would be prefilled at other endpoints each time.
 func (b *Balancer) shareCapacity(now time.Time, pool []*endpointState) {
-	limits, unlimited := 0.0, 0
+	var limits []float64
 	for _, s := range pool {
 		if s.capacityShare = 1; s.limit.PerSecond > 0 {
-			limits += s.limit.PerSecond
-		} else {
-			unlimited++
+			limits = append(limits, s.limit.PerSecond)
 		}
 	}
-	if limits == 0 {
+	if len(limits) == 0 {
 		return
 	}
-	// The rate of an endpoint without a limit. Without any, only the proportions count.
-	rate := (b.longArrivals.perSecond(now)*float64(b.entries) - limits) / float64(max(1, unlimited))
-	if unlimited == 0 {
-		rate = limits
-	}
+	rate := evenRate(b.longArrivals.perSecond(now)*float64(b.entries), limits, len(pool)-len(limits))
 	for _, s := range pool {
 		if s.limit.PerSecond > 0 && s.limit.PerSecond < rate {
 			s.capacityShare = s.limit.PerSecond / rate
@@ -80,6 +75,24 @@
 	}
 }
 
+// evenRate returns the rate of requests at an endpoint without a limit if the demand is
+// spread evenly, except that endpoints with lower limits get what these allow. If all
+// endpoints have limits and these are below the demand, it returns the highest of them.
+func evenRate(demand float64, limits []float64, unlimited int) float64 {
+	slices.Sort(limits)
+	endpoints := len(limits) + unlimited
+	for i, limit := range limits {
+		if rate := demand / float64(endpoints-i); rate <= limit {
+			return rate
+		}
+		demand -= limit
+	}
+	if unlimited == 0 {
+		return limits[len(limits)-1]
+	}
+	return demand / float64(unlimited)
+}
+
 // arrivalMemory is the time over which arrival rates are averaged. With several hundred
 // entries, one of them gets some ten requests within it.
 const arrivalMemory = 10 * time.Second
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -104,3 +104,24 @@
 		qt.Check(t, s.limit.PerSecond, qt.Equals, 0.0)
 	}
 }
+
+// TestEvenRate shows how a demand is spread over endpoints of which some have limits.
+func TestEvenRate(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		demand    float64
+		limits    []float64
+		unlimited int
+		want      float64
+	}{
+		{"limits above the even rate", 10, []float64{4, 3}, 3, 2},
+		{"some below", 12, []float64{1, 6, 1}, 1, 5},
+		{"all below", 20, []float64{1, 2}, 2, 8.5},
+		{"no endpoint without a limit", 20, []float64{3, 1, 2}, 0, 3},
+		{"no demand", 0, []float64{1}, 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			qt.Check(t, evenRate(c.demand, c.limits, c.unlimited), qt.Equals, c.want)
+		})
+	}
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -131,8 +131,8 @@
 }
 
 // tryPlace chooses an endpoint for the next attempt and, if the request may be
-// sent, records it as sent unless the endpoint names a limit. Only the first attempt is subject to admission
-// control.
+// sent, records it as sent unless the endpoint names a limit. Only the first attempt is
+// subject to admission control.
 func (q *request) tryPlace() (p placement) {
 	p.at, p.decision = time.Now(), dispatch.Refuse
 	q.withBalancer(func(b *dispatch.Balancer) {
@@ -175,8 +175,8 @@
 	q.server.metrics.attempts.Inc(1)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	begun := q.server.attempts.add(partIDs(q.demand.Prompt.Parts), cancel)
-	defer begun()
+	notWaiting := q.server.attempts.add(partIDs(q.demand.Prompt.Parts), cancel)
+	defer notWaiting()
 	if q.findQuarantined() { // The quarantine began after the placement.
 		cancel(errQuarantined)
 	}
@@ -186,7 +186,7 @@
 	}
 	sentAt := time.Now()
 	q.attemptEventAt = time.Time{}
-	r := q.exchange(ctx, &c, stall, begun)
+	r := q.exchange(ctx, &c, stall, notWaiting)
 	q.trackCrashes(ctx, &c, r, sentAt)
 	if cause := context.Cause(ctx); r.err != nil && cause != nil {
 		r.err = cause
@@ -239,9 +239,9 @@
 	})
 }
 
-// exchange sends a request to the chosen endpoint and relays the response. It calls begun
+// exchange sends a request to the chosen endpoint and relays the response. It calls notWaiting
 // once the head of the endpoint's own response has arrived.
-func (q *request) exchange(ctx context.Context, c *dispatch.Choice, stall *time.Timer, begun func()) attemptResult {
+func (q *request) exchange(ctx context.Context, c *dispatch.Choice, stall *time.Timer, notWaiting func()) attemptResult {
 	codec := q.server.options.Codec
 	send := Attempt{Endpoint: c.Endpoint.ID, TimeLeft: time.Until(q.deadline), Rank: q.attemptRank(c), LastEvent: q.call.LastEvent, FetchFrom: c.FetchFrom}
 	if q.customer != nil {
@@ -291,7 +291,7 @@
 		}
 		q.withBalancer(func(b *dispatch.Balancer) { b.RecordFirstEvent(time.Now(), c) })
 	}
-	begun()
+	notWaiting()
 	var r attemptResult
 	if q.route.Kind == routing.Stream && resp.StatusCode == http.StatusOK {
 		r = q.relayStream(resp, onResponseStart)
