--- a/internal/control/routing.go
+++ b/internal/control/routing.go
@@ -14,6 +14,7 @@
 
 var (
 	eventRoutingAccepted = event.Define(3005, "routing-accepted", event.Info, "a routing table was accepted")
+	eventRoutingRead     = event.Define(3007, "routing-read", event.Info, "this member led and returned the routing table in force")
 	eventRoutingFailed   = event.Define(3006, "routing-failed", event.Warn, "a routing table was not accepted, or its outcome is not known")
 )
 
@@ -66,6 +67,7 @@
 	if !m.holdsLease(term) {
 		return nil, errNoLeader()
 	}
+	m.options.Events.Emit(eventRoutingRead, event.F("version", t.GetVersion()), event.F("term", term), event.F("applied", m.applied.Load()))
 	return &controlv1.RoutingResponse{Table: t}, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,15 +34,16 @@
 
 // Names under which services are registered in the kernel.
 const (
-	ServiceMetrics   = "metrics"
-	ServicePeers     = "peer-server"
-	ServiceControl   = "control-member"
-	ServiceFeed      = "feed"
-	ServiceBookings  = "bookings"
-	ServiceScheduler = "scheduler-host"
-	ServiceGrants    = "grants"
-	ServicePlacement = "placement"
-	ServiceEntry     = "entry"
+	ServiceMetrics         = "metrics"
+	ServiceSuspensionWatch = "suspension-watch"
+	ServicePeers           = "peer-server"
+	ServiceControl         = "control-member"
+	ServiceFeed            = "feed"
+	ServiceBookings        = "bookings"
+	ServiceScheduler       = "scheduler-host"
+	ServiceGrants          = "grants"
+	ServicePlacement       = "placement"
+	ServiceEntry           = "entry"
 )
 
 var (
@@ -110,7 +111,7 @@
 // stops after the services that use it.
 func (d *Daemon) registerServices() error {
 	for _, step := range []func() error{
-		d.registerMetrics, d.registerPeers, d.registerControl, d.registerFeed, d.registerClients, d.registerPlacement, d.registerEntry,
+		d.registerMetrics, d.registerSuspensionWatch, d.registerPeers, d.registerControl, d.registerFeed, d.registerClients, d.registerPlacement, d.registerEntry,
 	} {
 		if err := step(); err != nil {
 			return err
@@ -130,6 +131,10 @@
 	return d.kernel.Register(ServiceMetrics, newMetricsServer(l, d.metrics, func() bool { return d.feedView.Fresh() }))
 }
 
+func (d *Daemon) registerSuspensionWatch() error {
+	return d.kernel.Register(ServiceSuspensionWatch, newSuspensionWatch(d.events))
+}
+
 func (d *Daemon) registerPeers() error {
 	tlsConfig, err := d.peerTLS()
 	if err != nil {
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -98,7 +98,7 @@
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog{d.Events})
 	d.SetSeeds(c.Peers)
-	steps := []func() error{d.registerMetrics, d.registerPeers}
+	steps := []func() error{d.registerMetrics, d.registerSuspensionWatch, d.registerPeers}
 	if c.DataDirectory != "" {
 		steps = append(steps, d.registerMember)
 	}
@@ -151,6 +151,10 @@
 	return d.kernel.Register(ServiceMetrics, newMetricsServer(l, d.metrics, healthy))
 }
 
+func (d *RoutedDaemon) registerSuspensionWatch() error {
+	return d.kernel.Register(ServiceSuspensionWatch, newSuspensionWatch(d.Events))
+}
+
 func (d *RoutedDaemon) registerPeers() error {
 	l, err := net.Listen("tcp", d.Config.PeerListen)
 	if err != nil {
