Failing test: a leader that resumes returns an older routing table

Members get their steady clock from Options.Clock, time.Now as before, so that tests can stop the clock of one process as a suspension does.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -244,6 +244,7 @@
 	startResults map[string]chan error
 	cancels      map[string]context.CancelFunc
 	seed         int64
+	clocks       map[string]*processClock // time.Now for the others
 }
 
 func newCluster(t testing.TB, seed int64, n int) *cluster {
@@ -277,7 +278,7 @@
 	c.seed++
 	m := NewMember(Options{
 		Cluster: "test", Instance: name, Address: name, InitialMembers: c.initial,
-		Peers: c.names, Storage: c.disks[name], Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name), ReplaceLostVoters: c.replace,
+		Peers: c.names, Storage: c.disks[name], Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name), ReplaceLostVoters: c.replace, Clock: c.clock(name),
 	})
 	if err := m.Validate(); err != nil {
 		c.t.Fatal(err)
@@ -291,6 +292,14 @@
 	c.net.mu.Unlock()
 }
 
+// clock returns the steady clock of a process.
+func (c *cluster) clock(name string) func() time.Time {
+	if p := c.clocks[name]; p != nil {
+		return p.now
+	}
+	return time.Now
+}
+
 // kill ends a member at once. The content of its disk remains.
 func (c *cluster) kill(name string) {
 	c.net.mu.Lock()
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -33,7 +33,7 @@
 			m.unresponsiveSince = nil
 			continue
 		}
-		now := time.Now()
+		now := m.now()
 		m.trackUnresponsiveVoters(now)
 		m.live.mu.Lock()
 		m.live.resetForTerm(term, now)
@@ -131,7 +131,7 @@
 	assignments = slices.DeleteFunc(assignments, func(a *controlv1.Assignment) bool {
 		return !d.configuredGroups[a.Group] || a.Group == settings.PlacementGroup
 	})
-	if move := m.live.plan(assignments, time.Now()); move != nil {
+	if move := m.live.plan(assignments, m.now()); move != nil {
 		m.options.Events.Emit(eventHandOver, event.F("group", move.group), event.F("holder", move.holder), event.F("target", move.target))
 	}
 }
@@ -146,7 +146,7 @@
 		if !ok {
 			return
 		}
-		next := m.live.chooseHolder(group, a, time.Now())
+		next := m.live.chooseHolder(group, a, m.now())
 		if next == nil {
 			continue
 		}
@@ -160,7 +160,7 @@
 			if epoch == a.GetEpoch() {
 				epoch = 0
 			}
-			m.live.endRevocation(term, group, epoch, time.Now())
+			m.live.endRevocation(term, group, epoch, m.now())
 		}
 		call, cancel := context.WithTimeout(ctx, defaultCallTimeout)
 		r, err := m.proposeThen(call, &controlv1.Command{Command: &controlv1.Command_Assign{Assign: &controlv1.AssignGroup{
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -46,7 +46,7 @@
 	if validUntil == 0 || m.applied.Load() < minApplied || l.term.Load() != term {
 		return 0, false
 	}
-	return term, time.Since(m.tickZero) < validUntil
+	return term, m.now().Sub(m.tickZero) < validUntil
 }
 
 // holdsLease reports whether this member still holds the lease of the given term.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -79,7 +79,7 @@
 // one call: they cover several election timeouts, so every lease has ended by
 // then and further ticks would have no effect.
 func (d *driver) tick() {
-	now := int64(time.Since(d.m.tickZero) / d.m.options.Tick)
+	now := int64(d.m.now().Sub(d.m.tickZero) / d.m.options.Tick)
 	for n := 0; d.deliveredTicks < now; d.deliveredTicks++ {
 		if n < maxCatchUpTicks {
 			d.node.Tick()
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -219,7 +219,7 @@
 func (m *Member) runGoroutines(ctx context.Context, node *consensus.Node, log Log, snapshotIndex uint64) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	m.tickZero = time.Now()
+	m.tickZero = m.now()
 	m.participating.Store(true)
 	results := make(chan error, 5)
 	var wg sync.WaitGroup
@@ -265,6 +265,9 @@
 	}
 }
 
+// now returns the time of Options.Clock.
+func (m *Member) now() time.Time { return m.options.Clock() }
+
 // id returns the ID of this member, or 0 before its data directory is open.
 func (m *Member) id() uint64 { return m.status.Load().ID }
 
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -153,7 +153,7 @@
 	// A new leader regards all voters as active until their responses have been
 	// missing for some time, so it waits before it promotes.
 	m.live.mu.Lock()
-	warm := m.live.warm(time.Now())
+	warm := m.live.warm(m.now())
 	m.live.mu.Unlock()
 	if len(m.unresponsiveSince) == 0 {
 		return 0, !warm
@@ -168,7 +168,7 @@
 		return 0, true
 	}
 	for id, since := range m.unresponsiveSince {
-		if time.Since(since) >= lostVoterTimeout {
+		if m.now().Sub(since) >= lostVoterTimeout {
 			return id, false
 		}
 	}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -153,6 +153,8 @@
 	ElectionTicks int
 	// SnapshotEvery is the number of entries between snapshots.
 	SnapshotEvery int
+	// Clock is the steady clock of leases and timeouts.
+	Clock func() time.Time
 	// ReplaceLostVoters makes the leader remove lost voters once a successor has
 	// caught up, and makes a removed member join again as a new member. Without it,
 	// only operators remove members, and removed members do not join again.
@@ -172,6 +174,9 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = defaultSnapshotEvery
 	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
--- a/internal/control/prove.go
+++ b/internal/control/prove.go
@@ -129,7 +129,7 @@
 // them must reflect. The proof is valid only if the caller finds the lease of the
 // same term still held afterwards.
 func (m *Member) buildProof(term uint64, polls []*controlv1.FeedRequest, entriesVersion uint64) *controlv1.ProveResponse {
-	now := time.Now()
+	now := m.now()
 	p := &controlv1.ProveResponse{}
 	var revoking map[string]uint64
 	for _, r := range polls {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -204,7 +203,7 @@
 		out.Members = []*controlv1.MemberStatus{{Id: s.ID, Instance: m.options.Instance, Address: m.options.Address}}
 	}
 	if leads {
-		out.Entries = m.live.applied(time.Now())
+		out.Entries = m.live.applied(m.now())
 		out.Groups = m.live.groupReports(out.Assignments)
 	}
 	return out
