Reads of tables and settings are confirmed by a majority, not by the lease

Operators read an older routing table than the one acknowledged. Cause: a read was answered while the leader lease was valid by the member's own steady clock. That clock stops while the machine is suspended and may run at another rate than those of the voters, so the lease outlived the election of another leader.

Routing, Settings and Result now wait until a majority confirms, in a heartbeat round that begins after the read, that the member still leads (consensus.ReadIndex), and until the state has applied the index of that moment. No clock is involved.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -117,7 +117,7 @@
 				}
 				leader := l.leader()
 				ready = append(ready, time.Since(start))
-				r, err := leader.member.Settings()
+				r, err := leader.member.Settings(context.Background())
 				qt.Assert(b, err, qt.IsNil)
 				qt.Assert(b, r.Settings.Version, qt.Equals, uint64(n))
 			}
--- a/internal/control/changes.go
+++ b/internal/control/changes.go
@@ -180,18 +180,13 @@
 }
 
 // Result returns the first result of a change; later attempts do not alter it.
-func (m *Member) Result(r *controlv1.ResultRequest) (*controlv1.ChangeResponse, error) {
-	term, ok := m.lease()
-	if !ok {
-		a, err := m.redirect()
-		return &controlv1.ChangeResponse{LeaderAddress: a}, err
+func (m *Member) Result(ctx context.Context, r *controlv1.ResultRequest) (*controlv1.ChangeResponse, error) {
+	if leader, err := m.awaitCurrent(ctx); err != nil || leader != "" {
+		return &controlv1.ChangeResponse{LeaderAddress: leader}, err
 	}
 	m.mu.RLock()
 	result := m.state.StoredResultByID(r.GetChangeId())
 	m.mu.RUnlock()
-	if !m.holdsLease(term) {
-		return nil, errNoLeader()
-	}
 	if result == nil {
 		return nil, connect.NewError(connect.CodeNotFound, errors.New("no change with this ID was applied"))
 	}
@@ -199,15 +194,9 @@
 }
 
 // Settings returns the current settings.
-func (m *Member) Settings() (*controlv1.SettingsResponse, error) {
-	term, ok := m.lease()
-	if !ok {
-		a, err := m.redirect()
-		return &controlv1.SettingsResponse{LeaderAddress: a}, err
-	}
-	snapshot := m.deriveSettings().export()
-	if !m.holdsLease(term) {
-		return nil, errNoLeader()
+func (m *Member) Settings(ctx context.Context) (*controlv1.SettingsResponse, error) {
+	if leader, err := m.awaitCurrent(ctx); err != nil || leader != "" {
+		return &controlv1.SettingsResponse{LeaderAddress: leader}, err
 	}
-	return &controlv1.SettingsResponse{Settings: snapshot}, nil
+	return &controlv1.SettingsResponse{Settings: m.deriveSettings().export()}, nil
 }
--- a/internal/control/clock_test.go
+++ b/internal/control/clock_test.go
@@ -151,6 +151,7 @@
 func TestRoutingReadsUnderDrawnFaults(t *testing.T) {
 	for seed := range drawnFaultSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { checkRoutingReads(t, seed) })
 		})
 	}
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -217,7 +217,7 @@
 }
 
 func (l memLink) Routing(ctx context.Context, to string, _ *controlv1.RoutingRequest) (*controlv1.RoutingResponse, error) {
-	return exchange(ctx, l, to, func(_ context.Context, m *Member) (*controlv1.RoutingResponse, error) { return m.Routing() })
+	return exchange(ctx, l, to, func(ctx context.Context, m *Member) (*controlv1.RoutingResponse, error) { return m.Routing(ctx) })
 }
 
 func (l memLink) Booking(ctx context.Context, to string, r *controlv1.BookingRequest) (*controlv1.BookingResponse, error) {
--- a/internal/control/linearizability_test.go
+++ b/internal/control/linearizability_test.go
@@ -332,7 +332,7 @@
 // readSettings reads the version and the one setting of the test at a member.
 func (c *cluster) readSettings(h *history, client int, member string) opOutput {
 	return h.record(client, opInput{kind: "read"}, func() opOutput {
-		r, err := exchange(context.Background(), c.link("client"), member, func(_ context.Context, m *Member) (*controlv1.SettingsResponse, error) { return m.Settings() })
+		r, err := exchange(context.Background(), c.link("client"), member, func(ctx context.Context, m *Member) (*controlv1.SettingsResponse, error) { return m.Settings(ctx) })
 		if err != nil || r.Settings == nil {
 			return opOutput{refused: true, unknown: true}
 		}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -153,6 +153,9 @@
 			return nil
 		}
 	}
+	for _, s := range r.ReadStates {
+		m.reads.complete(s)
+	}
 	if r.SoftState != nil {
 		m.leaderChanged(*r.SoftState)
 	}
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -37,6 +37,7 @@
 	// that it can be read without mu.
 	applied          atomic.Uint64
 	waiters          waiters
+	reads            pendingReads
 	peers            peers
 	incomingSnapshot incomingSnapshot
 	prover           prover
@@ -76,6 +77,7 @@
 		wake:      make(chan struct{}, 1),
 		state:     state.New(),
 		waiters:   waiters{byIndex: make(map[uint64]waiter)},
+		reads:     pendingReads{waiting: make(map[uint64]chan consensus.ReadState)},
 		live:      newLiveness(),
 		changing:  make(chan struct{}, 1),
 		stopping:  make(chan struct{}),
--- a/internal/control/member_test.go
+++ b/internal/control/member_test.go
@@ -123,7 +123,7 @@
 					go func() { _ = m.do(context.Background(), func(*consensus.Node) error { <-unblock; return nil }) }()
 				}
 				time.Sleep(time.Duration(m.options.ElectionTicks) * m.options.Tick)
-				_, err := m.Settings()
+				_, err := m.Settings(context.Background())
 				qt.Check(t, err, qt.IsNotNil)
 				r, err := m.Feed(context.Background(), &controlv1.FeedRequest{Self: &controlv1.EntryInfo{Instance: "e0"}})
 				qt.Check(t, err != nil || r.FreshForMs == 0, qt.IsTrue)
@@ -210,7 +210,7 @@
 			time.Sleep(100 * time.Millisecond)
 			_, leads := m.lease()
 			qt.Assert(t, leads, qt.IsFalse)
-			r, err := m.Settings()
+			r, err := m.Settings(context.Background())
 			qt.Assert(t, err != nil || r.Settings == nil, qt.IsTrue)
 		}
 		select {
--- a/internal/control/routing.go
+++ b/internal/control/routing.go
@@ -53,21 +53,16 @@
 	return &controlv1.PutRoutingResponse{Version: applied.Routing.GetVersion()}, nil
 }
 
-// Routing returns the routing table in force. A member that does not hold the
-// leader lease returns the address of the leader or an error instead.
-func (m *Member) Routing() (*controlv1.RoutingResponse, error) {
-	term, ok := m.lease()
-	if !ok {
-		a, err := m.redirect()
-		return &controlv1.RoutingResponse{LeaderAddress: a}, err
+// Routing returns the routing table in force. A member that does not lead returns
+// the address of the leader or an error instead.
+func (m *Member) Routing(ctx context.Context) (*controlv1.RoutingResponse, error) {
+	if leader, err := m.awaitCurrent(ctx); err != nil || leader != "" {
+		return &controlv1.RoutingResponse{LeaderAddress: leader}, err
 	}
 	m.mu.RLock()
 	t := m.state.Routing()
 	m.mu.RUnlock()
-	if !m.holdsLease(term) {
-		return nil, errNoLeader()
-	}
-	m.options.Events.Emit(eventRoutingRead, event.F("version", t.GetVersion()), event.F("term", term), event.F("applied", m.applied.Load()))
+	m.options.Events.Emit(eventRoutingRead, event.F("version", t.GetVersion()), event.F("term", m.status.Load().Term), event.F("applied", m.applied.Load()))
 	return &controlv1.RoutingResponse{Table: t}, nil
 }
 
@@ -94,7 +89,7 @@
 // CurrentRouting returns the routing table that is in force according to the
 // leader, whichever member leads; nil before the first table.
 func (m *Member) CurrentRouting(ctx context.Context) (*controlv1.RoutingTable, error) {
-	out, err := m.Routing()
+	out, err := m.Routing(ctx)
 	if err == nil && out.GetLeaderAddress() != "" {
 		out, err = m.options.Network.Routing(ctx, out.GetLeaderAddress(), &controlv1.RoutingRequest{})
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -98,13 +98,13 @@
 
 // Result implements controlv1connect.ControlHandler. A change without a result is
 // NotFound: it has not been applied, but still may be if it is in progress.
-func (s *Service) Result(_ context.Context, r *connect.Request[controlv1.ResultRequest]) (*connect.Response[controlv1.ChangeResponse], error) {
-	return connectResponse(s.member.Result(r.Msg))
+func (s *Service) Result(ctx context.Context, r *connect.Request[controlv1.ResultRequest]) (*connect.Response[controlv1.ChangeResponse], error) {
+	return connectResponse(s.member.Result(ctx, r.Msg))
 }
 
 // Settings implements controlv1connect.ControlHandler.
-func (s *Service) Settings(context.Context, *connect.Request[controlv1.SettingsRequest]) (*connect.Response[controlv1.SettingsResponse], error) {
-	return connectResponse(s.member.Settings())
+func (s *Service) Settings(ctx context.Context, _ *connect.Request[controlv1.SettingsRequest]) (*connect.Response[controlv1.SettingsResponse], error) {
+	return connectResponse(s.member.Settings(ctx))
 }
 
 // Feed implements controlv1connect.ControlHandler.
@@ -128,8 +128,8 @@
 }
 
 // Routing implements controlv1connect.ControlHandler.
-func (s *Service) Routing(context.Context, *connect.Request[controlv1.RoutingRequest]) (*connect.Response[controlv1.RoutingResponse], error) {
-	return connectResponse(s.member.Routing())
+func (s *Service) Routing(ctx context.Context, _ *connect.Request[controlv1.RoutingRequest]) (*connect.Response[controlv1.RoutingResponse], error) {
+	return connectResponse(s.member.Routing(ctx))
 }
 
 // Status implements controlv1connect.ControlHandler.
