A member whose address is recorded but that was not added joins

A new control member never joined, so that the cluster stayed one voter short: the leader records the address of a new member before it adds it, and lost its leadership in between. From then on the member found its address in the status of the members and asked no more.

The member now asks until it has received the log, and a leader that has both recorded and added it answers without a proposal.

--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -187,11 +187,6 @@
 		if err != nil || s.GetLeaderAddress() == "" {
 			continue
 		}
-		for _, other := range s.GetMembers() {
-			if other.Id == own.Id && other.Address == own.Address && other.Instance == own.Instance {
-				return // The member was added already and will receive the log.
-			}
-		}
 		call, cancel := context.WithTimeout(ctx, 2*membershipWaitTimeout)
 		_, err = m.options.Network.Member(call, s.GetLeaderAddress(), own)
 		cancel()
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -22,6 +22,14 @@
 	if r.GetId() == 0 || r.GetAddress() == "" || r.GetInstance() == "" {
 		return "", Error.New("a member needs an ID, an address and an instance name")
 	}
+	const recorded = "the address of the member was recorded"
+	// A recorded address alone does not make a member: an earlier call may have failed
+	// between the two steps.
+	for _, known := range m.replicatedMembers() {
+		if known.Id == r.Id && known.Address == r.Address && known.Instance == r.Instance && m.status.Load().Members.Has(r.Id) {
+			return recorded, nil
+		}
+	}
 	for _, old := range m.replicatedMembers() {
 		if old.Instance != r.Instance || old.Id == r.Id {
 			continue
@@ -40,7 +48,7 @@
 		return "", err
 	}
 	if m.status.Load().Members.Has(r.Id) {
-		return "the address of the member was recorded", nil
+		return recorded, nil
 	}
 	err = m.changeMembership(ctx, consensus.MembershipChange{Kind: consensus.AddLearner, ID: r.Id}, func(s consensus.Membership) bool { return s.Has(r.Id) })
 	if err != nil {
--- a/internal/control/replace_test.go
+++ b/internal/control/replace_test.go
@@ -1,11 +1,14 @@
 package control
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
 // newReplacingCluster returns a cluster of three members with
@@ -96,3 +99,21 @@
 		c.waitFor("the table at the member", func() bool { return c.member("m1").routingVersion() == 2 })
 	})
 }
+
+// TestMemberWithRecordedAddressJoins guards against a member that takes itself for added
+// because its address is recorded, although the leader failed before it added the member.
+func TestMemberWithRecordedAddressJoins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 61, 4)
+		defer c.stop()
+		added := c.names[3]
+		c.kill(added)
+		leader := c.member(c.leader())
+		_, err := leader.propose(context.Background(), &controlv1.Command{Command: &controlv1.Command_Member{
+			Member: &controlv1.MemberAddress{Id: c.disks[added].id, Address: added, Instance: added}}})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, leader.status.Load().Members.Has(c.disks[added].id), qt.IsFalse)
+		c.start(added)
+		c.waitFor("the member to become a voter", c.allVote)
+	})
+}
