Leases count the time for which the machine is suspended

Same cause as the stale reads, in other rights that other processes rely on to end: after a suspension a leader went on to confirm polls under an old lease, a holder to schedule its groups, an entry to use its grants and shares of limits and to serve settings as fresh, and a member to acknowledge that endpoints leave for entries that no longer poll it.

All of them are compared with clock.Now (CLOCK_BOOTTIME) in place of the runtime's clock, which stops meanwhile. Control members and feed clients take it as the default of Options.Clock.

TestSuspendedHolderKeepsItsGroups and TestResumedLeaderConfirmsPolls set the clock by hand; they cannot run on the code before, which had no clock to set. No run with a really suspended machine was possible here. Packages control, feed, daemon, grants, upstream, schedulerhost, placement, directory, entry pass.

--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -11,8 +11,9 @@
 //     used, and is stored there with the log. Operators never set it, and it
 //     is never derived from an address. A member that lost its disk therefore
 //     gets a new ID, joins as a learner and cannot vote under its former ID.
-//   - Tick is called once for every tick interval that passed on a monotonic
-//     clock, including intervals that passed while the process was paused.
+//   - Tick is called once for every tick interval that passed on a steady clock,
+//     including intervals that passed while the process was paused or the machine
+//     was suspended.
 //     Before the driver steps a message or reads LeaseTicks for a request, it
 //     delivers all ticks up to a clock reading that it took after it received
 //     the message or request. If it took the reading earlier, a pause in
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -132,7 +132,7 @@
 // settings stay at the same version and nothing else changes.
 func BenchmarkFeed(b *testing.B) {
 	m := NewMember(Options{})
-	m.tickZero = time.Now()
+	m.tickZero = m.now()
 	m.leaderLease.update(1, 0, time.Hour)
 	polls := make([]*controlv1.FeedRequest, 390)
 	for i := range polls {
@@ -154,11 +154,11 @@
 // that serves a third of 390 instances: 26 polls in each request.
 func BenchmarkProve(b *testing.B) {
 	m := NewMember(Options{})
-	m.tickZero = time.Now()
+	m.tickZero = m.now()
 	m.leaderLease.update(1, 0, time.Hour)
 	r := &controlv1.ProveRequest{}
 	for i := range 390 {
-		m.live.recordPoll(1, time.Now(), pollOf(fmt.Sprintf("nord-a-%03d", i), uint64(i)))
+		m.live.recordPoll(1, m.now(), pollOf(fmt.Sprintf("nord-a-%03d", i), uint64(i)))
 		if i < 26 {
 			r.Polls = append(r.Polls, pollOf(fmt.Sprintf("nord-a-%03d", i), uint64(i)))
 		}
--- a/internal/control/clock_test.go
+++ b/internal/control/clock_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/routing"
 )
@@ -18,16 +20,15 @@
 // processClock is the steady clock of one process. It runs at a rate, and stands still
 // while its machine is suspended.
 type processClock struct {
-	mu     sync.Mutex
-	rate   float64
-	at     time.Time // its reading at the time of the last change
-	since  time.Time // the time of the last change
-	origin time.Time
+	mu    sync.Mutex
+	rate  float64
+	at    time.Time // its reading at the time of the last change
+	since time.Time // the time of the last change
 }
 
 func newProcessClock() *processClock {
 	now := time.Now()
-	return &processClock{rate: 1, at: now, since: now, origin: now}
+	return &processClock{rate: 1, at: now, since: now}
 }
 
 func (p *processClock) now() time.Time {
@@ -47,6 +48,13 @@
 	p.at, p.since, p.rate = p.reading(), time.Now(), rate
 }
 
+// add adds time that passed while the clock stood still.
+func (p *processClock) add(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.at = p.at.Add(d)
+}
+
 // suspend stops or resumes the machine of a member: its steady clock stands still, and no
 // message reaches or leaves it.
 func (c *cluster) suspend(name string, suspended bool) {
@@ -127,6 +135,34 @@
 	}
 }
 
+// TestDefaultClockCountsSuspensions guards against leases that outlive a suspension of the
+// machine.
+func TestDefaultClockCountsSuspensions(t *testing.T) {
+	defaultClock := NewMember(Options{}).options.Clock
+	qt.Assert(t, reflect.ValueOf(defaultClock).Pointer(), qt.Equals, reflect.ValueOf(clock.Now).Pointer())
+}
+
+// TestResumedLeaderConfirmsPolls guards against a leader that, with a clock that counts
+// suspended time, confirms the view and the groups of an instance after it was suspended.
+func TestResumedLeaderConfirmsPolls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newClusterWithClocks(t, 91, 3)
+		defer c.stop()
+		leader := c.leader()
+		m := c.member(leader)
+		poll := func() error {
+			_, err := m.Feed(context.Background(), pollOf("e0", 1))
+			return err
+		}
+		qt.Assert(t, poll(), qt.IsNil)
+		c.suspend(leader, true)
+		time.Sleep(3 * time.Second)
+		c.clocks[leader].add(3 * time.Second)
+		qt.Assert(t, poll(), qt.IsNotNil)
+		c.suspend(leader, false)
+	})
+}
+
 // acknowledgedTable is the highest version that was acknowledged so far.
 type acknowledgedTable struct {
 	mu      sync.Mutex
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -409,7 +409,7 @@
 // stops it.
 func (c *cluster) feed(name string, reports func() []*controlv1.GroupReport) (*feed.Client, func()) {
 	f := feed.NewClient(feed.Options{
-		Members: c.names, MemberClient: c.link(name), Reports: reports,
+		Members: c.names, MemberClient: c.link(name), Reports: reports, Clock: c.clock(name),
 		Self: func() *controlv1.EntryInfo {
 			return &controlv1.EntryInfo{Instance: name, Address: name + ":80", PeerAddress: name}
 		},
--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
@@ -53,8 +54,11 @@
 	// Reports returns the state of the groups that run on this instance. It may be
 	// nil.
 	Reports func() []*controlv1.GroupReport
-	Events  *event.Recorder
-	Scope   tally.Scope
+	// Clock is the steady clock of leases and of the freshness of the view. The default is
+	// clock.Now.
+	Clock  func() time.Time
+	Events *event.Recorder
+	Scope  tally.Scope
 }
 
 // Client polls the control members to keep a View up to date. It is a
@@ -100,6 +104,9 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
+	if o.Clock == nil {
+		o.Clock = clock.Now
+	}
 	tree := settings.New()
 	c := &Client{
 		options: o, selector: newSelector(o.Members), incarnation: rand.Uint64(), pollNow: make(chan chan struct{}), handingOver: make(map[string]uint64),
@@ -117,6 +124,9 @@
 // View returns the current view, which is never nil but may have expired.
 func (c *Client) View() *View { return c.view.Load() }
 
+// Fresh reports whether the view has not expired.
+func (c *Client) Fresh() bool { return c.View().Fresh(c.options.Clock()) }
+
 // Changed returns a channel that is closed at the next change of the settings, the
 // routing table, the assignments, the entries, the held groups or the freshness.
 func (c *Client) Changed() <-chan struct{} { return *c.changed.Load() }
@@ -125,7 +135,7 @@
 // the group, and zero values otherwise.
 func (c *Client) HeldLease(group string) (epoch uint64, until time.Time) {
 	l := (*c.leases.Load())[group]
-	if !time.Now().Before(l.Until) {
+	if !c.options.Clock().Before(l.Until) {
 		return 0, time.Time{}
 	}
 	return l.Epoch, l.Until
@@ -134,7 +144,7 @@
 // HeldLeases returns the leases of all groups that this instance currently holds.
 func (c *Client) HeldLeases() map[string]Lease {
 	out := make(map[string]Lease)
-	now := time.Now()
+	now := c.options.Clock()
 	for group, l := range *c.leases.Load() {
 		if now.Before(l.Until) {
 			out[group] = l
@@ -235,7 +245,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt := c.options.Clock()
 	r, err := c.options.MemberClient.Feed(ctx, address, pollRequest)
 	if err != nil {
 		c.failures.Inc(1)
@@ -406,7 +416,7 @@
 // updateFreshness updates the metrics and emits an event when the view expires or
 // becomes fresh again.
 func (c *Client) updateFreshness() {
-	view, now := c.view.Load(), time.Now()
+	view, now := c.view.Load(), c.options.Clock()
 	c.versionGauge.Update(float64(view.Version))
 	c.freshGauge.Update(max(0, view.FreshUntil.Sub(now).Seconds()))
 	feedLost := !view.Fresh(now)
--- a/internal/control/feed/client_test.go
+++ b/internal/control/feed/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"reflect"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/settings"
 )
@@ -39,7 +41,7 @@
 }
 
 func newTestClient(s *fakeMembers, members ...string) *Client {
-	return NewClient(Options{Members: members, MemberClient: s, Self: func() *controlv1.EntryInfo { return &controlv1.EntryInfo{Instance: "e0"} }})
+	return NewClient(Options{Members: members, MemberClient: s, Clock: time.Now, Self: func() *controlv1.EntryInfo { return &controlv1.EntryInfo{Instance: "e0"} }})
 }
 
 func startClient(c *Client) (stop func()) {
@@ -304,3 +306,30 @@
 	}
 	qt.Check(t, s.pick(), qt.Equals, first)
 }
+
+// TestSuspendedHolderKeepsItsGroups guards against a holder that, after its machine was
+// suspended, still acts for a group that another instance holds by then, and takes its view
+// for fresh.
+func TestSuspendedHolderKeepsItsGroups(t *testing.T) {
+	suspended := time.Duration(0)
+	c := newTestClient(&fakeMembers{}, "a")
+	c.options.Clock = func() time.Time { return time.Now().Add(suspended) }
+	c.instance, c.excludedEpochs = "e0", map[string]uint64{}
+	qt.Assert(t, c.applyResponse(&controlv1.FeedResponse{FreshForMs: uint32(FreshFor.Milliseconds()), Members: []string{"a"},
+		Assignments: []*controlv1.Assignment{{Group: "g/0", Instance: "e0", Epoch: 1}}}, c.options.Clock()), qt.IsNil)
+	held, _ := c.HeldLease("g/0")
+	qt.Assert(t, held, qt.Equals, uint64(1))
+	qt.Assert(t, c.Fresh(), qt.IsTrue)
+
+	suspended = GroupLease
+	held, _ = c.HeldLease("g/0")
+	qt.Assert(t, held, qt.Equals, uint64(0))
+	qt.Assert(t, c.HeldLeases(), qt.HasLen, 0)
+	qt.Assert(t, c.Fresh(), qt.IsTrue)
+	suspended = FreshFor
+	qt.Assert(t, c.Fresh(), qt.IsFalse)
+
+	// Without a clock in the options, suspended time counts.
+	defaultClock := NewClient(Options{}).options.Clock
+	qt.Assert(t, reflect.ValueOf(defaultClock).Pointer(), qt.Equals, reflect.ValueOf(clock.Now).Pointer())
+}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -9,7 +9,8 @@
 type leaderLease struct {
 	// validUntil is the end of the lease as a duration since Member.tickZero, or 0
 	// if there is no lease. It is a time and not a number of ticks, so that the
-	// lease also ends while the consensus loop or the whole process is paused.
+	// lease also ends while the consensus loop or the whole process is paused. The
+	// clock must count the time for which the machine is suspended.
 	validUntil atomic.Int64
 	// term is the term of the lease. minApplied is the commit index at the beginning
 	// of the lease in this term. It covers all entries of earlier leaders.
--- a/internal/control/liveness_test.go
+++ b/internal/control/liveness_test.go
@@ -180,7 +180,7 @@
 // entries of earlier leaders are applied.
 func TestLeaseNeedsAppliedEntries(t *testing.T) {
 	m := NewMember(Options{})
-	m.tickZero = time.Now()
+	m.tickZero = m.now()
 	m.leaderLease.update(2, 10, time.Hour)
 	m.applied.Store(9)
 	_, ok := m.lease()
@@ -202,7 +202,7 @@
 // holder, or a group of a service that no longer exists.
 func TestFeedOmitsRevokedGroups(t *testing.T) {
 	m := NewMember(Options{})
-	m.tickZero = time.Now()
+	m.tickZero = m.now()
 	m.leaderLease.update(1, 0, time.Hour)
 	for i, op := range []*controlv1.Operation{put("/s", "service"), set("/s", "kind", "plain"), set("/s", "scheduler.groups", "2")} {
 		m.state.Apply(uint64(i+1), &controlv1.Command{Command: &controlv1.Command_Change{Change: request(op.String(), uint64(i), op).Change}})
--- a/internal/control/loopback_test.go
+++ b/internal/control/loopback_test.go
@@ -195,7 +195,7 @@
 		pool := transport.NewPool(transport.Options{Token: "peer", Dial: l.dial})
 		pools = append(pools, pool)
 		name := fmt.Sprintf("e%d", i)
-		f := feed.NewClient(feed.Options{Members: l.addresses(), MemberClient: feed.NewMemberClient(pool),
+		f := feed.NewClient(feed.Options{Members: l.addresses(), MemberClient: feed.NewMemberClient(pool), Clock: time.Now,
 			Self: func() *controlv1.EntryInfo {
 				return &controlv1.EntryInfo{Instance: name, Address: name, PeerAddress: name}
 			}})
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/event"
 )
 
@@ -153,7 +154,7 @@
 	ElectionTicks int
 	// SnapshotEvery is the number of entries between snapshots.
 	SnapshotEvery int
-	// Clock is the steady clock of leases and timeouts.
+	// Clock is the steady clock of leases and timeouts. The default is clock.Now.
 	Clock func() time.Time
 	// ReplaceLostVoters makes the leader remove lost voters once a successor has
 	// caught up, and makes a removed member join again as a new member. Without it,
@@ -175,7 +176,7 @@
 		o.SnapshotEvery = defaultSnapshotEvery
 	}
 	if o.Clock == nil {
-		o.Clock = time.Now
+		o.Clock = clock.Now
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -4,7 +4,6 @@
 	"context"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"auburnstep.example/auburnstep/internal/control/feed"
 	"auburnstep.example/auburnstep/internal/placement"
@@ -32,7 +31,7 @@
 }
 
 // Fresh implements entry.View.
-func (v *feedView) Fresh() bool { return v.feed.View().Fresh(time.Now()) }
+func (v *feedView) Fresh() bool { return v.feed.Fresh() }
 
 // Index implements entry.View and schedulerhost.Source.
 func (v *feedView) Index() *settings.Index { return v.feed.View().Index }
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/kernel"
@@ -52,10 +53,10 @@
 // NewService returns an empty directory. It keeps the crash reports of entries in crashes,
 // and in a data directory unless dir is empty.
 func NewService(events *event.Recorder, crashes *Crashes, dir string) *Service {
-	s := &Service{events: events, started: time.Now(), crashes: crashes, registry: NewRegistry(rand.Uint64() | 1), limits: newLimitTable()}
+	s := &Service{events: events, started: clock.Now(), crashes: crashes, registry: NewRegistry(rand.Uint64() | 1), limits: newLimitTable()}
 	if dir != "" {
 		s.store = &reportStore{dir: dir, crashes: crashes, events: events}
-		s.store.load(s.started)
+		s.store.load(time.Now())
 	}
 	return s
 }
@@ -72,11 +73,11 @@
 		go s.store.run(ctx)
 	}
 	for kernel.Sleep(ctx, expireInterval) == nil {
-		now := time.Now()
-		s.crashes.Update(now)
+		s.crashes.Update(time.Now())
+		now := clock.Now()
 		s.mu.Lock()
 		silent := s.registry.Expire(now)
-		s.limits.expire(now)
+		s.limits.expire(time.Now())
 		entries := len(s.registry.Entries(now))
 		changed := entries != s.listedEntries
 		s.listedEntries = entries
@@ -99,7 +100,7 @@
 		s.events.Emit(eventBadReports, event.F("entry", r.Msg.GetSelf().GetInstance()), event.F("error", err))
 	}
 	s.mu.Lock()
-	res, err := s.registry.Sync(now, r.Msg)
+	res, err := s.registry.Sync(clock.Now(), r.Msg)
 	if err != nil {
 		s.mu.Unlock()
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
@@ -137,7 +138,7 @@
 // Announce records an announcement. It returns false if the directory is full.
 func (s *Service) Announce(e *directoryv1.Endpoint) bool {
 	s.mu.Lock()
-	effect := s.registry.Announce(time.Now(), e)
+	effect := s.registry.Announce(clock.Now(), e)
 	s.mu.Unlock()
 	switch effect {
 	case Changed:
@@ -153,7 +154,7 @@
 // Leave records that an endpoint has left; see Registry.Leave.
 func (s *Service) Leave(id string, incarnation int64) {
 	s.mu.Lock()
-	known := s.registry.Leave(time.Now(), id, incarnation)
+	known := s.registry.Leave(clock.Now(), id, incarnation)
 	s.mu.Unlock()
 	if known {
 		s.events.Emit(eventEndpointLeft, event.F("endpoint", id))
@@ -163,7 +164,7 @@
 // Entries returns the live entries that accept new callers. It also returns false until
 // all live entries have had time to poll this member.
 func (s *Service) Entries() ([]*directoryv1.Entry, bool) {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.registry.Entries(now), now.Sub(s.started) >= entryListDelay
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/grants"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
@@ -85,7 +86,7 @@
 	}
 	// Check immediately before the first byte is sent: if the process was paused
 	// after it received the grant, the slot may have been granted to another request.
-	if !lease.Usable(time.Now()) {
+	if !lease.Usable(clock.Now()) {
 		lease.Release(&schedulerv1.Outcome{Unused: true})
 		return verdict.Overloaded("grant_expired", "the grant for the request ran out before it was used", 0), true
 	}
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/uber-go/tally/v4"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/kernel"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
 	"auburnstep.example/auburnstep/internal/rpc/schedulerv1/schedulerv1connect"
@@ -190,7 +191,7 @@
 		}
 		r.WaitedMs = uint32(time.Since(start).Milliseconds())
 		called = true
-		sentAt := time.Now()
+		sentAt := clock.Now()
 		res, err := c.callAcquire(ctx, address, epoch, group, r)
 		switch {
 		case err != nil:
@@ -245,7 +246,7 @@
 		useUntil: sentAt.Add(time.Duration(g.ExpiresInMs)*time.Millisecond - expiryMargin),
 	}
 	c.groupGrants(group).add(lease)
-	if ctx.Err() != nil || !lease.Usable(time.Now()) {
+	if ctx.Err() != nil || !lease.Usable(clock.Now()) {
 		c.expiredUnused.Inc(1)
 		lease.Release(&schedulerv1.Outcome{Unused: true})
 		return nil
--- a/internal/placement/executor.go
+++ b/internal/placement/executor.go
@@ -10,6 +10,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/control/feed"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/upstream"
@@ -52,7 +53,7 @@
 	Tokens []string
 	Events *event.Recorder
 	Scope  tally.Scope
-	// Now replaces the clock in tests. The default is time.Now.
+	// Now replaces the clock in tests. The default is clock.Now.
 	Now func() time.Time
 }
 
@@ -78,7 +79,7 @@
 // NewExecutor returns an executor that does not hold the lease yet.
 func NewExecutor(options Options) *Executor {
 	if options.Now == nil {
-		options.Now = time.Now
+		options.Now = clock.Now
 	}
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
--- a/internal/schedulerhost/convert.go
+++ b/internal/schedulerhost/convert.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
 	"auburnstep.example/auburnstep/internal/scheduler"
 	"auburnstep.example/auburnstep/internal/verdict"
@@ -18,7 +19,7 @@
 func decisionMessage(d scheduler.Decision, received time.Time) *schedulerv1.AcquireResponse {
 	switch d := d.(type) {
 	case scheduler.Granted:
-		held := time.Since(received)
+		held := clock.Now().Sub(received)
 		return &schedulerv1.AcquireResponse{Grant: &schedulerv1.Grant{
 			Id: d.GrantID, Epoch: d.Epoch, Endpoint: d.Endpoint, Address: d.Address,
 			ExpiresInMs: uint32((held + d.ExpiresIn).Milliseconds()), Priority: uint32(d.Priority),
--- a/internal/schedulerhost/group.go
+++ b/internal/schedulerhost/group.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/limit"
@@ -76,7 +77,7 @@
 		granted: scope.Counter("granted"), refused: scope.Counter("refused"), rejected: scope.Counter("calls_rejected"),
 		waiting: scope.Gauge("waiting"), inFlight: scope.Gauge("in_flight"), queued: scope.Gauge("calls_queued"),
 	}
-	now := time.Now()
+	now := clock.Now()
 	g.sharedLimits = needsSharedLimits(index, service)
 	// A group restarts under the same epoch when its service changes between one
 	// group and several. Entries then hold grants of the former core, as they do when
@@ -120,7 +121,7 @@
 
 func (g *group) holdsLease() bool {
 	l, ok := g.host.source.Lease(g.name)
-	return ok && l.Epoch == g.epoch && time.Now().Before(l.Until)
+	return ok && l.Epoch == g.epoch && clock.Now().Before(l.Until)
 }
 
 // run executes the commands of the ring one at a time until the ring is closed.
@@ -130,7 +131,7 @@
 		if err != nil {
 			return
 		}
-		command(time.Now())
+		command(clock.Now())
 	}
 }
 
--- a/internal/schedulerhost/handler.go
+++ b/internal/schedulerhost/handler.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/ring"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
 	"auburnstep.example/auburnstep/internal/scheduler"
@@ -19,7 +20,7 @@
 // Acquire implements scheduler.v1.Scheduler. It queues the request, or finds it in the
 // queue, and holds the call until there is a decision or the hold time has passed.
 func (h *Host) Acquire(ctx context.Context, req *connect.Request[schedulerv1.AcquireRequest]) (*connect.Response[schedulerv1.AcquireResponse], error) {
-	received := time.Now()
+	received := clock.Now()
 	m := req.Msg
 	g, err := h.lookup(m.Group)
 	if err != nil {
--- a/internal/schedulerhost/shares.go
+++ b/internal/schedulerhost/shares.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/limit"
 	"auburnstep.example/auburnstep/internal/ring"
@@ -73,7 +74,7 @@
 			InFlight: uint32(d.InFlight),
 		})
 	}
-	sent := time.Now()
+	sent := clock.Now()
 	res, err := g.host.dial(address).Shares(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"auburnstep.example/auburnstep/internal/clock"
 )
 
 // Error is the class of the errors of this package other than RequestError.
@@ -41,7 +43,7 @@
 		c.mu.Unlock()
 		return 0, errWritesBlocked
 	}
-	if !c.sendBefore.IsZero() && !time.Now().Before(c.sendBefore) {
+	if !c.sendBefore.IsZero() && !clock.Now().Before(c.sendBefore) {
 		c.writesBlocked, c.grantExpired = true, true
 		c.mu.Unlock()
 		return 0, errGrantExpired
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -35,7 +35,7 @@
 	// limit.
 	MaxTimeToFirstToken  time.Duration
 	MaxTimeBetweenTokens time.Duration
-	// SendBefore is the time after which the request must not be sent; zero sets no
+	// SendBefore is the time of clock.Now after which the request must not be sent; zero sets no
 	// limit.
 	SendBefore time.Time
 	// ReuseConnection allows the use of an idle connection. It must be set only for
