--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -37,6 +37,9 @@
 	maxAnswered       = 4096
 )
 
+// RequestPrefix distinguishes the fingerprints of whole requests from prompt parts.
+const RequestPrefix = "request:"
+
 // Soundness is what is known of a prompt part with respect to one crash. Higher values
 // supersede lower ones.
 type Soundness byte
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -212,7 +212,7 @@
 		q.server.metrics.attemptsFailed.Inc(1)
 		q.server.options.Events.Emit(eventAttemptFailed, q.eventFields(event.F("endpoint", c.Endpoint.ID), event.F("address", c.Endpoint.Address),
 			event.F("not_run", r.notRun), event.F("error", r.err), event.F("last_event", q.lastEvent),
-			event.F("begun", r.begun), event.F("parts", partsField(q.demand.Prompt.Parts)))...)
+			event.F("begun", r.begun), event.F("parts", partsField(q.demand.Prompt.Parts)), event.F("fingerprint", q.fingerprint()))...)
 	}
 	return r
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -74,6 +74,8 @@
 	longestPause time.Duration
 	// attemptEventAt is when the first event of the present attempt arrived.
 	attemptEventAt time.Time
+	// cachedFingerprint is the result of fingerprint, "" before its first call.
+	cachedFingerprint string
 	// quarantinedPart is the part of the prompt for which the request is refused.
 	quarantinedPart string
 	// closeDelimited is set if the caller's protocol marks the end of a response of unknown
