--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -127,3 +127,93 @@
 	qt.Check(t, resp.Header.Get("Retry-After"), qt.Equals, "60.000")
 	qt.Check(t, e.runs.Load(), qt.Equals, int64(1))
 }
+
+// TestCrashingRequestKeepsReachingEndpoints guards against a request that crashes each
+// endpoint which begins to run it and that comes again and again, while nothing connects
+// the crashes. Requests with another target, customer or body must be served on.
+func TestCrashingRequestKeepsReachingEndpoints(t *testing.T) {
+	const (
+		rounds = 30
+		// maxDeadly is three crashes and three more requests.
+		maxDeadly = 6
+	)
+	prompt := func(r *http.Request) { r.Header.Set(nativePrompt, "5000,10 system:1000 caller:500 own:200") }
+	for _, c := range []struct {
+		name, path string
+		modify     func(r *http.Request)
+		begins     bool // the crash comes after the head of the response
+	}{
+		{"repeatable", "/look/1", nil, false},
+		{"at most once", "/book/1", nil, false},
+		{"stream", "/chat/1", nil, false},
+		{"stream, after its head", "/chat/1", nil, true},
+		{"prompt", "/plan/1", prompt, false},
+		{"prompt, after the head", "/plan/1", prompt, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var deadly atomic.Int64
+			var endpoints []*fakeEndpoint
+			for i := range 2 * rounds {
+				endpoints = append(endpoints, endpointCrashedBy(t, fmt.Sprint("e", i), c.begins, &deadly))
+			}
+			table := table()
+			table.Customers = append(table.Customers, routing.Customer{Name: "other", Keys: []string{"other-key"}})
+			_, address := startRouterWithTable(t, table, endpoints...)
+			send := func(path, key, body string) int {
+				resp, _, err := postRequest(t, address, path, func(r *http.Request) {
+					if c.modify != nil {
+						c.modify(r)
+					}
+					r.Header.Set("Authorization", "Bearer "+key)
+					r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+				})
+				if err != nil {
+					return 0
+				}
+				return resp.StatusCode
+			}
+			for i := range rounds {
+				send(c.path, "key", deadlyBody)
+				qt.Check(t, send(c.path, "key", "sound"), qt.Equals, 200)
+				qt.Check(t, send(fmt.Sprint(c.path, i), "key", "sound"), qt.Equals, 200)
+				qt.Check(t, send(c.path, "other-key", "sound"), qt.Equals, 200)
+				time.Sleep(60 * time.Millisecond)
+			}
+			qt.Check(t, deadly.Load() <= maxDeadly, qt.IsTrue, qt.Commentf("the request reached endpoints %d times", deadly.Load()))
+		})
+	}
+}
+
+// deadlyBody is the body that crashes an endpoint of endpointCrashedBy.
+const deadlyBody = "deadly body"
+
+// endpointCrashedBy returns an endpoint that closes its listener and its connections as
+// it begins to run a request with deadlyBody. It counts these requests.
+func endpointCrashedBy(t *testing.T, id string, begins bool, deadly *atomic.Int64) *fakeEndpoint {
+	var crashed atomic.Bool
+	var e *fakeEndpoint
+	e = newFakeEndpoint(t, id, func(c net.Conn, r *http.Request, body string) bool {
+		isDeadly := body == deadlyBody
+		if isDeadly {
+			deadly.Add(1)
+		}
+		switch {
+		case crashed.Load():
+			return false
+		case isDeadly:
+			crashed.Store(true)
+			e.listener.Close()
+			if begins {
+				_, _ = io.WriteString(c, head(r, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+			}
+			return false
+		case strings.HasPrefix(r.URL.Path, "/chat/"), strings.HasPrefix(r.URL.Path, "/plan/"):
+			writeEvents(c, r, 0, 3, true)
+		default:
+			writeResponse(c, r, http.StatusOK, "sound")
+		}
+		return true
+	})
+	return e
+}
