Repeats of a request that crashes endpoints are refused by all entries

Cause: the quarantine knew prompt parts only, and only crashes after the head of an answer. Repeats of a request were not recognised, so that every entry took each crash for a fault of the endpoint alone.

Now the fingerprint of a request counts as a further part of it, in the reports that entries share already, and a crash before the head of the answer is reported with the fingerprint alone: whatever waits at an endpoint is lost then, and much of it shares prompt parts, but only repeats share a fingerprint. The quarantine counts a crash once for a part, however many requests with it were lost, and reports of one endpoint share one check of whether it refuses connections.

Counting a crash once: TestCrashingRequestIsFoundAmongOthers failed before with a sound request quarantined after crashes of short requests.

--- a/internal/directory/crashes.go
+++ b/internal/directory/crashes.go
@@ -15,8 +15,8 @@
 )
 
 var (
-	eventQuarantined = event.Define(7104, "part-quarantined", event.Warn, "a prompt part crashes the endpoints that run it; requests with it are refused")
-	eventReleased    = event.Define(7105, "part-released", event.Info, "requests with a prompt part are accepted again")
+	eventQuarantined = event.Define(7104, "part-quarantined", event.Warn, "a prompt part or a request crashes the endpoints that run it; requests with it are refused")
+	eventReleased    = event.Define(7105, "part-released", event.Info, "requests with a prompt part, or a request, are accepted again")
 )
 
 // Crashes holds the crash reports that this process has observed or received. It is safe
@@ -51,9 +51,9 @@
 // Changed returns a channel that receives a value after a change of the quarantine.
 func (c *Crashes) Changed() <-chan struct{} { return c.changed }
 
-// Add records a crash that this process observed.
-func (c *Crashes) Add(now time.Time, r quarantine.Report) {
-	c.update(func(l *quarantine.Ledger) bool { return l.Add(now, r) })
+// Add records a crash that this process observed, with the requests that may have caused it.
+func (c *Crashes) Add(now time.Time, reports ...quarantine.Report) {
+	c.update(func(l *quarantine.Ledger) bool { return l.Add(now, reports...) })
 	select {
 	case c.added <- struct{}{}:
 	default:
@@ -65,12 +65,7 @@
 	if len(reports) == 0 {
 		return
 	}
-	c.update(func(l *quarantine.Ledger) (changed bool) {
-		for _, r := range reports {
-			changed = l.Merge(now, r) || changed
-		}
-		return changed
-	})
+	c.update(func(l *quarantine.Ledger) bool { return l.Merge(now, reports...) })
 }
 
 // RecordAnswered records a complete answer to a request with the parts.
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -1,8 +1,11 @@
-// Package quarantine finds prompt parts that crash the endpoints which run them. Entries
-// report each crash with the requests that the endpoint had begun to answer, and share
+// Package quarantine finds prompt parts and whole requests that crash the endpoints which
+// run them. Entries report each crash with the requests that may have caused it, and share
 // their reports through the control members, so that every entry reaches the same
 // conclusion from the crashes that all of them saw.
 //
+// A request counts as the last part of its own prompt, under its fingerprint, which it
+// shares with its repeats only.
+//
 // It does no I/O and takes the time as an argument.
 package quarantine
 
@@ -54,13 +57,14 @@
 	SoundAfter
 )
 
-// Report is a request whose endpoint crashed as it began to answer.
+// Report is a request that an endpoint had, and had not well begun to answer, when it
+// crashed.
 type Report struct {
 	Endpoint    string
 	Incarnation int64
 	Request     string
-	// Parts lists the ids of the parts of the prompt but the last one, which no other
-	// request shares.
+	// Parts lists the ids of what may have caused the crash: parts of the prompt, without the
+	// last one, which no other request shares, and the fingerprint of the request.
 	Parts []string
 	// Soundness has an element for each part.
 	Soundness []Soundness
@@ -84,6 +88,8 @@
 	incarnation int64
 }
 
+func (r *Report) crash() crash { return crash{r.Endpoint, r.Incarnation} }
+
 // record is a report in a ledger.
 type record struct {
 	Report
@@ -109,12 +115,25 @@
 	return &Ledger{records: make(map[Key]*record), answered: make(map[string]time.Time), quarantined: make(map[string]bool)}
 }
 
-// Add records a report that this process observed, and returns whether it is new.
-func (l *Ledger) Add(now time.Time, r Report) bool { return l.merge(now, r, true) }
+// Add records reports that this process observed, and returns whether any is new.
+func (l *Ledger) Add(now time.Time, reports ...Report) bool { return l.mergeAll(now, reports, true) }
 
-// Merge records a report of another ledger, and returns whether it changed anything.
-func (l *Ledger) Merge(now time.Time, r Report) bool { return l.merge(now, r, false) }
+// Merge records reports of another ledger, and returns whether they changed anything.
+func (l *Ledger) Merge(now time.Time, reports ...Report) bool {
+	return l.mergeAll(now, reports, false)
+}
 
+func (l *Ledger) mergeAll(now time.Time, reports []Report, own bool) (changed bool) {
+	for _, r := range reports {
+		changed = l.merge(now, r, own) || changed
+	}
+	if changed {
+		l.conclude(now)
+	}
+	return changed
+}
+
+// merge records a report without drawing conclusions.
 func (l *Ledger) merge(now time.Time, r Report, own bool) bool {
 	if len(r.Parts) == 0 || now.Sub(r.LostAt) > reportRetention {
 		return false
@@ -144,7 +163,6 @@
 			l.mark(now, rec, i, at)
 		}
 	}
-	l.conclude(now)
 	return true
 }
 
@@ -232,16 +250,16 @@
 // suspicion is what speaks against a part.
 type suspicion struct {
 	part string
-	// crashes counts the crashes that cannot be parts of one event: each under a request
+	// crashes holds the crashes that cannot be parts of one event: each under a request
 	// that was sent after the crash before it, which was lost at lastLost.
-	crashes  int
+	crashes  []crash
 	lastLost time.Time
 	// reachedAt is when minCrashes was reached.
 	reachedAt time.Time
 	// request is the first request, and severalSent reports that there are others.
 	request     string
 	severalSent bool
-	// previous is the request of the last counted crash.
+	// previous is the request of the last of the crashes.
 	previous    string
 	soundBefore bool
 	// position is the largest index of the part in a prompt.
@@ -271,10 +289,10 @@
 		explained := make(map[crash]bool)
 		for _, rec := range records {
 			if slices.Contains(rec.Parts, worst.part) {
-				explained[crash{rec.Endpoint, rec.Incarnation}] = true
+				explained[rec.crash()] = true
 			}
 		}
-		records = slices.DeleteFunc(records, func(rec *record) bool { return explained[crash{rec.Endpoint, rec.Incarnation}] })
+		records = slices.DeleteFunc(records, func(rec *record) bool { return explained[rec.crash()] })
 	}
 }
 
@@ -291,11 +309,10 @@
 				s = &suspicion{part: part, request: rec.Request}
 				out[part] = s
 			}
-			// The attempts of one request follow each other.
-			if s.crashes == 0 || rec.Request == s.previous || !rec.SentAt.Before(s.lastLost.Add(-ageTolerance)) {
-				s.crashes++
+			if s.isFurtherCrash(rec) {
+				s.crashes = append(s.crashes, rec.crash())
 				s.lastLost, s.previous = rec.LostAt, rec.Request
-				if s.crashes == minCrashes {
+				if len(s.crashes) == minCrashes {
 					s.reachedAt = rec.LostAt
 				}
 			}
@@ -307,16 +324,26 @@
 	return out
 }
 
+// isFurtherCrash reports whether a record adds to the crashes. A crash may end several
+// requests with the part.
+func (s *suspicion) isFurtherCrash(rec *record) bool {
+	if slices.Contains(s.crashes, rec.crash()) {
+		return false
+	}
+	followsItself := rec.Request == s.previous // The attempts of one request follow each other.
+	return len(s.crashes) == 0 || followsItself || !rec.SentAt.Before(s.lastLost.Add(-ageTolerance))
+}
+
 // isSettled reports whether there is enough against the part to quarantine it.
 func (s *suspicion) isSettled(now time.Time) bool {
-	return s.crashes >= minCrashes && s.severalSent && (!s.soundBefore || now.Sub(s.reachedAt) >= settleTime)
+	return len(s.crashes) >= minCrashes && s.severalSent && (!s.soundBefore || now.Sub(s.reachedAt) >= settleTime)
 }
 
 func (s *suspicion) worseThan(o *suspicion) bool {
 	if s.soundBefore != o.soundBefore {
 		return o.soundBefore
 	}
-	return cmp.Or(cmp.Compare(s.crashes, o.crashes), cmp.Compare(s.position, o.position), cmp.Compare(s.part, o.part)) > 0
+	return cmp.Or(cmp.Compare(len(s.crashes), len(o.crashes)), cmp.Compare(s.position, o.position), cmp.Compare(s.part, o.part)) > 0
 }
 
 // Quarantined returns the quarantined parts.
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -50,6 +50,10 @@
 			crashReport("e1", "a", 0, 200, "x"), crashReport("e2", "b", 300, 500, "x"), crashReport("e3", "c", 600, 800, "x"),
 			crashReport("e4", "d", 0, 210, "y"), crashReport("e5", "e", 300, 510, "y"), crashReport("e6", "f", 600, 810, "y"),
 		}, map[string]bool{"x": true, "y": true}},
+		{"repeats that one crash ends", []Report{
+			crashReport("e1", "a", 0, 20, "x"), crashReport("e1", "b", 5, 20, "x"), crashReport("e1", "c", 10, 20, "x"),
+			crashReport("e2", "d", 100, 120, "x"),
+		}, nil},
 		{"endpoints that crash at once", []Report{
 			crashReport("e1", "a", 0, 200, "system"), crashReport("e2", "b", 10, 201, "system"), crashReport("e3", "c", 20, 202, "system"),
 			crashReport("e4", "d", 30, 203, "system"),
@@ -182,3 +186,49 @@
 		}
 	})
 }
+
+// TestCrashingRequestIsFoundAmongOthers guards against a quarantine that blames sound
+// requests for the crashes of another one that they were in flight with: the request that
+// crashes the endpoints must be found within three crashes more than the least, and sound
+// ones must not stay quarantined.
+func TestCrashingRequestIsFoundAmongOthers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rounds, deadly = 12, RequestPrefix + "deadly"
+		l := NewLedger()
+		sound := func(i int) string { return fmt.Sprint(RequestPrefix, "sound-", i) }
+		kinds := rapid.IntRange(1, 40).Draw(t, "kinds of sound requests")
+		ms, attempts := 0, 0
+		for round := range rounds {
+			endpoint := fmt.Sprint("e", round)
+			ms += rapid.IntRange(100, 4000).Draw(t, "pause")
+			for range rapid.IntRange(0, 3).Draw(t, "answers") {
+				l.RecordAnswered(at(ms), []string{sound(rapid.IntRange(0, kinds-1).Draw(t, "answered"))})
+			}
+			sentMs := ms
+			ms += rapid.IntRange(1, 200).Draw(t, "run")
+			var reports []Report
+			if _, found := l.Find([]string{deadly}); !found {
+				attempts++
+				reports = append(reports, crashReport(endpoint, fmt.Sprint("d", round/2), sentMs, ms, deadly))
+			}
+			for i := range rapid.IntRange(0, 5).Draw(t, "in flight") {
+				// Some of them are repeats that follow the request from endpoint to endpoint.
+				fingerprint := sound(rapid.IntRange(0, kinds-1).Draw(t, "sound"))
+				if _, found := l.Find([]string{fingerprint}); !found && len(reports) > 0 {
+					reports = append(reports, crashReport(endpoint, fmt.Sprint("s", round, "-", i), sentMs, ms, fingerprint))
+				}
+			}
+			l.Add(at(ms), reports...)
+			l.Update(at(ms + 1))
+		}
+		if attempts > minCrashes+3 {
+			t.Fatalf("the request reached endpoints %d times", attempts)
+		}
+		l.Update(at(ms).Add(settleTime))
+		for part := range l.Quarantined() {
+			if part != deadly {
+				t.Fatalf("%s is quarantined at the end", part)
+			}
+		}
+	})
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -6,12 +6,14 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/httpconn"
 	"auburnstep.example/auburnstep/internal/kernel"
+	"auburnstep.example/auburnstep/internal/quarantine"
 	"auburnstep.example/auburnstep/internal/routing"
 )
 
@@ -175,7 +177,7 @@
 	q.server.metrics.attempts.Inc(1)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	notWaiting := q.server.attempts.add(partIDs(q.demand.Prompt.Parts), cancel)
+	notWaiting := q.server.attempts.add(q.suspects(), cancel)
 	defer notWaiting()
 	if q.findQuarantined() { // The quarantine began after the placement.
 		cancel(errQuarantined)
@@ -355,7 +357,11 @@
 		}
 		q.fail(status, code, last.err)
 	case q.quarantinedPart != "":
-		q.refuse(refusal(http.StatusServiceUnavailable, "part-quarantined", reason, quarantineRetryAfter))
+		code := "part-quarantined"
+		if strings.HasPrefix(q.quarantinedPart, quarantine.RequestPrefix) {
+			code = "request-quarantined"
+		}
+		q.refuse(refusal(http.StatusServiceUnavailable, code, reason, quarantineRetryAfter))
 	default:
 		if reason == "" {
 			reason = "no endpoint took the request"
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -74,9 +74,12 @@
 	longestPause time.Duration
 	// attemptEventAt is when the first event of the present attempt arrived.
 	attemptEventAt time.Time
-	// cachedFingerprint is the result of fingerprint, "" before its first call.
+	// cachedFingerprint and cachedSuspects are the results of fingerprint and suspects, zero
+	// before their first calls.
 	cachedFingerprint string
-	// quarantinedPart is the part of the prompt for which the request is refused.
+	cachedSuspects    []string
+	// quarantinedPart is the part of the prompt, or the fingerprint, for which the request is
+	// refused.
 	quarantinedPart string
 	// closeDelimited is set if the caller's protocol marks the end of a response of unknown
 	// length only by closing the connection.
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -84,10 +84,9 @@
 	// drainingSince is when draining began, in nanoseconds since started.
 	drainingSince atomic.Int64
 	started       time.Time
-	// crashChecks bounds the checks for crashed endpoints that run at the same time.
-	crashChecks chan struct{}
-	attempts    *attemptSet
-	lastIndex   *routing.Index // last table applied; used only by runUpdates
+	crashChecks   *crashChecks
+	attempts      *attemptSet
+	lastIndex     *routing.Index // last table applied; used only by runUpdates
 }
 
 // New returns a server that has not been started.
@@ -101,7 +100,7 @@
 	if o.Limits == nil {
 		o.Limits = directory.NewLimits(o.Scope)
 	}
-	s := &Server{options: o, started: time.Now(), crashChecks: make(chan struct{}, maxCrashChecks), attempts: newAttemptSet(), registry: newRegistry(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope),
+	s := &Server{options: o, started: time.Now(), crashChecks: newCrashChecks(), attempts: newAttemptSet(), registry: newRegistry(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope),
 		metrics: newMetrics(o.Scope)}
 	half := cmp.Or(o.BodyMemory, defaultBodyMemory) / 2
 	s.requestBodies, s.responseBodies = bytebudget.New(half), bytebudget.New(half)
