Failing tests: repeats of a crashing request, native data plane

Fake endpoints can crash under a request to a plain service, and before the head of a response that is not a stream.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -432,3 +433,124 @@
 		qt.Check(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
 	}
 }
+
+// TestRepeatedRequestKeepsCrashingEndpoints guards against a request that crashes each
+// endpoint which runs it, before the head of an answer, and that comes again and again.
+// Other requests of the same customer and for the same service must be served on.
+func TestRepeatedRequestKeepsCrashingEndpoints(t *testing.T) {
+	const (
+		endpoints, repeats = 14, 10
+		// maxCrashed is three crashes and three more requests.
+		maxCrashed = 6
+	)
+	chatPath := "/v1/chat/completions"
+	for _, test := range []struct {
+		name          string
+		config        func() fakeengine.Config
+		deadly, sound func(i int) call
+	}{
+		{"lookup", plainServiceConfig,
+			func(int) call {
+				return call{method: http.MethodGet, path: "/services/rota-app/shift/deadly", header: map[string]string{"X-Auburnstep-Class": "lookup"}}
+			},
+			func(i int) call {
+				return call{method: http.MethodGet, path: "/services/rota-app/shift/" + strconv.Itoa(i%3), header: map[string]string{"X-Auburnstep-Class": "lookup"}}
+			}},
+		{"booking", plainServiceConfig,
+			func(i int) call {
+				return call{path: "/services/rota-app/book", body: "deadly", header: map[string]string{"X-Auburnstep-Class": "booking", "Idempotency-Key": "d" + strconv.Itoa(i)}}
+			},
+			func(i int) call {
+				return call{path: "/services/rota-app/book", body: "sound", header: map[string]string{"X-Auburnstep-Class": "booking", "Idempotency-Key": "s" + strconv.Itoa(i)}}
+			}},
+		{"chat", engineConfig,
+			func(int) call { return call{path: chatPath, body: chatBody("deadly", `,"max_tokens":2`)} },
+			func(i int) call {
+				return call{path: chatPath, body: chatBody("sound "+strconv.Itoa(i%3), `,"max_tokens":2`)}
+			}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			b := testkit.Start(t, declarations)
+			var servers []*fakeengine.Server
+			for range endpoints {
+				s := b.StartEndpoint(t, test.config())
+				s.Inject(fakeengine.Fault{Kind: fakeengine.FaultDeadly, Text: "deadly"})
+				servers = append(servers, s)
+			}
+			for i := range 20 { // Fills the retry budget.
+				res, text := test.sound(100+i).send(t, b)
+				qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%d %s", res.StatusCode, text))
+			}
+			for i := range repeats {
+				res, text := test.deadly(i).send(t, b)
+				if i >= maxCrashed {
+					qt.Check(t, res.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", text))
+					qt.Check(t, res.Header.Get("X-Auburnstep-Verdict"), qt.Equals, "not-run")
+				}
+				res, text = test.sound(i).send(t, b)
+				qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%d %s", res.StatusCode, text))
+			}
+			crashed := 0
+			for _, s := range servers {
+				if c, err := net.Dial("tcp", s.Addr()); err != nil {
+					crashed++
+				} else {
+					_ = c.Close()
+				}
+			}
+			qt.Check(t, crashed <= maxCrashed, qt.IsTrue, qt.Commentf("%d endpoints crashed", crashed))
+		})
+	}
+}
+
+// TestCrashesAreKnownToAllGroupsAndSuccessors guards against a quarantine that only the
+// scheduler of one group knows: another group of the service, or a scheduler that takes
+// over, must not let the request crash further endpoints.
+func TestCrashesAreKnownToAllGroupsAndSuccessors(t *testing.T) {
+	const (
+		endpoints, groups = 24, 3
+		// maxCrashed is three crashes and three more requests.
+		maxCrashed = 6
+	)
+	lookup := func(name string) call {
+		return call{method: http.MethodGet, path: "/services/rota-app/" + name, header: map[string]string{"X-Auburnstep-Class": "lookup"}}
+	}
+	b := testkit.Start(t, strings.Replace(declarations, "{kind: plain,", "{kind: plain, scheduler.groups: "+strconv.Itoa(groups)+",", 1))
+	var servers []*fakeengine.Server
+	for range endpoints {
+		s := b.StartEndpoint(t, plainServiceConfig())
+		s.Inject(fakeengine.Fault{Kind: fakeengine.FaultDeadly, Text: "deadly"})
+		servers = append(servers, s)
+	}
+	crashed := func() (n int) {
+		for _, s := range servers {
+			c, err := net.Dial("tcp", s.Addr())
+			if err != nil {
+				n++
+				continue
+			}
+			_ = c.Close()
+		}
+		return n
+	}
+	for i := range 60 { // Fills the retry budgets.
+		res, text := lookup("sound"+strconv.Itoa(i)).send(t, b)
+		qt.Check(t, res.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	}
+	for range 20 {
+		lookup("deadly").send(t, b)
+		time.Sleep(20 * time.Millisecond)
+	}
+	before := crashed()
+	qt.Check(t, before <= maxCrashed, qt.IsTrue, qt.Commentf("%d endpoints crashed", before))
+
+	b.View.Epoch.Store(2)
+	time.Sleep(4 * time.Second) // A successor waits for the grants in use before it grants.
+	for range 12 {
+		lookup("deadly").send(t, b)
+	}
+	qt.Check(t, crashed(), qt.Equals, before)
+	res, text := lookup("sound").send(t, b)
+	qt.Check(t, res.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+}
--- a/internal/fakeengine/chat.go
+++ b/internal/fakeengine/chat.go
@@ -123,6 +123,9 @@
 		if err != nil {
 			return err
 		}
+		if job.deadly {
+			return s.crashInBackground()
+		}
 		sent = n
 	}
 	id, generator := job.id, job.generator
@@ -193,8 +196,7 @@
 		}
 		if job.deadly {
 			_ = flusher.Flush() // The engine crashes in any case.
-			s.runInBackground(func() { s.inject(Fault{Kind: FaultCrash}) })
-			return errStopped
+			return s.crashInBackground()
 		}
 		for ; sent < n; sent++ {
 			if sent == faultOffset {
--- a/internal/fakeengine/fault.go
+++ b/internal/fakeengine/fault.go
@@ -35,8 +35,9 @@
 	FaultReset FaultKind = "reset"
 	// FaultOverload rejects a request with the verdict not-run.
 	FaultOverload FaultKind = "overload"
-	// FaultDeadly crashes the engine, as FaultCrash does, when it begins to answer a request
-	// whose prompt contains Text.
+	// FaultDeadly crashes the endpoint, as FaultCrash does, when it begins to answer a request
+	// whose prompt, or whose target or body at a plain service, contains Text. The head of a
+	// stream is sent before.
 	FaultDeadly FaultKind = "deadly"
 	FaultClear  FaultKind = "clear"
 )
--- a/internal/fakeengine/plain.go
+++ b/internal/fakeengine/plain.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -67,6 +68,10 @@
 		s.reject(w, http.StatusBadRequest, "invalid_body", err.Error())
 		return
 	}
+	if f, ok := s.faults.trigger(FaultDeadly); ok && strings.Contains(r.URL.RequestURI()+"\n"+string(body), f.Text) {
+		_ = s.crashInBackground()
+		panic(http.ErrAbortHandler)
+	}
 	echo := answers.Echo{Path: r.URL.Path, Query: r.URL.RawQuery, Digest: answers.DigestOf(r.URL.RequestURI())}
 	if r.Method == http.MethodPost {
 		echo.Digest = answers.DigestOf(string(body))
--- a/internal/fakeengine/server.go
+++ b/internal/fakeengine/server.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// crashInBackground crashes the endpoint and returns the error of the requests that end
+// with it. A handler cannot wait for the crash, which waits for the handlers.
+func (s *Server) crashInBackground() error {
+	s.runInBackground(func() { s.inject(Fault{Kind: FaultCrash}) })
+	return errStopped
+}
+
 // stopNow stops the server and resets all connections, as a crash does.
 func (s *Server) stopNow() {
 	s.stopOnce.Do(func() { close(s.stop) })
