--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -12,6 +12,7 @@
 	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/grants"
+	"auburnstep.example/auburnstep/internal/httpconn"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
 	"auburnstep.example/auburnstep/internal/upstream"
 	"auburnstep.example/auburnstep/internal/verdict"
@@ -21,8 +22,8 @@
 // bound the retries of all requests together.
 const maxAttempts = 4
 
-// maxCrashes bounds the endpoints that crash as they begin to answer the same request,
-// since the request may be the cause.
+// maxCrashes bounds the endpoints that crash under the same request, since it may be the
+// cause.
 const maxCrashes = 2
 
 // retrier runs one request; no other layer retries. For each attempt it acquires a
@@ -36,7 +37,7 @@
 	// leastCertain is NotRun until an attempt has ended without proof that the
 	// request did not run; then it is the verdict of the last such attempt.
 	leastCertain verdict.Verdict
-	// crashes counts the endpoints that crashed as they began to answer.
+	// crashes counts the endpoints that crashed before their answers had advanced.
 	crashes int
 }
 
@@ -45,9 +46,12 @@
 	tokens int
 	// timeToFirstToken counts from the start of the attempt.
 	timeToFirstToken time.Duration
-	// crashed reports that the endpoint crashed as it began to answer.
+	// begun reports that the head of the answer arrived, and advanced that more of it was
+	// passed on than its start.
+	begun, advanced bool
+	err             error
+	// crashed is set by tryOnce if the endpoint crashed before the answer had advanced.
 	crashed bool
-	err     error
 }
 
 // newRetrier returns the retrier of a request.
@@ -92,7 +96,12 @@
 	}
 	start := time.Now()
 	rt.s.opts.Events.Emit(eventSent, rt.q.fields(event.F("attempt", id), event.F("endpoint", lease.Grant.Endpoint))...)
+	sentAt := clock.Now()
 	r := attempt(ctx, id, lease)
+	r.crashed = !r.advanced && upstream.IsLost(r.err) && httpconn.HasCrashed(ctx, lease.Grant.Address)
+	if r.crashed {
+		rt.reportCrash(lease, r, sentAt)
+	}
 	lease.Release(attemptOutcome(r, start))
 	if r.err == nil {
 		rt.s.firstTokens.record(rt.q.class, r.timeToFirstToken)
@@ -112,6 +121,16 @@
 	return v, rt.crashes < maxCrashes && retryable(r.err, v, rt.q.class.Idempotent)
 }
 
+// reportCrash tells all schedulers of the service that the endpoint crashed under the
+// request. The prompt is blamed only if the answer had begun; see scheduler.Crash.
+func (rt *retrier) reportCrash(l *grants.Lease, r attemptResult, sentAt time.Time) {
+	crash := grants.Crash{Request: rt.q.id, Fingerprint: rt.schedRequest.Fingerprint, SentAt: sentAt, LostAt: clock.Now()}
+	if r.begun {
+		crash.Prefixes = rt.schedRequest.Prefixes
+	}
+	rt.s.opts.Grants.ReportCrash(l, crash)
+}
+
 func (rt *retrier) avoidEndpoint(endpoint string) {
 	for _, e := range rt.schedRequest.Avoid {
 		if e == endpoint {
@@ -157,7 +176,7 @@
 		DurationMs: uint32(time.Since(start).Milliseconds()), Failed: r.err != nil,
 	}
 	if r.err != nil {
-		o.Crashed = r.crashed
+		o.Crashed, o.CrashedBeforeHead = r.crashed, r.crashed && !r.begun
 		o.EndpointFault = upstream.IsEndpointFault(r.err)
 		o.ConnectRefused = upstream.ReasonOf(r.err) == upstream.ReasonUnreachable
 		o.Unused = upstream.ReasonOf(r.err) == upstream.ReasonGrantExpired
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -11,7 +11,6 @@
 
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/grants"
-	"auburnstep.example/auburnstep/internal/httpconn"
 	"auburnstep.example/auburnstep/internal/openai"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
@@ -50,6 +49,7 @@
 		return verdict.Refused(http.StatusBadRequest, "invalid_request", "the body is not a JSON object")
 	}
 	s.opts.Events.Emit(eventAccepted, q.fields(event.F("model", parsed.Model), event.F("bytes", len(body)))...)
+	q.fingerprint = requestFingerprint(q.customer, r, body)
 	c := &chatCall{s: s, q: q, reserved: reserved, body: streamed, schedRequest: chatSchedulerRequest(q, parsed)}
 	q.delta.promptTokens = int(c.schedRequest.PromptTokens)
 	ctx, cancel := q.withDeadline(r)
@@ -182,9 +182,8 @@
 			return attemptResult{tokens: c.deliveredTokens - before, timeToFirstToken: attemptFirstToken}
 		}
 		if err != nil {
-			justBegun := attemptFirstToken == 0 || time.Since(start)-attemptFirstToken < answerStart
 			return attemptResult{tokens: c.deliveredTokens - before, timeToFirstToken: attemptFirstToken, err: err,
-				crashed: justBegun && upstream.IsLost(err) && httpconn.HasCrashed(ctx, l.Grant.Address)}
+				begun: true, advanced: attemptFirstToken != 0 && time.Since(start)-attemptFirstToken >= answerStart}
 		}
 		if chunk.Tokens > 0 && attemptFirstToken == 0 {
 			attemptFirstToken = time.Since(start)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -41,6 +41,7 @@
 	s.opts.Events.Emit(eventAccepted, q.fields(event.F("method", r.Method), event.F("bytes", len(body)))...)
 	ctx, cancel := q.withDeadline(r)
 	defer cancel()
+	q.fingerprint = requestFingerprint(q.customer, r, body)
 	c := &plainCall{s: s, q: q, w: w, reserved: reserved, body: body, method: r.Method, target: endpointTarget(r), header: endpointHeader(r.Header)}
 	if q.idempotencyKey != "" {
 		return s.runAtMostOnce(ctx, w, q, bodyHash(r, body), c.runForBooking)
@@ -107,7 +108,7 @@
 		defer response.Body.Close()
 		timeToFirstByte = time.Since(c.q.start)
 		attemptTimeToFirstByte := time.Since(start)
-		return attemptResult{timeToFirstToken: attemptTimeToFirstByte, err: c.relay(response)}
+		return attemptResult{timeToFirstToken: attemptTimeToFirstByte, err: c.relay(response), begun: true}
 	})
 	if err == nil {
 		c.s.recordCompleted(c.q, timeToFirstByte, 0)
@@ -191,7 +192,7 @@
 		timeToFirstByte := time.Since(start)
 		body, err := io.ReadAll(response.Body)
 		if err != nil {
-			return attemptResult{err: err}
+			return attemptResult{err: err, begun: true}
 		}
 		if response.Status >= http.StatusInternalServerError {
 			return attemptResult{err: verdict.Unknown(http.StatusBadGateway, "endpoint_error",
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -37,6 +37,8 @@
 	class    *settings.ClassPolicy
 	// idempotencyKey is set only for a class that is not idempotent.
 	idempotencyKey string
+	// fingerprint is set once the body has been read; see requestFingerprint.
+	fingerprint string
 	// delta is added to the counters of the customer when the request ends.
 	delta usageDelta
 }
@@ -135,7 +137,7 @@
 
 // schedulerRequest returns the description of the request for the scheduler.
 func (q *request) schedulerRequest() *schedulerv1.Request {
-	return &schedulerv1.Request{Customer: q.customer, Class: q.class.Class, MayRepeat: q.class.Idempotent}
+	return &schedulerv1.Request{Customer: q.customer, Class: q.class.Class, MayRepeat: q.class.Idempotent, Fingerprint: q.fingerprint}
 }
 
 // withDeadline returns the context of r, bounded by the deadline of the request.
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -68,6 +68,8 @@
 	mu     sync.Mutex
 	groups map[string]*groupGrants
 
+	crashes crashLog
+
 	acquired, callFailures, expiredUnused tally.Counter
 	waitTime                              tally.Timer
 }
--- a/internal/grants/group.go
+++ b/internal/grants/group.go
@@ -29,9 +29,11 @@
 	// renewal.
 	unknown []string
 	// epoch is the latest epoch seen; epochCtx ends when a later one is seen.
-	epoch       uint64
-	epochCtx    context.Context
-	cancelEpoch context.CancelFunc
+	epoch    uint64
+	epochCtx context.Context
+	// acknowledgedCrash is the number of the last crash that the scheduler knows.
+	acknowledgedCrash uint64
+	cancelEpoch       context.CancelFunc
 }
 
 type pendingRelease struct {
@@ -95,6 +97,11 @@
 	delete(g.held, outcome.GrantId)
 	g.released = append(g.released, pendingRelease{outcome, time.Now()})
 	g.mu.Unlock()
+	g.wakeUp()
+}
+
+// wakeUp makes run send what is pending.
+func (g *groupGrants) wakeUp() {
 	select {
 	case g.wake <- struct{}{}:
 	default:
@@ -152,7 +159,9 @@
 	for _, p := range pending {
 		req.Released = append(req.Released, p.outcome)
 	}
-	if len(req.Held)+len(req.HeldIds)+len(req.Released) == 0 && !adopt {
+	crashes, lastCrash := g.newCrashes(adopt)
+	req.Crashes = crashes
+	if len(req.Held)+len(req.HeldIds)+len(req.Released)+len(req.Crashes) == 0 && !adopt {
 		return true
 	}
 	unknown, err := g.send(req)
@@ -161,6 +170,7 @@
 		g.requeue(pending)
 		return false
 	}
+	g.acknowledgeCrashes(lastCrash)
 	if renew {
 		g.mu.Lock()
 		g.unknown = unknown
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -22,8 +22,8 @@
 // immediateRefusal returns the error that refuses a request before it is queued,
 // or nil if the request may be queued.
 func (c *Core) immediateRefusal(now time.Time, w *waiter) *verdict.Error {
-	if c.isQuarantined(w) {
-		return errQuarantined()
+	if refusal := c.quarantined(w); refusal != nil {
+		return refusal
 	}
 	if len(w.request.Avoid) > 0 && (!w.customer.retry.Allowed() || !c.retry.Allowed()) {
 		return verdict.Overloaded("retry_budget_exhausted", "too many recent attempts have failed", 2*time.Second)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -154,7 +154,7 @@
 }
 
 func (c *Core) newWaiter(now time.Time, r Request) *waiter {
-	w := &waiter{request: r, prefixes: promptParts(r.Prefixes), arrived: now.Add(-r.Waited), lastEnqueued: now}
+	w := &waiter{request: r, suspects: suspects(r.Prefixes, r.Fingerprint), arrived: now.Add(-r.Waited), lastEnqueued: now}
 	c.sequence++
 	w.sequence = c.sequence
 	w.customer = c.customerOf(now, r.Customer)
--- a/internal/scheduler/grants.go
+++ b/internal/scheduler/grants.go
@@ -28,7 +28,7 @@
 	class           *class
 	customer        *customer
 	model           string   // empty if not known
-	prefixes        []string // of the prompt; see promptParts
+	suspects        []string // of the request; see suspects
 	tier            int
 	epoch           uint64
 	granted         time.Time
@@ -67,7 +67,7 @@
 	id := strconv.FormatUint(c.config.Epoch, 36) + "-" + strconv.FormatUint(c.sequence, 36)
 	g := &grant{
 		id: id, requestID: w.request.ID, entry: w.request.Entry, endpoint: ep, class: w.class,
-		customer: w.customer, model: w.request.Model, prefixes: w.prefixes, tier: w.request.Tier, epoch: c.config.Epoch, granted: now,
+		customer: w.customer, model: w.request.Model, suspects: w.suspects, tier: w.request.Tier, epoch: c.config.Epoch, granted: now,
 		validUntil: now.Add(grantUseTimeout), work: w.work, cost: w.cost,
 		uncachedTokens: c.uncachedTokens(w, ep), inFlightAtGrant: ep.inFlight + 1, reserved: reserved,
 		inAvoidList: slices.Contains(w.request.Avoid, ep.spec.ID),
@@ -94,7 +94,7 @@
 func (c *Core) granted(now time.Time, g *grant) Granted {
 	return Granted{
 		RequestID: g.requestID, Entry: g.entry, GrantID: g.id, Epoch: g.epoch,
-		Endpoint: g.endpoint.spec.ID, Address: g.endpoint.spec.Address,
+		Endpoint: g.endpoint.spec.ID, Incarnation: g.endpoint.spec.Incarnation, Address: g.endpoint.spec.Address,
 		ExpiresIn: max(0, g.granted.Add(grantUseTimeout).Sub(now)), Priority: g.tier, Reserved: g.reserved,
 	}
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -11,7 +11,7 @@
 // waiter is a waiting request.
 type waiter struct {
 	request      Request
-	prefixes     []string // of the prompt; see promptParts
+	suspects     []string // see suspects
 	arrived      time.Time
 	lastEnqueued time.Time // time of the last Enqueue
 	due          time.Time // latest start that meets the target
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -91,6 +91,8 @@
 	MaxTokens    int
 	// Prefixes are hashes of prefixes of the prompt, shortest prefix first.
 	Prefixes []uint64
+	// Fingerprint is an id that the request shares with its repeats only, "" if it has none.
+	Fingerprint string
 	// Model and Adapter restrict the endpoints that may serve the request; an
 	// empty value matches every endpoint.
 	Model   string
@@ -158,12 +160,26 @@
 	// ConnectRefused is set if the endpoint did not accept a connection. The
 	// core then ejects the endpoint at once.
 	ConnectRefused bool
-	// Crashed is set if the endpoint crashed as it began to answer. It refuses connections.
-	Crashed bool
+	// Crashed is set if the endpoint crashed before it had well begun to answer. It refuses
+	// connections. CrashedBeforeHead is set if that was before the head of the answer.
+	Crashed, CrashedBeforeHead bool
 	// Unused is set if the grant was returned before any byte was sent.
 	Unused bool
 }
 
+// Crash is a request under which an endpoint crashed, as reported by its entry. The request
+// may have been granted by another scheduler.
+type Crash struct {
+	Endpoint    string
+	Incarnation uint64
+	// Request is the id of the request without the number of the attempt.
+	Request string
+	// Prefixes is empty if the endpoint crashed before the head of the answer.
+	Prefixes       []uint64
+	Fingerprint    string
+	SentAt, LostAt time.Time
+}
+
 // HeldGrant is a grant as reported by the entry that holds it.
 type HeldGrant struct {
 	GrantID   string
@@ -179,12 +195,13 @@
 
 // Granted assigns a slot of an endpoint to a request.
 type Granted struct {
-	RequestID string
-	Entry     string
-	GrantID   string
-	Epoch     uint64
-	Endpoint  string
-	Address   string
+	RequestID   string
+	Entry       string
+	GrantID     string
+	Epoch       uint64
+	Endpoint    string
+	Address     string
+	Incarnation uint64
 	// ExpiresIn is the time after which the grant is void if it has not been
 	// used. It counts from the call that returned the decision.
 	ExpiresIn time.Duration
--- a/internal/schedulerhost/convert.go
+++ b/internal/schedulerhost/convert.go
@@ -22,7 +22,7 @@
 		held := clock.Now().Sub(received)
 		return &schedulerv1.AcquireResponse{Grant: &schedulerv1.Grant{
 			Id: d.GrantID, Epoch: d.Epoch, Endpoint: d.Endpoint, Address: d.Address,
-			ExpiresInMs: uint32((held + d.ExpiresIn).Milliseconds()), Priority: uint32(d.Priority),
+			ExpiresInMs: uint32((held + d.ExpiresIn).Milliseconds()), Priority: uint32(d.Priority), Incarnation: d.Incarnation,
 		}}
 	case scheduler.Refused:
 		return &schedulerv1.AcquireResponse{Refusal: refusalMessage(d.Err)}
@@ -41,10 +41,21 @@
 	return scheduler.Outcome{
 		Tokens: int(o.Tokens), FirstToken: time.Duration(o.FirstTokenMs) * time.Millisecond,
 		Duration: time.Duration(o.DurationMs) * time.Millisecond, Failed: o.Failed, EndpointFault: o.EndpointFault,
-		ConnectRefused: o.ConnectRefused, Crashed: o.Crashed, Unused: o.Unused,
+		ConnectRefused: o.ConnectRefused, Crashed: o.Crashed, CrashedBeforeHead: o.CrashedBeforeHead, Unused: o.Unused,
 	}
 }
 
+func crashesFromProto(now time.Time, reports []*schedulerv1.CrashReport) []scheduler.Crash {
+	out := make([]scheduler.Crash, len(reports))
+	for i, r := range reports {
+		out[i] = scheduler.Crash{
+			Endpoint: r.Endpoint, Incarnation: r.Incarnation, Request: r.Request, Prefixes: r.Prefixes, Fingerprint: r.Fingerprint,
+			SentAt: now.Add(-time.Duration(r.SentAgeMs) * time.Millisecond), LostAt: now.Add(-time.Duration(r.LostAgeMs) * time.Millisecond),
+		}
+	}
+	return out
+}
+
 func heldGrantsFromProto(held []*schedulerv1.HeldGrant) []scheduler.HeldGrant {
 	out := make([]scheduler.HeldGrant, len(held))
 	for i, h := range held {
--- a/internal/schedulerhost/handler.go
+++ b/internal/schedulerhost/handler.go
@@ -87,7 +87,7 @@
 	return scheduler.Request{
 		ID: r.Id, Entry: m.Entry, Customer: r.Customer, Class: r.Class, Tier: p.Tier, Target: p.FirstTokenTarget,
 		Deadline: deadline, Waited: time.Duration(r.WaitedMs) * time.Millisecond, PromptTokens: int(r.PromptTokens),
-		MaxTokens: int(r.MaxTokens), Prefixes: r.Prefixes, Model: r.Model, MayRepeat: r.MayRepeat, Avoid: r.Avoid,
+		MaxTokens: int(r.MaxTokens), Prefixes: r.Prefixes, Fingerprint: r.Fingerprint, Model: r.Model, MayRepeat: r.MayRepeat, Avoid: r.Avoid,
 	}, nil
 }
 
@@ -109,6 +109,7 @@
 		for _, o := range m.Released {
 			g.deliver(g.core.Release(now, o.GrantId, outcomeFromProto(o)))
 		}
+		g.deliver(g.core.RecordCrashes(now, crashesFromProto(now, m.Crashes)))
 		res.Unknown = g.core.Extend(now, m.HeldIds)
 		g.deliver(g.core.Renew(now, m.Entry, heldGrantsFromProto(m.Held)))
 	})
