--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -31,7 +32,10 @@
 	announceInterval = time.Second
 	defaultLease     = 3 * time.Second
 	maxLease         = 30 * time.Second
-	maxSlots         = 4096
+	// maxTokensPerSecond bounds the pace that an endpoint may state, far above that of any
+	// engine.
+	maxTokensPerSecond = 1_000_000
+	maxSlots           = 4096
 	// announceTimeout bounds the call to the group's scheduler.
 	announceTimeout = time.Second
 )
@@ -123,7 +127,7 @@
 	if !openai.IsValidID(a.ID) {
 		return invalid("\"id\" must be 1 to 128 printable characters without spaces")
 	}
-	if _, port, err := net.SplitHostPort(a.Address); err != nil || port == "" {
+	if !hasNumericPort(a.Address) {
 		return invalid("\"address\" is " + quote(a.Address) + "; allowed is host:port")
 	}
 	if kind := endpointKind(service); a.Kind != kind {
@@ -135,12 +139,25 @@
 	if a.LeaseMS < 0 || a.LeaseMS > maxLease.Milliseconds() {
 		return invalid("\"lease_ms\" is " + strconv.FormatInt(a.LeaseMS, 10) + "; allowed are 0 to " + strconv.FormatInt(maxLease.Milliseconds(), 10))
 	}
-	if l := a.Load; l != nil && (l.Running < 0 || l.Waiting < 0 || l.KVUsed < 0) {
-		return invalid("\"load\" holds a negative number")
+	if a.TokensPerSecond < 0 || a.TokensPerSecond > maxTokensPerSecond {
+		return invalid("\"tokens_per_second\" must be 0 to " + strconv.Itoa(maxTokensPerSecond))
+	}
+	if l := a.Load; l != nil && (min(l.Running, l.Waiting) < 0 || max(l.Running, l.Waiting) > math.MaxInt32 || l.KVUsed < 0 || l.KVUsed > math.MaxFloat32) {
+		return invalid("\"load\" holds a number that is negative or too large")
 	}
 	return nil
 }
 
+// hasNumericPort reports whether an address is host:port with a port from 1 to 65535.
+func hasNumericPort(address string) bool {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
 func endpointKind(service *settings.ServicePolicy) string {
 	if service.Engine {
 		return endpointapi.KindEngine
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -140,6 +141,35 @@
 	qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%s", text))
 }
 
+// TestOddAnnouncementIsTaken guards against an announcement with a number out of range, or
+// nested so deeply that it cannot be read, that adds an endpoint or disturbs the others.
+func TestOddAnnouncementIsTaken(t *testing.T) {
+	b := testkit.Start(t, declarations)
+	b.StartEndpoint(t, plainServiceConfig())
+	const announcement = `{"id":"odd","incarnation":1,"service":"rota-app","kind":"plain","address":"127.0.0.1:1","slots":1,"tokens_per_second":5,` +
+		`"load":{"running":1,"waiting":0,"kv_used":0}}`
+	for _, c := range []struct{ name, from, to string }{
+		{"port out of range", ":1\"", ":65536\""}, {"port 0", ":1\"", ":0\""}, {"port by name", ":1\"", ":http\""}, {"negative port", ":1\"", ":-1\""},
+		{"pace too large", `second":5`, `second":1e300`}, {"pace without end", `second":5`, `second":1e999`}, {"negative pace", `second":5`, `second":-5`},
+		{"load too large", `running":1`, `running":9000000000000`}, {"cache use too large", `kv_used":0`, `kv_used":1e300`},
+		{"slots too large", `slots":1`, `slots":99999999999999999999`}, {"incarnation too large", `incarnation":1`, `incarnation":99999999999999999999999`},
+		{"deeply nested", `"slots"`, `"x":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `,"slots"`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			body := strings.Replace(announcement, c.from, c.to, 1)
+			qt.Assert(t, body, qt.Not(qt.Equals), announcement)
+			res, text := call{path: "/endpoints/v1/announce", body: body}.send(t, b)
+			qt.Check(t, res.StatusCode, qt.Equals, 400, qt.Commentf("%s", text))
+		})
+	}
+	for i := range 4 {
+		res, text := bookingRequest("k"+strconv.Itoa(i), "statue 7").send(t, b)
+		qt.Check(t, res.StatusCode < 300, qt.IsTrue, qt.Commentf("%s", text))
+	}
+	res, text := call{path: "/endpoints/v1/announce", body: announcement}.send(t, b)
+	qt.Check(t, res.StatusCode, qt.Equals, 200, qt.Commentf("%s", text)) // The original is valid.
+}
+
 // TestUsage guards against requests and tokens that are counted twice, under the wrong
 // outcome, or for the wrong customer.
 func TestUsage(t *testing.T) {
