A refusal without id on a reused connection proves nothing

Report of other operators: an endpoint writes an earlier refusal once more on a kept connection, and callers are told that a request has not run that runs. The native client accepted a refusal without request id on a reused connection. It now counts as a response to another request, and the verdict is may-have-run. Only repeatable requests use kept connections, so none ran twice where it must not.

The routed path did not have it: TestRequestReturnsToEndpointThatRefusedIt shows that a request, whose id all its attempts share, is not sent again to an endpoint that refused it.

TestRepeatedRefusalOnKeptConnection failed before with not-run.

--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -10,12 +10,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"auburnstep.example/auburnstep/internal/bytebudget"
+	"auburnstep.example/auburnstep/internal/verdict"
 )
 
 // writeForever writes text until the connection is closed.
@@ -366,3 +368,24 @@
 	took := time.Since(began)
 	qt.Check(t, took < s.options.Grace+headGrace/2, qt.IsTrue, qt.Commentf("%v with a grace of %v", took, s.options.Grace))
 }
+
+// TestRequestReturnsToEndpointThatRefusedIt guards against a request that is sent once more
+// to an endpoint that has refused it: the earlier refusal, written again on the kept
+// connection, has the id of the request and would be taken for the answer.
+func TestRequestReturnsToEndpointThatRefusedIt(t *testing.T) {
+	for _, path := range []string{"/book/1", "/look/1", "/chat/1", "/plan/1"} {
+		t.Run(path, func(t *testing.T) {
+			var attempts atomic.Int64
+			e := newFakeEndpoint(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+				attempts.Add(1)
+				fmt.Fprintf(c, "HTTP/1.1 503 X\r\n%s: %s\r\n%s: not-run\r\nContent-Length: 0\r\n\r\n", nativeRequestID, r.Header.Get(nativeRequestID), verdict.Header)
+				return true
+			})
+			_, address := startRouter(t, e)
+			resp, _, err := postRequest(t, address, path, nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, attempts.Load(), qt.Equals, int64(1))
+		})
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"auburnstep.example/auburnstep/internal/clock"
+	"auburnstep.example/auburnstep/internal/verdict"
 )
 
 // Error is the class of the errors of this package other than RequestError.
@@ -81,6 +83,7 @@
 type writeTracker struct {
 	mu           sync.Mutex
 	connected    bool
+	reused       bool // the connection carried another request before
 	conn         *countingConn
 	writesBefore int64
 	// sendBefore is the end of the grant; zero sets no limit.
@@ -98,7 +101,7 @@
 		w.conn = nil
 		return
 	}
-	w.connected = true
+	w.connected, w.reused = true, info.Reused
 	raw := info.Conn
 	if t, ok := raw.(*tls.Conn); ok {
 		raw = t.NetConn()
@@ -108,6 +111,22 @@
 	}
 }
 
+// checkResponseID returns an error unless a response can be the one to the request with the
+// id. A refusal without an id on a reused connection may be that of an earlier request, and
+// proves nothing about this one. Other responses need no id, since not all services echo it.
+func (w *writeTracker) checkResponseID(resp *http.Response, request string) error {
+	id := resp.Header.Get(HeaderRequestID)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case id != "" && id != request:
+		return Error.New("the response header has ID %q", id)
+	case id == "" && w.reused && verdict.Parse(resp.Header.Get(verdict.Header)) == verdict.NotRun:
+		return Error.New("a refusal without ID on a reused connection")
+	}
+	return nil
+}
+
 // grantExpired reports whether the request was not sent because its grant had expired.
 func (w *writeTracker) grantExpired() bool {
 	w.mu.Lock()
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -178,3 +178,50 @@
 	c.Check(tracker.grantExpired(), qt.IsTrue)
 	c.Check(tracker.nothingWritten(), qt.IsTrue)
 }
+
+// TestRepeatedRefusalOnKeptConnection guards against a refusal of an earlier request that
+// the endpoint writes once more on a kept connection and that is taken for proof that the
+// present request has not run.
+func TestRepeatedRefusalOnKeptConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer listener.Close()
+	var connections atomic.Int64
+	const refusal = "HTTP/1.1 503 X\r\n" + verdict.Header + ": not-run\r\nContent-Length: 0\r\n\r\n"
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer conn.Close()
+				for reader := bufio.NewReader(conn); ; {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if _, err := io.WriteString(conn, refusal); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	client := New(Options{})
+	t.Cleanup(client.Close)
+	call := func(id string) *RequestError {
+		_, err := client.Do(context.Background(), PlainCall{Endpoint: listener.Addr().String(), RequestID: id, Method: http.MethodGet, Target: "/", ReuseConnection: true})
+		var reqErr *RequestError
+		qt.Assert(t, errors.As(err, &reqErr), qt.IsTrue)
+		return reqErr
+	}
+	first := call("a")
+	qt.Check(t, first.Err.Verdict, qt.Equals, verdict.NotRun) // No other request came before.
+	second := call("b")
+	qt.Check(t, connections.Load(), qt.Equals, int64(1))
+	qt.Check(t, second.Err.Verdict, qt.Equals, verdict.MayHaveRun)
+	qt.Check(t, second.Reason, qt.Equals, ReasonResponseMismatch)
+}
--- a/internal/upstream/plain.go
+++ b/internal/upstream/plain.go
@@ -78,7 +78,7 @@
 		cancel(err)
 		return nil, body.attributeError(a, reqErr)
 	}
-	response, err := a.response(ctx, cancel, call, resp)
+	response, err := a.response(ctx, cancel, call, resp, tracker)
 	if err != nil {
 		cancel(err)
 		_ = resp.Body.Close()
@@ -114,10 +114,10 @@
 }
 
 // response checks the header of resp and returns the Response for the caller.
-func (a attempt) response(ctx context.Context, cancel context.CancelCauseFunc, call PlainCall, resp *http.Response) (*Response, error) {
-	if id := resp.Header.Get(HeaderRequestID); id != "" && id != call.RequestID {
+func (a attempt) response(ctx context.Context, cancel context.CancelCauseFunc, call PlainCall, resp *http.Response, tracker *writeTracker) (*Response, error) {
+	if err := tracker.checkResponseID(resp, call.RequestID); err != nil {
 		a.client.metrics.responseMismatches.Inc(1)
-		return nil, a.recordError(ReasonResponseMismatch, verdict.MayHaveRun, Error.New("the response header has ID %q", id))
+		return nil, a.recordError(ReasonResponseMismatch, verdict.MayHaveRun, err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest && verdict.Parse(resp.Header.Get(verdict.Header)) == verdict.NotRun {
 		return nil, a.classifyErrorResponse(resp)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -139,9 +139,9 @@
 		return reqErr
 	}
 	s.body = resp.Body
-	if id := resp.Header.Get(HeaderRequestID); id != "" && id != s.call.RequestID {
+	if err := tracker.checkResponseID(resp, s.call.RequestID); err != nil {
 		s.client.metrics.responseMismatches.Inc(1)
-		return s.abort(s.recordError(ReasonResponseMismatch, verdict.MayHaveRun, Error.New("the response header has ID %q", id)))
+		return s.abort(s.recordError(ReasonResponseMismatch, verdict.MayHaveRun, err))
 	}
 	if resp.StatusCode != http.StatusOK {
 		reqErr := s.classifyErrorResponse(resp)
