Errors of another answer do not get into a stream that resumes

A resumed stream took whatever the next endpoint sent with 200: JSON or text with a blank line after it was passed on in the middle of the caller's stream, which then ended as complete. In a stream without a length a second answer of the endpoint was passed on as an event, status line and all.

A resumed answer of another content type, or whose first event has no id, ends the attempt, and so does a status line in a stream without a length.

TestErrorInsideResumedStream failed before in 5 of 11 cases (200 with JSON, without type, with an event without id, and two of a second answer).

--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -389,3 +390,63 @@
 		})
 	}
 }
+
+// TestErrorInsideResumedStream guards against the text or the head of another answer in the
+// middle of a stream that broke off, and against a stream that then ends as if it were
+// complete.
+func TestErrorInsideResumedStream(t *testing.T) {
+	from := func(r *http.Request) int {
+		n, err := strconv.Atoi(r.Header.Get(nativeLastEvent))
+		if err != nil {
+			return 0
+		}
+		return n + 1
+	}
+	const text = `{"error":"boom"}` + "\n\n"
+	answer := func(status int, fields string) func(c net.Conn, r *http.Request, _ string) bool {
+		return func(c net.Conn, r *http.Request, _ string) bool {
+			fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, nativeRequestID, r.Header.Get(nativeRequestID), fields, len(text), text)
+			return true
+		}
+	}
+	const stream = "Content-Type: text/event-stream\r\n"
+	unframed := func(rest string) func(c net.Conn, r *http.Request, _ string) bool {
+		return func(c net.Conn, r *http.Request, _ string) bool {
+			_, _ = io.WriteString(c, head(r, stream+"Connection: close\r\n"))
+			for i := from(r); i <= from(r)+1; i++ {
+				fmt.Fprintf(c, "id: %d\ndata: %d\n\n", i, i)
+			}
+			_, _ = io.WriteString(c, strings.ReplaceAll(rest, "ID", r.Header.Get(nativeRequestID)))
+			return false
+		}
+	}
+	second := "HTTP/1.1 500 X\r\n" + nativeRequestID + ": ID\r\nContent-Length: 18\r\n\r\n" + text
+	breaksOff := func(c net.Conn, r *http.Request, _ string) bool {
+		writeEvents(c, r, from(r), 4, false)
+		return false
+	}
+	for _, c := range []struct {
+		name          string
+		first, second func(net.Conn, *http.Request, string) bool
+	}{
+		{"500", breaksOff, answer(500, "")}, {"404", breaksOff, answer(404, "")}, {"429", breaksOff, answer(429, "")},
+		{"503, not run", breaksOff, answer(503, verdict.Header+": not-run\r\n")}, {"421", breaksOff, answer(421, "")},
+		{"500 as events", breaksOff, answer(500, stream)}, {"200 with JSON", breaksOff, answer(200, "Content-Type: application/json\r\n")},
+		{"200 without type", breaksOff, answer(200, "")}, {"200 with an event without id", breaksOff, answer(200, stream)},
+		{"a second answer in a stream without length", unframed(second), unframed(second)},
+		{"a second answer in the stream that resumes", breaksOff, unframed(second)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			one, two := newFakeEndpoint(t, "e1", c.first), newFakeEndpoint(t, "e2", c.second)
+			s, address := startRouter(t, one, two)
+			preferFirst(s)
+			_, body, err := postRequest(t, address, "/plan/1", nil)
+			qt.Check(t, err, qt.IsNotNil) // The stream is not complete.
+			for block := range strings.SplitSeq(strings.TrimSuffix(body, "\n\n"), "\n\n") {
+				qt.Check(t, block, qt.Matches, `id: (\d+)\ndata: (\d+|.*\d+.*)`, qt.Commentf("%q", body))
+			}
+			qt.Check(t, strings.Contains(body, "boom"), qt.IsFalse, qt.Commentf("%q", body))
+			qt.Check(t, strings.Contains(body, "HTTP/1.1"), qt.IsFalse, qt.Commentf("%q", body))
+		})
+	}
+}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,8 +25,14 @@
 	errTruncated  = errors.New("the answer ended early")
 	errNotResumed = errors.New("the endpoint did not go on with the stream")
 	errEventGap   = errors.New("the stream does not go on after the last event")
+	// errSecondAnswer ends a stream without a length, in which bytes after its end cannot be
+	// told from events.
+	errSecondAnswer = errors.New("another answer follows in the stream")
 )
 
+// statusLineStart begins the status line of an HTTP/1 response.
+const statusLineStart = "HTTP/1."
+
 // bufferedResponse is a complete response.
 type bufferedResponse struct {
 	status int
@@ -105,6 +113,11 @@
 // take over unnoticed. Blocks without fields before that event are sent with it. A
 // stream that resumes at another endpoint keeps the headers of the first one.
 func (q *request) relayStream(resp *httpconn.Response, onResponseStart func()) attemptResult {
+	resumes := q.responseStarted
+	if resumes && hasOtherType(resp) {
+		_ = resp.Close(false)
+		return attemptResult{outcome: dispatch.Broken, err: errNotResumed}
+	}
 	reader := bufio.NewReaderSize(resp.Body, 4<<10)
 	control := http.NewResponseController(q.w)
 	first := true
@@ -123,6 +136,10 @@
 		case first && e.empty:
 			leading = e.raw
 			continue
+		case first && resumes && q.lastEvent >= 0 && e.id < 0:
+			return q.endStream(resp, e, errNotResumed)
+		case !isDelimited(resp) && bytes.HasPrefix(e.raw, []byte(statusLineStart)):
+			return q.endStream(resp, e, errSecondAnswer)
 		case !e.empty:
 			q.recordPause(time.Now())
 		}
@@ -146,6 +163,20 @@
 	}
 }
 
+// hasOtherType reports whether a response says that it is something else than an event
+// stream.
+func hasOtherType(resp *httpconn.Response) bool {
+	contentType := resp.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return contentType != "" && (err != nil || mediaType != "text/event-stream")
+}
+
+// isDelimited reports whether the end of the body is known without the end of the
+// connection.
+func isDelimited(resp *httpconn.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // recordPause updates the longest pause with the arrival of an event.
 func (q *request) recordPause(now time.Time) {
 	if q.attemptEventAt.IsZero() {
@@ -181,8 +212,7 @@
 // was broken off. One without a length and transfer encoding also was if it has no event
 // or other bytes after the last one, since its end may be that of the connection.
 func (q *request) endStream(resp *httpconn.Response, rest streamEvent, err error) attemptResult {
-	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	brokenOff := hasField(rest.raw) || !delimited && (len(rest.raw) > 0 || q.attemptEventAt.IsZero())
+	brokenOff := hasField(rest.raw) || !isDelimited(resp) && (len(rest.raw) > 0 || q.attemptEventAt.IsZero())
 	if !isCleanEOF(err) || brokenOff {
 		_ = resp.Close(false)
 		if isCleanEOF(err) {
