An endpoint that says in an answer that it leaves gets no further requests

The header was not read: an entry that did not know of the departure from announcements, or could not reach control, sent on to an endpoint about to end.

The head of any answer of the endpoint, a refusal or an error too, ends its incarnation for this entry at once, also after it was missing from the list for a while. It holds for the last endpoint of a service as well.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -45,6 +45,8 @@
 	mix requestMix
 	// longArrivals is the rate of this entry's requests with long prompts.
 	longArrivals arrivalRate
+	// notices holds what endpoints have said about themselves.
+	notices map[incarnation]notice
 	// backlogSeenAt is the time at which a request was last placed while the
 	// backlog or queues exceeded the busy level (see busyShare).
 	backlogSeenAt time.Time
@@ -54,7 +56,7 @@
 // random makes entries with the same view of the load choose different endpoints.
 func NewBalancer(domain string, memory *Memory, random *rand.Rand) *Balancer {
 	return &Balancer{
-		domain: domain, memory: memory, random: random, entries: 1, states: make(map[string]*endpointState), pace: 1, shortPerEngine: initialShortPerEngine,
+		domain: domain, memory: memory, random: random, entries: 1, states: make(map[string]*endpointState), notices: make(map[incarnation]notice), pace: 1, shortPerEngine: initialShortPerEngine,
 		shortGenerationMs: float64(initialGeneration.Milliseconds()), longGenerationMs: float64(initialGeneration.Milliseconds()), serviceTimeMs: float64(initialServiceTime.Milliseconds()),
 	}
 }
@@ -68,6 +70,7 @@
 		s := b.states[e.ID]
 		if s == nil || s.Incarnation != e.Incarnation {
 			s = newEndpointState(e)
+			s.leaving = b.notices[incarnation{e.ID, e.Incarnation}].leaving
 		}
 		if s.Address != e.Address {
 			s.replaced = false
@@ -139,9 +142,12 @@
 
 // usable reports whether an endpoint may get requests at a time.
 func usable(s *endpointState, now time.Time) bool {
-	return !s.Draining && !s.replaced && !now.Before(s.ejectedUntil)
+	return !s.ended() && !now.Before(s.ejectedUntil)
 }
 
+// ended reports whether the incarnation gets no further requests.
+func (s *endpointState) ended() bool { return s.Draining || s.leaving || s.replaced }
+
 // Busy reports whether a request was recently placed above the busy level (see
 // busyShare), so that the load of the other entries should be refreshed more often.
 func (b *Balancer) Busy(now time.Time) bool { return now.Sub(b.backlogSeenAt) < busyDuration }
@@ -191,7 +197,7 @@
 	// If every endpoint is ejected, the cause is more likely the load or this entry
 	// than each single endpoint, so that all of them are tried again.
 	for _, s := range b.poolOrder {
-		if !s.Draining && !s.replaced && !slices.Contains(avoid, s.ID) {
+		if !s.ended() && !slices.Contains(avoid, s.ID) {
 			out = append(out, s)
 		}
 	}
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -71,6 +71,8 @@
 	lastSuccess  time.Time
 	// replaced is set once a different endpoint responds at the address.
 	replaced bool
+	// leaving is set once the endpoint has said that it is leaving.
+	leaving bool
 
 	// limit is the endpoint's limit of requests. blockedUntil is when it allows the next one.
 	limit        Limit
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -271,6 +271,9 @@
 	if head.Limit != nil || head.Executed {
 		q.recordLimit(c, head.Limit)
 	}
+	if head.Leaving && !head.Replaced {
+		q.recordLeaving(c)
+	}
 	switch {
 	case head.RequestID == "" && resp.Reused:
 		// It may be a late response to an earlier request on the connection, and proves
--- a/internal/router/codec.go
+++ b/internal/router/codec.go
@@ -61,6 +61,8 @@
 	NotRun bool
 	// Replaced reports that a different endpoint is now at the address.
 	Replaced bool
+	// Leaving reports that the endpoint is about to end and wants no further requests.
+	Leaving bool
 	// Load is the load of the endpoint, nil if the endpoint does not report it.
 	Load *dispatch.Report
 	// Limit is the number of requests per second that the endpoint takes from all entries
--- a/internal/router/native.go
+++ b/internal/router/native.go
@@ -20,6 +20,7 @@
 	nativeRank      = "X-Priority"
 	nativeLoad      = "X-Auburnstep-Load"
 	nativeLimit     = "X-Auburnstep-Limit"
+	nativeLeaving   = "X-Auburnstep-Leaving"
 	nativePrompt    = "X-Auburnstep-Prompt"
 	nativeFetchFrom = "X-Auburnstep-Fetch-From"
 	nativeLastEvent = "Last-Event-Id"
@@ -87,6 +88,7 @@
 	}
 	head.Executed = head.RequestID != "" && !notRun
 	head.Limit = DecodeLimit(r.Header.Get(nativeLimit))
+	head.Leaving = r.Header.Get(nativeLeaving) == "1"
 	fields := strings.Split(r.Header.Get(nativeLoad), ",")
 	if len(fields) != 3 {
 		return head
