Endpoints get nothing for the time that they name with a 503

Retry-After of endpoints was not read: an endpoint that asked for a pause of 0.7 s got 799 requests in 0.65 s, each of which also counted towards its ejection.

The pause closes the endpoint for this entry, through lists that lack it and up to 5 minutes, is no failure, and ends with a jitter.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -58,7 +58,7 @@
 }
 
 // AdmitBlocked decides whether a request that no endpoint may get because of their limits
-// waits or is refused.
+// and pauses waits or is refused.
 func AdmitBlocked(now time.Time, d Demand) Decision {
 	if now.Sub(d.Arrived) < time.Duration(maxWaitShare*float64(d.Objective)) {
 		return Wait
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -70,7 +70,8 @@
 		s := b.states[e.ID]
 		if s == nil || s.Incarnation != e.Incarnation {
 			s = newEndpointState(e)
-			s.leaving = b.notices[incarnation{e.ID, e.Incarnation}].leaving
+			said := b.notices[incarnation{e.ID, e.Incarnation}]
+			s.leaving, s.pausedUntil = said.leaving, said.pausedUntil
 		}
 		if s.Address != e.Address {
 			s.replaced = false
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -73,6 +73,8 @@
 	replaced bool
 	// leaving is set once the endpoint has said that it is leaving.
 	leaving bool
+	// pausedUntil is the end of the pause that the endpoint has asked for.
+	pausedUntil time.Time
 
 	// limit is the endpoint's limit of requests. blockedUntil is when it allows the next one.
 	limit        Limit
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -133,12 +133,15 @@
 	}
 }
 
-// isOpen reports whether the limit of the endpoint lets a request be sent there.
+// isOpen reports whether a pause and the limit of the endpoint let a request be sent there.
 func (s *endpointState) isOpen(now time.Time, d *Demand) bool {
+	if now.Before(s.pausedUntil) {
+		return false
+	}
 	return s.limit.PerSecond == 0 || !d.AvoidLimited && !now.Before(s.blockedUntil)
 }
 
-// open returns the endpoints whose limits let a request be sent there.
+// open returns the endpoints that let a request be sent there; see isOpen.
 func open(now time.Time, d *Demand, endpoints []*endpointState) []*endpointState {
 	for i, s := range endpoints {
 		if s.isOpen(now, d) {
@@ -156,12 +159,13 @@
 }
 
 // blockedChoice returns the choice for a request that no endpoint may get at present
-// because of their limits.
+// because of their limits or pauses.
 func blockedChoice(now time.Time, endpoints []*endpointState) Choice {
 	var c Choice
 	for _, s := range endpoints {
-		if wait := max(WaitStep, s.blockedUntil.Sub(now)); c.BlockedFor == 0 || wait < c.BlockedFor {
+		if wait := max(WaitStep, s.blockedUntil.Sub(now), s.pausedUntil.Sub(now)); c.BlockedFor == 0 || wait < c.BlockedFor {
 			c.BlockedFor = wait
+			c.Paused = now.Before(s.pausedUntil)
 		}
 	}
 	c.Lateness = c.BlockedFor
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -8,6 +8,13 @@
 	noticeRetention = 10 * time.Minute
 	// maxNotices bounds what is remembered, at about 100 bytes each.
 	maxNotices = 4096
+	// maxPause bounds the pause that an endpoint may ask for, so that a wrong number does not
+	// take it away for good.
+	maxPause = 5 * time.Minute
+	// pauseJitter is the largest part of a pause, and maxPauseJitter the longest time, for
+	// which an entry waits longer than it was asked to.
+	pauseJitter    = 0.25
+	maxPauseJitter = time.Second
 )
 
 // incarnation identifies one start of an endpoint.
@@ -20,7 +27,8 @@
 type notice struct {
 	at time.Time
 	// leaving is set for good: the endpoint ends, and its next start is another incarnation.
-	leaving bool
+	leaving     bool
+	pausedUntil time.Time
 }
 
 // RecordLeaving records that an endpoint has said that it is leaving, and reports whether
@@ -31,13 +39,31 @@
 	if b.notices[key].leaving {
 		return false
 	}
-	b.remember(now, key, notice{at: now, leaving: true})
+	b.remember(now, key, notice{at: now, leaving: true, pausedUntil: b.notices[key].pausedUntil})
 	if s := b.endpointState(c); s != nil {
 		s.leaving = true
 	}
 	return true
 }
 
+// RecordPause records that an endpoint has turned a request away and wants no further ones
+// from this entry for a time. The pause is no failure of the endpoint. After it the entry
+// waits up to a further pauseJitter of it, so that the entries do not return together.
+func (b *Balancer) RecordPause(now time.Time, c *Choice, pause time.Duration) {
+	pause = min(pause, maxPause)
+	pause += min(maxPauseJitter, time.Duration(pauseJitter*b.random.Float64()*float64(pause)))
+	key := incarnation{c.Endpoint.ID, c.Endpoint.Incarnation}
+	n := b.notices[key]
+	n.at = now
+	if until := now.Add(pause); until.After(n.pausedUntil) {
+		n.pausedUntil = until
+	}
+	b.remember(now, key, n)
+	if s := b.endpointState(c); s != nil {
+		s.pausedUntil = n.pausedUntil
+	}
+}
+
 // remember adds a notice. If there are too many, it forgets the old ones of endpoints that
 // are not listed any more, and a quarter of all at least, since it visits all of them.
 func (b *Balancer) remember(now time.Time, key incarnation, n notice) {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -133,9 +133,10 @@
 	// Limit is the limit that the endpoint names. A request may be sent to it only with a
 	// permit if PerSecond is not 0.
 	Limit Limit
-	// BlockedFor is set in place of an endpoint if the limits of all endpoints allow no
-	// request for this time.
+	// BlockedFor is set in place of an endpoint if the limits or pauses of all endpoints allow
+	// no request for this time. Paused is set if the first of them to end is a pause.
 	BlockedFor time.Duration
+	Paused     bool
 	// FetchFrom is the address of the endpoint that is expected to have the shared
 	// parts of the prompt cached, "" if the chosen endpoint needs no fetch.
 	FetchFrom string
@@ -170,6 +171,8 @@
 	Errored
 	// Rejected means that the endpoint rejected the request without running it.
 	Rejected
+	// Paused means that it also asked for a pause.
+	Paused
 	// Broken means that the endpoint sent no response or an incomplete one.
 	Broken
 	// Unreachable means that no connection could be made.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -104,6 +104,8 @@
 	c = p.choice
 	q.lateness = c.Lateness
 	switch {
+	case !p.hasEndpoint && c.Paused:
+		return c, "the endpoints have asked for a pause"
 	case !p.hasEndpoint && c.BlockedFor > 0:
 		return c, "the endpoints have got the requests that their limits allow"
 	case !p.hasEndpoint:
@@ -272,7 +274,7 @@
 		q.recordLimit(c, head.Limit)
 	}
 	if head.Leaving && !head.Replaced {
-		q.recordLeaving(c)
+		q.recordEndpointLeaving(c)
 	}
 	switch {
 	case head.RequestID == "" && resp.Reused:
@@ -285,11 +287,19 @@
 		q.server.pool.CloseIdle(c.Endpoint.Address)
 		return attemptResult{outcome: dispatch.Replaced, notRun: true, err: errReplaced}
 	case head.NotRun:
-		return q.endRejected(resp)
+		r := q.endRejected(resp)
+		if head.Pause > 0 {
+			q.recordEndpointPause(c, head.Pause)
+			r.outcome = dispatch.Paused
+		}
+		return r
 	case !head.Executed:
 		_ = resp.Close(false)
 		return attemptResult{outcome: dispatch.Broken, err: errUnverified}
 	}
+	if head.Pause > 0 {
+		q.recordEndpointPause(c, head.Pause)
+	}
 	onResponseStart := func() {
 		if stall != nil {
 			stall.Stop()
--- a/internal/router/codec.go
+++ b/internal/router/codec.go
@@ -63,6 +63,9 @@
 	Replaced bool
 	// Leaving reports that the endpoint is about to end and wants no further requests.
 	Leaving bool
+	// Pause is the time for which the endpoint, which has turned the request away with 503,
+	// wants no requests from this entry; 0 if it names none.
+	Pause time.Duration
 	// Load is the load of the endpoint, nil if the endpoint does not report it.
 	Load *dispatch.Report
 	// Limit is the number of requests per second that the endpoint takes from all entries
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -24,6 +24,7 @@
 	eventCrashUnchecked   = event.Define(8013, "crash-unchecked", event.Warn, "an endpoint lost a request that it had not well begun to answer; too many checks for crashes are running")
 	eventLimitNamed       = event.Define(8014, "endpoint-limit-named", event.Info, "an endpoint names the requests per second that it takes from all entries together")
 	eventEndpointLeaving  = event.Define(8016, "endpoint-leaving", event.Info, "an endpoint says in an answer that it is leaving; this entry sends it nothing more")
+	eventEndpointPaused   = event.Define(8017, "endpoint-paused", event.Info, "an endpoint turned a request away and wants no others from this entry for a time")
 	eventLimitEnded       = event.Define(8015, "endpoint-limit-ended", event.Info, "an endpoint names no limit any more")
 	eventResetFailed      = event.Define(8011, "reset-failed", event.Warn, "the connection of a caller could not be reset; a broken response may look complete to it")
 )
--- a/internal/router/native.go
+++ b/internal/router/native.go
@@ -89,6 +89,7 @@
 	head.Executed = head.RequestID != "" && !notRun
 	head.Limit = DecodeLimit(r.Header.Get(nativeLimit))
 	head.Leaving = r.Header.Get(nativeLeaving) == "1"
+	head.Pause = DecodePause(r)
 	fields := strings.Split(r.Header.Get(nativeLoad), ",")
 	if len(fields) != 3 {
 		return head
@@ -115,6 +116,23 @@
 	return &perSecond
 }
 
+// DecodePause decodes the pause that a response of an endpoint asks for: the seconds in the
+// Retry-After of a 503, which may have a fraction. It returns 0 if there is none, or for a
+// date, which endpoints do not send.
+func DecodePause(r *http.Response) time.Duration {
+	if r.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(r.Header.Get("Retry-After")), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxPauseSeconds) * float64(time.Second))
+}
+
+// maxPauseSeconds keeps the decoded pause within a time.Duration; dispatch bounds it further.
+const maxPauseSeconds = 1e6
+
 func errBadHeader(name, value string) error {
 	return Error.New("the header %s has the value %q", name, value)
 }
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -7,9 +7,9 @@
 	"auburnstep.example/auburnstep/internal/event"
 )
 
-// recordLeaving records that an endpoint has said in an answer that it is leaving. Requests
+// recordEndpointLeaving records that an endpoint has said in an answer that it is leaving. Requests
 // that run there go on.
-func (q *request) recordLeaving(c *dispatch.Choice) {
+func (q *request) recordEndpointLeaving(c *dispatch.Choice) {
 	isNew, left := false, 0
 	q.withBalancer(func(b *dispatch.Balancer) {
 		now := time.Now()
@@ -20,3 +20,11 @@
 			event.F("address", c.Endpoint.Address), event.F("service", q.service), event.F("endpoints_left", left))
 	}
 }
+
+// recordEndpointPause records that an endpoint has turned a request away and named a time for which
+// it wants no others.
+func (q *request) recordEndpointPause(c *dispatch.Choice, pause time.Duration) {
+	q.withBalancer(func(b *dispatch.Balancer) { b.RecordPause(time.Now(), c, pause) })
+	q.server.options.Events.Emit(eventEndpointPaused, event.Request(q.call.ID), event.F("endpoint", c.Endpoint.ID),
+		event.F("service", q.service), event.F("pause_ms", pause.Milliseconds()))
+}
