--- a/internal/directory/limits_test.go
+++ b/internal/directory/limits_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -172,6 +173,49 @@
 	qt.Check(t, granted >= 24 && granted <= 40, qt.IsTrue, qt.Commentf("%d requests in 10 s", granted))
 }
 
+// TestFallbackPermitsAccumulateBetweenOutages guards against entries that, in a short outage
+// of the coordinator, all use permits that they have saved while the coordinator gave out
+// those of the same time.
+func TestFallbackPermitsAccumulateBetweenOutages(t *testing.T) {
+	const (
+		entries, perSecond = 8, 1.1
+		outage             = 200 * time.Millisecond
+		// maxExtra is what the users' rule adds to one and a half times the limit.
+		maxExtra = 5
+	)
+	synctest.Test(t, func(t *testing.T) {
+		down, granted := true, 0
+		var all []*Limits
+		for range entries {
+			l := NewLimits(nil)
+			l.entries = func() int { return entries }
+			l.coordinate = func(context.Context, endpointKey, dispatch.Limit) (bool, time.Duration, error) {
+				if down {
+					return false, 0, Error.New("no response")
+				}
+				return false, time.Second, nil
+			}
+			all = append(all, l)
+		}
+		run := func(length time.Duration) {
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				for _, l := range all {
+					if ok, _ := l.Acquire(context.Background(), dispatch.Endpoint{ID: "e", Incarnation: 1}, dispatch.Limit{PerSecond: perSecond}); ok {
+						granted++
+					}
+				}
+			}
+		}
+		for range 3 {
+			down, granted = true, 0
+			run(outage)
+			qt.Check(t, granted <= maxExtra, qt.IsTrue, qt.Commentf("%d requests in %v without a coordinator", granted, outage))
+			down = false
+			run(20 * time.Second)
+		}
+	})
+}
+
 // TestMalformedLimit guards against a limit that no arithmetic holds for.
 func TestMalformedLimit(t *testing.T) {
 	for _, perSecond := range []float64{-1, math.NaN(), math.Inf(1)} {
