Entries save no permits for the time without a coordinator

While a coordinator responded, the part of the permits that an entry has without one went on to fill, although the coordinator gave out those of the same time. In the next short outage, as when a control member restarts, each of 8 entries sent up to two requests at once: 16 where the rule adds 5.

An entry's part now begins empty after the last response of a coordinator.

--- a/internal/directory/limits.go
+++ b/internal/directory/limits.go
@@ -159,7 +159,9 @@
 	// changed is set if shared has changed since the last call of Changed.
 	changed bool
 	// fallback holds this entry's part of the permits while no coordinator responds.
-	fallback map[endpointKey]*permits
+	// coordinatedAt is when one last responded.
+	fallback      map[endpointKey]*permits
+	coordinatedAt time.Time
 }
 
 // NewLimits returns an empty set of limits without a coordinator.
@@ -218,6 +220,8 @@
 	if err != nil {
 		l.alone.Inc(1)
 		granted, wait = l.takeAlone(time.Now(), key, limit)
+	} else {
+		l.recordCoordinated(time.Now())
 	}
 	if granted {
 		l.acquired.Inc(1)
@@ -227,12 +231,19 @@
 	return granted, wait
 }
 
-// takeAlone takes one of this entry's part of the permits.
+func (l *Limits) recordCoordinated(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.coordinatedAt = now
+}
+
+// takeAlone takes one of this entry's part of the permits. None remain from before the last
+// response of a coordinator, which gave out those of that time.
 func (l *Limits) takeAlone(now time.Time, key endpointKey, limit dispatch.Limit) (granted bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.fallback[key]
-	if p == nil {
+	if p == nil || p.at.Before(l.coordinatedAt) {
 		p = &permits{at: now}
 		l.fallback[key] = p
 	}
