Crash reports of requests seen once are not repeated to all entries

The members ran out of processor time, and the core had no leader for 3.7 s.

Members keep such reports for themselves until the request is seen a second time, and then tell both. Conclusions are drawn only from parts with three reports; single reports make room first.

With the filter taken out TestSingleReportsAreRepeatedToAllEntries sees 1,024 reports; TestRequestThatCrashesAtDifferentEntriesIsRefused shows that a request seen once at each entry is still found.

--- a/internal/directory/crashes_test.go
+++ b/internal/directory/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -104,6 +105,28 @@
 	qt.Check(t, late.refuses("x"), qt.IsTrue)
 }
 
+// TestRequestThatCrashesAtDifferentEntriesIsRefused guards against a request that is not
+// found because each entry has seen it crash one endpoint.
+func TestRequestThatCrashesAtDifferentEntriesIsRefused(t *testing.T) {
+	member := newLocalMember()
+	const fingerprint = quarantine.RequestPrefix + "f"
+	entries := []*testEntry{newTestEntry("a"), newTestEntry("b"), newTestEntry("c"), newTestEntry("d")}
+	now := time.Now()
+	for i, e := range entries[:3] {
+		lost := now.Add(time.Duration(i-3) * time.Second)
+		e.options.Crashes.Add(now, quarantine.Report{
+			Endpoint: fmt.Sprint("e", i), Incarnation: 1, Request: fmt.Sprint("r", i), Parts: []string{fingerprint}, SentAt: lost.Add(-100 * time.Millisecond), LostAt: lost,
+		})
+		for _, each := range entries {
+			each.poll(member)
+		}
+	}
+	for _, e := range entries {
+		e.poll(member)
+		qt.Check(t, e.refuses(fingerprint), qt.IsTrue)
+	}
+}
+
 // forgetForwardDelay makes the entry forward at once what it has learned.
 func (e *testEntry) forgetForwardDelay() {
 	reports, _ := e.options.Crashes.Since(0)
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -13,6 +13,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -104,15 +105,17 @@
 // ledgers in any order and any number of times gives the same result. It is not safe for
 // concurrent use.
 type Ledger struct {
-	revision    uint64
-	records     map[Key]*record
-	answered    map[string]time.Time
-	quarantined map[string]bool
+	revision uint64
+	records  map[Key]*record
+	// reportsByPart counts the records with a part.
+	reportsByPart map[string]int
+	answered      map[string]time.Time
+	quarantined   map[string]bool
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{records: make(map[Key]*record), answered: make(map[string]time.Time), quarantined: make(map[string]bool)}
+	return &Ledger{records: make(map[Key]*record), reportsByPart: make(map[string]int), answered: make(map[string]time.Time), quarantined: make(map[string]bool)}
 }
 
 // Add records reports that this process observed, and returns whether any is new.
@@ -146,6 +149,7 @@
 		rec.Parts = slices.Clone(r.Parts[max(0, len(r.Parts)-MaxParts):])
 		rec.Soundness = make([]Soundness, len(rec.Parts))
 		l.records[r.Key()] = rec
+		l.count(now, rec)
 	}
 	changed := isNew
 	for i, s := range r.Soundness[:min(len(r.Soundness), len(rec.Soundness))] {
@@ -166,6 +170,39 @@
 	return true
 }
 
+// count adds a new record to reportsByPart. A request that is seen for the second time makes
+// its first record worth telling others; see Since.
+func (l *Ledger) count(now time.Time, rec *record) {
+	for _, part := range rec.Parts {
+		l.reportsByPart[part]++
+		if l.reportsByPart[part] != 2 || !strings.HasPrefix(part, RequestPrefix) {
+			continue
+		}
+		for _, other := range l.records {
+			if other != rec && slices.Contains(other.Parts, part) {
+				l.touch(now, other, other.own)
+			}
+		}
+	}
+}
+
+// remove removes a record.
+func (l *Ledger) remove(rec *record) {
+	delete(l.records, rec.Key())
+	for _, part := range rec.Parts {
+		if l.reportsByPart[part]--; l.reportsByPart[part] <= 0 {
+			delete(l.reportsByPart, part)
+		}
+	}
+}
+
+// isSingle reports whether a record says nothing yet: it blames only a request that no
+// other record blames. When many endpoints crash at once, nearly all records are of this
+// kind.
+func (l *Ledger) isSingle(rec *record) bool {
+	return len(rec.Parts) == 1 && strings.HasPrefix(rec.Parts[0], RequestPrefix) && l.reportsByPart[rec.Parts[0]] < 2
+}
+
 func (l *Ledger) touch(now time.Time, rec *record, own bool) {
 	l.revision++
 	rec.revision, rec.changedAt, rec.own = l.revision, now, own
@@ -219,22 +256,28 @@
 	}
 }
 
-// makeRoom removes a report if the ledger is full: the oldest of those that support no
-// quarantine, or else the oldest.
+// makeRoom removes a report if the ledger is full: the oldest of the single ones, or else of
+// those that support no quarantine, or else the oldest.
 func (l *Ledger) makeRoom() {
 	if len(l.records) < maxReports {
 		return
 	}
 	var victim *record
-	supports := func(r *record) bool {
-		return slices.ContainsFunc(r.Parts, func(p string) bool { return l.quarantined[p] })
+	value := func(r *record) int {
+		switch {
+		case l.isSingle(r):
+			return 0
+		case !slices.ContainsFunc(r.Parts, func(p string) bool { return l.quarantined[p] }):
+			return 1
+		}
+		return 2
 	}
 	for _, rec := range l.records {
-		if victim == nil || supports(victim) && !supports(rec) || supports(victim) == supports(rec) && rec.LostAt.Before(victim.LostAt) {
+		if victim == nil || cmp.Or(cmp.Compare(value(rec), value(victim)), rec.LostAt.Compare(victim.LostAt)) < 0 {
 			victim = rec
 		}
 	}
-	delete(l.records, victim.Key())
+	l.remove(victim)
 }
 
 // Update draws the conclusions that depend on the time: it forgets reports after
@@ -242,7 +285,11 @@
 // times per settleTime.
 func (l *Ledger) Update(now time.Time) {
 	if len(l.records) > 0 {
-		maps.DeleteFunc(l.records, func(_ Key, rec *record) bool { return now.Sub(rec.LostAt) > reportRetention })
+		for _, rec := range l.records {
+			if now.Sub(rec.LostAt) > reportRetention {
+				l.remove(rec)
+			}
+		}
 		l.conclude(now)
 	}
 }
@@ -272,7 +319,13 @@
 // share.
 func (l *Ledger) conclude(now time.Time) {
 	clear(l.quarantined)
-	records := slices.SortedFunc(maps.Values(l.records), func(a, b *record) int {
+	var records []*record
+	for _, rec := range l.records {
+		if slices.ContainsFunc(rec.Parts, func(p string) bool { return l.reportsByPart[p] >= minCrashes }) {
+			records = append(records, rec)
+		}
+	}
+	slices.SortFunc(records, func(a, b *record) int {
 		return cmp.Or(a.LostAt.Compare(b.LostAt), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
 	for {
@@ -373,13 +426,14 @@
 // Revision increases with each change of a report.
 func (l *Ledger) Revision() uint64 { return l.revision }
 
-// Since returns the reports that have changed since a revision.
+// Since returns the reports that have changed since a revision, without the single ones:
+// whoever collects the reports of all entries does not repeat them to each entry.
 func (l *Ledger) Since(revision uint64) (out []Report) {
 	if revision == l.revision {
 		return nil
 	}
 	for _, rec := range l.records {
-		if rec.revision > revision {
+		if rec.revision > revision && !l.isSingle(rec) {
 			out = append(out, rec.copy())
 		}
 	}
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -232,3 +232,26 @@
 		}
 	})
 }
+
+// TestSingleReportsAreRepeatedToAllEntries guards against a flood when many endpoints crash
+// at once: what says nothing yet, because it blames only a request that nothing else blames,
+// is not told to every entry, until the request is seen again.
+func TestSingleReportsAreRepeatedToAllEntries(t *testing.T) {
+	l := NewLedger()
+	const endpoints, waiting = 40, 50
+	for e := range endpoints {
+		for i := range waiting {
+			l.Merge(at(100), crashReport(fmt.Sprint("e", e), fmt.Sprint("r", e, "-", i), 0, 100, fmt.Sprint(RequestPrefix, e, "-", i)))
+		}
+	}
+	qt.Check(t, l.Since(0), qt.HasLen, 0)
+	l.Merge(at(200), crashReport("x1", "a-1", 100, 200, RequestPrefix+"again"))
+	revision := l.Revision()
+	qt.Check(t, l.Since(0), qt.HasLen, 0)
+	l.Merge(at(400), crashReport("x2", "a-2", 300, 400, RequestPrefix+"again"))
+	qt.Check(t, l.Since(revision), qt.HasLen, 2) // The first one too.
+	l.Merge(at(600), crashReport("x3", "a-3", 500, 600, RequestPrefix+"again"))
+	qt.Check(t, l.Quarantined(), qt.DeepEquals, map[string]bool{RequestPrefix + "again": true})
+	l.Update(at(600).Add(2 * reportRetention))
+	qt.Check(t, l.reportsByPart, qt.HasLen, 0)
+}
