review: show that an acknowledged departure is lost with the member

A member acknowledges DELETE once the departure is in its own memory. If it ends before the entries have polled it, they go on sending requests to the replica.

--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -46,6 +46,9 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	up       bool
+	// leaving stops the status reports and is said in all answers.
+	leaving  bool
+	arrivals []arrival
 }
 
 // engineEvents is what all engines have seen.
@@ -128,7 +131,7 @@
 func (e *engine) report() {
 	for {
 		e.mu.Lock()
-		up := e.up
+		up := e.up && !e.leaving
 		e.sequence++
 		id := e.id
 		body, _ := json.Marshal(map[string]any{
@@ -171,7 +174,10 @@
 			return
 		}
 		e.mu.Lock()
-		own := e.id
+		own, said := e.id, ""
+		if e.leaving {
+			said = "Server-Leaving: 1\r\nConnection: close\r\n"
+		}
 		e.mu.Unlock()
 		id := q.Header.Get("Request-Id")
 		if want := q.Header.Get("Expect-Instance"); want != "" && want != own {
@@ -184,9 +190,12 @@
 			e.events.poisoned = append(e.events.poisoned, arrival{id, time.Now()})
 			e.events.mu.Unlock()
 		}
+		e.mu.Lock()
+		e.arrivals = append(e.arrivals, arrival{id, time.Now()})
+		e.mu.Unlock()
 		e.stand.add("engine %s: runs %s, poison %v", own, id, poisoned)
 		time.Sleep(60*time.Millisecond + rand.N(60*time.Millisecond))
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s\r\n%sTransfer-Encoding: chunked\r\n\r\n", id, id, said)
 		if poisoned {
 			if e.point == insideHead {
 				head = head[:len("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")]
@@ -212,12 +221,44 @@
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
-		if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
+		if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil || said != "" {
 			return
 		}
 	}
 }
 
+// leave sends DELETE to a member, and to the others if it does not acknowledge it, and
+// returns the member that has acknowledged it.
+func (e *engine) leave(first *process) (*process, time.Time, error) {
+	e.mu.Lock()
+	e.leaving = true
+	id := e.id
+	e.mu.Unlock()
+	for range 10 {
+		for _, m := range append([]*process{first}, e.stand.members...) {
+			status, _, err := e.stand.call(http.MethodDelete, fmt.Sprintf("%s:%d", m.ip, e.stand.control()), "/auburnstep/replicas/"+id, nil)
+			e.stand.add("replica %s: DELETE at %s: %d %v", id, m.name, status, err)
+			if err == nil && status == http.StatusOK {
+				return m, time.Now(), nil
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return nil, time.Time{}, fmt.Errorf("no member acknowledged that %s leaves", id)
+}
+
+// arrivalsAfter returns the requests that reached the engine after a time.
+func (e *engine) arrivalsAfter(at time.Time) (out []arrival) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, a := range e.arrivals {
+		if a.at.After(at) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // streamState returns a desired state with a route for streams that may be resumed.
 func streamState() map[string]any {
 	state := plainState()
@@ -236,7 +277,7 @@
 }
 
 // sendStream sends a request for a stream and reports whether it came whole.
-func (c *callers) sendStream(ctx context.Context, prefix string) bool {
+func (c *callers) sendStream(ctx context.Context, tokens, prefix string) bool {
 	entry, id := c.entry(), fmt.Sprintf("%016x", rand.Uint64())
 	if entry == "" {
 		return false
@@ -249,7 +290,7 @@
 	}
 	req.Host, req.GetBody = routeHost, nil
 	for name, value := range map[string]string{
-		"Request-Id": id, "Api-Key": apiKey, "Deadline-Ms": "5000", "Model": "m", "Token-Count": "900,60", "Prompt-Prefix": prefix,
+		"Request-Id": id, "Api-Key": apiKey, "Deadline-Ms": "5000", "Model": "m", "Token-Count": tokens, "Prompt-Prefix": prefix,
 	} {
 		req.Header.Set(name, value)
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -28,9 +28,7 @@
 // errBroken is the result of a case whose rule was broken.
 var errBroken = errors.New("the rule was broken")
 
-var cases = map[string]func(*stand) error{
-	"leave": runLeave,
-}
+var cases = map[string]func(*stand) error{}
 
 // record is the file with what was sent, answered and run.
 type record struct {
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -17,6 +17,7 @@
 func runPoison(s *stand) error {
 	const (
 		engines   = 8
+		tokens    = "1460,60"
 		sound     = 25                     // sound requests a second
 		interval  = 400 * time.Millisecond // between requests with the poison part
 		allowed   = 3
@@ -63,7 +64,7 @@
 	own := func() string { return fmt.Sprintf("%08x:250", rand.Uint32()) }
 	every(time.Second/sound, func() {
 		sent.Add(1)
-		if c.sendStream(context.Background(), fmt.Sprintf("5c1e07a2:800,%08x:410,%s", 0x91bd0000+rand.IntN(20), own())) {
+		if c.sendStream(context.Background(), tokens, fmt.Sprintf("5c1e07a2:800,%08x:410,%s", 0x91bd0000+rand.IntN(20), own())) {
 			served.Add(1)
 		}
 	})
@@ -71,7 +72,9 @@
 	sentBefore, servedBefore := sent.Load(), served.Load()
 	begin := time.Now()
 	if s.trouble {
-		every(interval, func() { c.sendStream(context.Background(), fmt.Sprintf("5c1e07a2:800,%s:300,%s", poisonPart, own())) })
+		every(interval, func() {
+			c.sendStream(context.Background(), tokens, fmt.Sprintf("5c1e07a2:800,%s:300,%s", poisonPart, own()))
+		})
 	}
 	time.Sleep(24 * time.Second)
 	events.mu.Lock()
