review: show that a repeated request with its own last prompt part is not recognised

The fingerprint of a request hashes the ids of all prompt parts, also of the last one, which belongs to the request itself. Repeats with the same path, caller and body go on crashing replicas.

--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -16,6 +16,8 @@
 
 const (
 	poisonPart = "dead0001"
+	// deadlySheet is the body of the request that crashes replicas as a whole.
+	deadlySheet = "the sheet that crashes replicas"
 	// downTime is how long a replica is down after a crash.
 	downTime    = 2 * time.Second
 	streamSteps = 12
@@ -170,7 +172,8 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+		sheet, err := io.ReadAll(q.Body)
+		if err != nil {
 			return
 		}
 		e.mu.Lock()
@@ -184,7 +187,8 @@
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nReplica-Id: %s\r\nContent-Length: 0\r\n\r\n", own)
 			continue
 		}
-		poisoned := strings.Contains(q.Header.Get("Prompt-Prefix"), poisonPart+":")
+		deadly := string(sheet) == deadlySheet
+		poisoned := deadly || strings.Contains(q.Header.Get("Prompt-Prefix"), poisonPart+":")
 		if poisoned {
 			e.events.mu.Lock()
 			e.events.poisoned = append(e.events.poisoned, arrival{id, time.Now()})
@@ -194,6 +198,10 @@
 		e.arrivals = append(e.arrivals, arrival{id, time.Now()})
 		e.mu.Unlock()
 		e.stand.add("engine %s: runs %s, poison %v", own, id, poisoned)
+		if deadly { // It crashes the replica as it begins to run.
+			e.crash(id)
+			return
+		}
 		time.Sleep(60*time.Millisecond + rand.N(60*time.Millisecond))
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s\r\n%sTransfer-Encoding: chunked\r\n\r\n", id, id, said)
 		if poisoned {
@@ -278,13 +286,21 @@
 
 // sendStream sends a request for a stream and reports whether it came whole.
 func (c *callers) sendStream(ctx context.Context, tokens, prefix string) bool {
+	return c.sendSheet(ctx, tokens, prefix, "")
+}
+
+// sendSheet sends a request for a stream with a body, "" for one of its own.
+func (c *callers) sendSheet(ctx context.Context, tokens, prefix, sheet string) bool {
 	entry, id := c.entry(), fmt.Sprintf("%016x", rand.Uint64())
 	if entry == "" {
 		return false
 	}
+	if sheet == "" {
+		sheet = "inspection sheet " + id
+	}
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/note/1", strings.NewReader("inspection sheet "+id))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/note/1", strings.NewReader(sheet))
 	if err != nil {
 		return false
 	}
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -10,19 +10,27 @@
 	"time"
 )
 
-func init() { cases["poison"] = runPoison }
+func init() {
+	cases["poison"] = func(s *stand) error { return runCrashing(s, false) }
+	cases["repeat"] = func(s *stand) error { return runCrashing(s, true) }
+}
 
-// runPoison: a part of a prompt crashes each replica that begins to write an answer on it. The
-// crash cuts the answer inside its head. Rules BUDGET and LOST.
-func runPoison(s *stand) error {
+// runCrashing: a part of a prompt crashes each replica that begins to write an answer on it; the
+// crash cuts the answer inside its head. With repeated set, it is a request that comes again
+// with the same path, caller and body, and crashes each replica that begins to run it. Rules
+// BUDGET and LOST.
+func runCrashing(s *stand, repeated bool) error {
 	const (
-		engines   = 8
-		tokens    = "1460,60"
-		sound     = 25                     // sound requests a second
-		interval  = 400 * time.Millisecond // between requests with the poison part
-		allowed   = 3
-		learnedAt = 5 // the crash from which the time counts
+		engines  = 8
+		tokens   = "1460,60"
+		sound    = 25                     // sound requests a second
+		interval = 400 * time.Millisecond // between requests with the poison part
+		allowed  = 3
 	)
+	learnedAt := 5 // the crash from which the time counts
+	if repeated {
+		learnedAt = 3
+	}
 	point := insideHead
 	if os.Getenv("CRASH") == "after-head" {
 		point = afterHead
@@ -71,7 +79,17 @@
 	time.Sleep(6 * time.Second)
 	sentBefore, servedBefore := sent.Load(), served.Load()
 	begin := time.Now()
-	if s.trouble {
+	samePart := own()
+	switch {
+	case s.trouble && repeated:
+		every(interval, func() {
+			last := own()
+			if os.Getenv("SAME_PART") != "" {
+				last = samePart
+			}
+			c.sendSheet(context.Background(), tokens, "5c1e07a2:800,91bd3f06:410,"+last, deadlySheet)
+		})
+	case s.trouble:
 		every(interval, func() {
 			c.sendStream(context.Background(), tokens, fmt.Sprintf("5c1e07a2:800,%s:300,%s", poisonPart, own()))
 		})
@@ -81,7 +99,7 @@
 	crashes, late := len(events.crashes), 0
 	if crashes >= learnedAt {
 		judgeFrom := events.crashes[learnedAt-1].Add(contactWindow)
-		s.say("the fifth crash was at %.1f s of the poison; requests are judged from %.1f s on", events.crashes[learnedAt-1].Sub(begin).Seconds(), judgeFrom.Sub(begin).Seconds())
+		s.say("crash %d was %.1f s after the first such request was sent; requests are judged from %.1f s on", learnedAt, events.crashes[learnedAt-1].Sub(begin).Seconds(), judgeFrom.Sub(begin).Seconds())
 		for _, a := range events.poisoned {
 			// A request that arrives 100 ms later was sent later too.
 			if a.at.After(judgeFrom.Add(100 * time.Millisecond)) {
@@ -90,7 +108,7 @@
 		}
 	}
 	events.mu.Unlock()
-	s.say("%d crashes; %d requests with the part reached replicas later than contactWindowMs after the fifth; sound requests served: %d of %d before, %d of %d since",
+	s.say("%d crashes; %d such requests reached replicas in the time that is judged; sound requests served: %d of %d before, %d of %d since",
 		crashes, late, servedBefore, sentBefore, served.Load()-servedBefore, sent.Load()-sentBefore)
 	if late > allowed {
 		return fmt.Errorf("%w: BUDGET, %d requests where %d are allowed", errBroken, late, allowed)
