review: show that an entry hangs when a retry meets an update of the directory

takeRetry and stallTimer count the entries, which locks the registry, while they hold the lock of the service; the registry's update takes both locks in the opposite order. The entry then answers nothing, and is ready by its own account.

--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -115,8 +115,9 @@
 	return x
 }
 
-// run sends requests until ctx ends: perSecond in all, one in three of them a POST.
-func (c *callers) run(ctx context.Context, perSecond float64) {
+// run sends requests until ctx ends: perSecond in all, one in postEvery of them a booking, 0
+// for none.
+func (c *callers) run(ctx context.Context, perSecond float64, postEvery int) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	tick := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
@@ -128,7 +129,7 @@
 		case <-tick.C:
 		}
 		method, path, body := http.MethodGet, "/look/1", ""
-		if n%3 == 0 {
+		if postEvery > 0 && n%postEvery == 0 {
 			method, path, body = http.MethodPost, "/book/1", "a booking"
 		}
 		wg.Go(func() { c.send(context.Background(), method, path, body) })
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -28,8 +28,8 @@
 	sequence int
 	arrivals []arrival
 	working  int
-	// limit is the Server-Limit that all answers name, "" for none.
-	limit string
+	// errorShare is the share of requests that it answers with 500 after it has run them.
+	errorShare float64
 }
 
 // arrival is a request that a replica began to run.
@@ -93,9 +93,6 @@
 	if id != "" {
 		w.Header().Set("Request-Id", id)
 	}
-	if r.limit != "" {
-		w.Header().Set("Server-Limit", r.limit)
-	}
 	if expected := q.Header.Get("Expect-Instance"); expected != "" && expected != r.id {
 		w.Header().Set("Replica-Id", r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -121,9 +118,14 @@
 	r.mu.Lock()
 	r.working--
 	r.mu.Unlock()
+	status := http.StatusOK
+	if rand.Float64() < r.errorShare {
+		status = http.StatusInternalServerError
+	}
 	body := "answer of " + r.id + " to " + id
 	w.Header().Set("Server-Stamp", "stamp."+id)
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	w.WriteHeader(status)
 	_, _ = io.WriteString(w, body) // The caller may have left.
 }
 
