--- a/review/stand/leave.go
+++ b/review/stand/leave.go
@@ -4,14 +4,15 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
 
 func init() { cases["leave"] = runLeave }
 
-// runLeave: a replica says with DELETE that it leaves. The member that has acknowledged this is
-// killed right after, and starts again. Rule DRAIN.
+// runLeave: two replicas say with DELETE that they leave. The member that has acknowledged this
+// is killed right after, and starts again. Rule DRAIN.
 func runLeave(s *stand) error {
 	const (
 		engines   = 12
@@ -58,27 +59,27 @@
 	// All machines are in touch, and each member has had reports of each replica.
 	time.Sleep(10 * time.Second)
 
-	// The replica that leaves is the one with the median number of requests.
-	leaving := all[0]
-	for _, e := range all {
-		fewer := 0
-		for _, other := range all {
-			if len(other.arrivalsAfter(s.record.start)) < len(e.arrivalsAfter(s.record.start)) {
-				fewer++
-			}
-		}
-		if fewer <= engines/2 && len(e.arrivalsAfter(s.record.start)) > len(leaving.arrivalsAfter(s.record.start)) {
-			leaving = e
-		}
+	// Two replicas leave, those with the median numbers of requests.
+	byLoad := slices.Clone(all)
+	slices.SortFunc(byLoad, func(a, b *engine) int {
+		return len(a.arrivalsAfter(s.record.start)) - len(b.arrivalsAfter(s.record.start))
+	})
+	leaving := byLoad[engines/2-1 : engines/2+1]
+	member, acked, err := leaving[0].leave(s.members[rand.IntN(len(s.members))])
+	if err != nil {
+		return err
 	}
-	member, acked, err := leaving.leave(s.members[rand.IntN(len(s.members))])
+	second, acked, err := leaving[1].leave(member)
 	if err != nil {
 		return err
 	}
+	if second != member {
+		return fmt.Errorf("%s did not answer the second replica", member.name)
+	}
 	judgeFrom := acked.Add(drainBound + 100*time.Millisecond)
 	if s.trouble {
 		member.kill()
-		s.say("%s acknowledged that %s leaves, and was killed", member.name, leaving.id)
+		s.say("%s acknowledged that %s and %s leave, and was killed", member.name, leaving[0].id, leaving[1].id)
 		time.Sleep(restartDelay)
 		if err := member.start(); err != nil {
 			return err
@@ -87,11 +88,17 @@
 		// the margin covers requests on their way.
 		judgeFrom = time.Now().Add(contactWindow + 200*time.Millisecond)
 	} else {
-		s.say("%s acknowledged that %s leaves", member.name, leaving.id)
+		s.say("%s acknowledged that %s and %s leave", member.name, leaving[0].id, leaving[1].id)
 	}
 	time.Sleep(time.Until(acked.Add(serveAfterLeave)))
-	late := leaving.arrivalsAfter(judgeFrom)
-	s.say("%d requests reached %s from %.1f s after the ack on; %d since the ack", len(late), leaving.id, judgeFrom.Sub(acked).Seconds(), len(leaving.arrivalsAfter(acked)))
+	var late []arrival
+	sinceAck := 0
+	for _, e := range leaving {
+		late = append(late, e.arrivalsAfter(judgeFrom)...)
+		sinceAck += len(e.arrivalsAfter(acked))
+	}
+	slices.SortFunc(late, func(a, b arrival) int { return a.at.Compare(b.at) })
+	s.say("%d requests reached them from %.1f s after the ack on; %d since the ack", len(late), judgeFrom.Sub(acked).Seconds(), sinceAck)
 	for _, a := range late {
 		s.add("late: %s at %.3f s after the ack", a.id, a.at.Sub(acked).Seconds())
 	}
