A crash inside the head of an answer counts against the prompt parts

Cause: prompt parts are blamed only for answers that had begun, and an answer counted as begun once its whole head was read. httpconn had the first bytes and did not report them; the native plane, which uses net/http, did not look.

Change: RequestError.Begun of httpconn and of upstream reports a response that ended inside its head. Interim responses and answers to other requests do not count, since an endpoint may send them while the request waits.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -46,7 +46,7 @@
 	tokens int
 	// timeToFirstToken counts from the start of the attempt.
 	timeToFirstToken time.Duration
-	// begun reports that the head of the answer arrived, and advanced that more of it was
+	// begun reports that a part of the answer's head arrived, and advanced that more of it was
 	// passed on than its start.
 	begun, advanced bool
 	err             error
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -173,7 +173,7 @@
 		MaxTimeBetweenTokens: c.q.service.IdleTimeout, ReuseConnection: c.q.class.Idempotent, SendBefore: l.UseUntil(),
 	})
 	if err != nil {
-		return attemptResult{err: err}
+		return attemptResult{err: err, begun: upstream.HasBegun(err)}
 	}
 	defer stream.Close()
 	for {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -407,11 +407,29 @@
 // after the other because of a part of their prompts. Requests that share the beginning of
 // the prompt must be served on.
 func TestCrashingPromptKeepsReachingEngines(t *testing.T) {
+	requireCrashingPromptRefused(t, fakeengine.Fault{Kind: fakeengine.FaultDeadly, Text: "deadly"})
+}
+
+// TestCrashInsideHeadKeepsReachingEngines guards against the same if the crash cuts the
+// head of the answer, which must count as begun.
+func TestCrashInsideHeadKeepsReachingEngines(t *testing.T) {
+	for _, bytes := range []int{1, len("HTTP/1.1 2"), len("HTTP/1.1 200 OK\r\n"), len("HTTP/1.1 200 OK\r\nCache-Control: no-store\r\nCont")} {
+		t.Run(strconv.Itoa(bytes), func(t *testing.T) {
+			t.Parallel()
+			requireCrashingPromptRefused(t, fakeengine.Fault{Kind: fakeengine.FaultDeadly, Text: "deadly", Head: bytes})
+		})
+	}
+}
+
+// requireCrashingPromptRefused requires that a prompt part which crashes engines by a fault
+// is refused after three crashes, and other requests are served.
+func requireCrashingPromptRefused(t *testing.T, f fakeengine.Fault) {
+	t.Helper()
 	b := testkit.Start(t, declarations)
 	const engines = 8
 	for range engines {
 		s := b.StartEndpoint(t, engineConfig())
-		s.Inject(fakeengine.Fault{Kind: fakeengine.FaultDeadly, Text: "deadly"})
+		s.Inject(f)
 	}
 	shared := strings.Repeat("conservation file ", 80)
 	send := func(prompt string) (int, string) {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -103,7 +103,7 @@
 		start := time.Now()
 		response, err := c.s.opts.Upstream.Do(ctx, c.upstreamCall(id, l))
 		if err != nil {
-			return attemptResult{err: err}
+			return attemptResult{err: err, begun: upstream.HasBegun(err)}
 		}
 		defer response.Body.Close()
 		timeToFirstByte = time.Since(c.q.start)
@@ -186,7 +186,7 @@
 		upstreamCall.MaxResponse = maxStoredOutcome
 		response, err := c.s.opts.Upstream.Do(ctx, upstreamCall)
 		if err != nil {
-			return attemptResult{err: err}
+			return attemptResult{err: err, begun: upstream.HasBegun(err)}
 		}
 		defer response.Body.Close()
 		timeToFirstByte := time.Since(start)
--- a/internal/fakeengine/chat.go
+++ b/internal/fakeengine/chat.go
@@ -29,7 +29,9 @@
 	crossed      bool
 	truncated    bool
 	deadly       bool
-	reset        bool
+	// deadlyHead is Fault.Head of the fault that made the job deadly.
+	deadlyHead int
+	reset      bool
 }
 
 func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
@@ -107,7 +109,7 @@
 	_, job.truncated = s.faults.trigger(FaultTruncated)
 	_, job.reset = s.faults.trigger(FaultReset)
 	if f, ok := s.faults.trigger(FaultDeadly); ok {
-		job.deadly = strings.Contains(prompt, f.Text)
+		job.deadly, job.deadlyHead = strings.Contains(prompt, f.Text), f.Head
 	}
 	return job
 }
@@ -195,7 +197,11 @@
 			return err
 		}
 		if job.deadly {
-			_ = flusher.Flush() // The engine crashes in any case.
+			if job.deadlyHead > 0 {
+				writePartialHead(flusher, job.deadlyHead)
+			} else {
+				_ = flusher.Flush() // The engine crashes in any case.
+			}
 			return s.crashInBackground()
 		}
 		for ; sent < n; sent++ {
@@ -226,6 +232,17 @@
 	return err
 }
 
+// writePartialHead sends the first bytes of the head of a stream and closes the connection.
+func writePartialHead(control *http.ResponseController, bytes int) {
+	const head = "HTTP/1.1 200 OK\r\nCache-Control: no-store\r\nContent-Type: text/event-stream\r\n"
+	c, _, err := control.Hijack()
+	if err != nil {
+		return // The engine crashes in any case.
+	}
+	_, _ = io.WriteString(c, head[:min(bytes, len(head))])
+	_ = c.Close()
+}
+
 // truncationError returns the error that ends a stream halfway: errStopped to
 // reset the connection, or context.Canceled to end the body cleanly. After a
 // clean end, only the missing finish reason shows that the stream is truncated.
--- a/internal/fakeengine/fault.go
+++ b/internal/fakeengine/fault.go
@@ -37,7 +37,7 @@
 	FaultOverload FaultKind = "overload"
 	// FaultDeadly crashes the endpoint, as FaultCrash does, when it begins to answer a request
 	// whose prompt, or whose target or body at a plain service, contains Text. The head of a
-	// stream is sent before.
+	// stream is sent before, or its first Head bytes.
 	FaultDeadly FaultKind = "deadly"
 	FaultClear  FaultKind = "clear"
 )
@@ -51,6 +51,8 @@
 	Probability float64
 	Count       int
 	Text        string
+	// Head is the number of bytes of a stream's head that are sent, 0 for the whole head.
+	Head int
 	// After is the delay before the fault takes effect.
 	After time.Duration
 }
@@ -71,12 +73,14 @@
 			f.Probability, err = strconv.ParseFloat(value, 64)
 		case "count":
 			f.Count, err = strconv.Atoi(value)
+		case "head":
+			f.Head, err = strconv.Atoi(value)
 		case "text":
 			f.Text = value
 		case "after":
 			f.After, err = time.ParseDuration(value)
 		default:
-			return Error.New("fault %s has no key %q; allowed: factor, delay, probability, count, text, after", f.Kind, key)
+			return Error.New("fault %s has no key %q; allowed: factor, delay, probability, count, text, head, after", f.Kind, key)
 		}
 		if err != nil {
 			return Error.New("fault %s: %s: %w", f.Kind, key, err)
@@ -99,6 +103,9 @@
 		if f.Text == "" {
 			return Error.New("fault deadly needs a text")
 		}
+		if f.Head < 0 {
+			return Error.New("fault deadly cannot send %d bytes of a head", f.Head)
+		}
 	case FaultCrash, FaultFreeze, FaultSilent, FaultCrossed, FaultTruncated, FaultReset, FaultOverload, FaultClear:
 	default:
 		return Error.New("fault %q is unknown", f.Kind)
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -123,6 +123,8 @@
 type readLimit struct {
 	reader io.Reader
 	left   int64
+	// total is the number of all bytes read.
+	total int64
 }
 
 // Read implements io.Reader.
@@ -131,12 +133,16 @@
 		return 0, ErrHeadTooLarge
 	}
 	n, err := l.reader.Read(p[:min(int64(len(p)), l.left)])
+	l.total += int64(n)
 	if l.left != noLimit {
 		l.left -= int64(n)
 	}
 	return n, err
 }
 
+// consumed returns the number of bytes of responses that were taken from the reader.
+func (c *conn) consumed() int64 { return c.limit.total - int64(c.reader.Buffered()) }
+
 // reusable reports whether the connection is open and no unsolicited bytes have
 // arrived on it.
 func (c *conn) reusable() bool {
@@ -197,7 +203,10 @@
 	Sent bool
 	// Connected is false if no connection could be established.
 	Connected bool
-	Err       error
+	// Begun is true if a part of the head of a response had arrived, other than those of
+	// interim responses and of responses to other requests.
+	Begun bool
+	Err   error
 }
 
 // Error implements error.
@@ -275,16 +284,16 @@
 	response := &Response{conn: c, writeDone: make(chan error, 1)}
 	// Closing the connection when ctx ends also cancels the work at the endpoint.
 	response.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	fail := func(sent bool, err error) (*Response, error) {
+	fail := func(sent, begun bool, err error) (*Response, error) {
 		response.stop()
 		_ = c.Close()
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
-		return nil, &RequestError{Sent: sent, Connected: true, Err: err}
+		return nil, &RequestError{Sent: sent, Connected: true, Begun: begun, Err: err}
 	}
 	if ctx.Err() != nil {
-		return fail(false, ctx.Err())
+		return fail(false, false, ctx.Err())
 	}
 	buffers := net.Buffers{r.head()}
 	if len(r.Body) > 0 {
@@ -302,6 +311,7 @@
 	c.limit.left = maxHeadBytes
 	defer func() { c.limit.left = noLimit }()
 	for {
+		headStart := c.consumed()
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
@@ -310,7 +320,7 @@
 			if response.Mismatched > 0 {
 				err = errors.Join(ErrResponseMismatch, err)
 			}
-			return fail(true, err)
+			return fail(true, c.limit.total > headStart, err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -322,7 +332,7 @@
 		response.Mismatched++
 		c.limit.left = noLimit
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20)); err != nil || response.Mismatched > maxMismatched || !selfDelimited(resp) {
-			return fail(true, ErrResponseMismatch)
+			return fail(true, false, ErrResponseMismatch)
 		}
 		c.limit.left = maxHeadBytes
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -46,7 +46,8 @@
 	delivered bool
 	// notRun is true only if it is proven that the request has not run.
 	notRun bool
-	// begun reports that the head of the endpoint's own response has arrived.
+	// begun reports that the endpoint's own response had begun: at least a part of its head
+	// has arrived.
 	begun bool
 	err   error
 	// status is the status of the response that was delivered.
@@ -322,7 +323,7 @@
 	r := attemptResult{outcome: dispatch.Broken, err: err}
 	var reqErr *httpconn.RequestError
 	if errors.As(err, &reqErr) {
-		r.notRun = !reqErr.Sent
+		r.notRun, r.begun = !reqErr.Sent, reqErr.Begun
 		if !reqErr.Connected {
 			r.outcome = dispatch.Unreachable
 		}
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -89,6 +89,86 @@
 	}
 }
 
+// endpointCrashedInAnswer returns an endpoint that writes the first bytes of an answer to a
+// request with deadlyPart, as a stream or with a length, and then closes its listener and its
+// connections. It counts these requests.
+func endpointCrashedInAnswer(t *testing.T, id string, cut int, deadly *atomic.Int64) *fakeEndpoint {
+	var crashed atomic.Bool
+	var e *fakeEndpoint
+	e = newFakeEndpoint(t, id, func(c net.Conn, r *http.Request, _ string) bool {
+		stream := strings.HasPrefix(r.URL.Path, "/plan/")
+		isDeadly := strings.Contains(r.Header.Get(nativePrompt), " "+deadlyPart+":")
+		if isDeadly {
+			deadly.Add(1)
+		}
+		switch {
+		case crashed.Load():
+			return false
+		case isDeadly:
+			crashed.Store(true)
+			e.listener.Close()
+			answer := head(r, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + "1c\r\nid: 0\ndata: event 0\n\n"
+			if !stream {
+				answer = head(r, "Content-Type: text/plain\r\nContent-Length: 60\r\n") + "part of a body"
+			}
+			_, _ = io.WriteString(c, answer[:min(cut, len(answer))])
+			return false
+		case stream:
+			writeEvents(c, r, 0, 3, true)
+		default:
+			writeResponse(c, r, http.StatusOK, "sound")
+		}
+		return true
+	})
+	return e
+}
+
+// TestCrashInsideHeadKeepsReachingEndpoints guards against a prompt part that is never
+// refused because its crashes cut the answer inside the head, or at another byte. Requests
+// that share the other parts must be served on.
+func TestCrashInsideHeadKeepsReachingEndpoints(t *testing.T) {
+	const (
+		rounds = 12
+		// maxDeadly is five crashes and three more requests.
+		maxDeadly = 8
+	)
+	for _, path := range []string{"/plan/1", "/look/1", "/book/1"} {
+		for _, engine := range []bool{true, false} {
+			for _, cut := range []int{1, len("HTTP/1.1 200"), len("HTTP/1.1 200 OK\r\n"), 60, 90, 120, 200} {
+				t.Run(fmt.Sprintf("%s engine=%v %d bytes", path, engine, cut), func(t *testing.T) {
+					t.Parallel()
+					var deadly atomic.Int64
+					var endpoints []*fakeEndpoint
+					for i := range 2 * rounds {
+						endpoints = append(endpoints, endpointCrashedInAnswer(t, fmt.Sprint("e", i), cut, &deadly))
+					}
+					table := table()
+					table.Services = []routing.Service{{Name: "s"}}
+					if engine {
+						table.Services[0].Engine = &routing.Engine{KVTokens: 100_000}
+					}
+					_, address := startRouterWithTable(t, table, endpoints...)
+					send := func(parts string) int {
+						resp, _, err := postRequest(t, address, path, func(r *http.Request) { r.Header.Set(nativePrompt, "5000,10 system:1000 caller:500 "+parts) })
+						if err != nil {
+							return 0
+						}
+						return resp.StatusCode
+					}
+					for i := range rounds {
+						send(fmt.Sprintf("%s:300 own-%d:200", deadlyPart, i))
+						for j := range 2 {
+							qt.Check(t, send(fmt.Sprintf("file-%d:300 sound-%d-%d:200", j, i, j)), qt.Equals, 200)
+						}
+						time.Sleep(60 * time.Millisecond)
+					}
+					qt.Check(t, deadly.Load() <= maxDeadly, qt.IsTrue, qt.Commentf("%d requests with the part reached endpoints", deadly.Load()))
+				})
+			}
+		}
+	}
+}
+
 // TestRequestWaitsAtEndpointWithQuarantinedPart guards against requests that were sent
 // before the quarantine began and crash their endpoints after it: they are cancelled
 // unless their answers have begun.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -180,8 +180,7 @@
 		transport = c.pooled
 	}
 	tracker := &writeTracker{sendBefore: sendBefore}
-	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
-	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), tracker.trace())))
 	return resp, tracker, err
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,7 +5,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -88,6 +90,18 @@
 	writesBefore int64
 	// sendBefore is the end of the grant; zero sets no limit.
 	sendBefore time.Time
+	// responseBegun is set once a byte of the response has arrived. An interim response
+	// clears it, since the endpoint may send one before it runs the request.
+	responseBegun atomic.Bool
+}
+
+// trace returns the hooks that record the progress of the request.
+func (w *writeTracker) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn:              w.gotConn,
+		GotFirstResponseByte: func() { w.responseBegun.Store(true) },
+		Got1xxResponse:       func(int, textproto.MIMEHeader) error { w.responseBegun.Store(false); return nil },
+	}
 }
 
 // gotConn records the connection of the request. The transport calls it before it writes
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -74,6 +74,8 @@
 	Reason Reason
 	// EndpointFault is true if the endpoint caused the failure.
 	EndpointFault bool
+	// Begun is true if a part of the header of the response had arrived, but not all of it.
+	Begun bool
 }
 
 // Error implements error.
@@ -95,6 +97,13 @@
 	return reason == ReasonConnectionLost || reason == ReasonResponseTruncated
 }
 
+// HasBegun reports whether err is a RequestError of a response that ended inside its
+// header.
+func HasBegun(err error) bool {
+	var reqErr *RequestError
+	return errors.As(err, &reqErr) && reqErr.Begun
+}
+
 // ReasonOf returns the reason of err, or "" if err is not a RequestError.
 func ReasonOf(err error) Reason {
 	var reqErr *RequestError
@@ -207,7 +216,9 @@
 	if !dialed {
 		return a.recordError(ReasonUnreachable, v, err)
 	}
-	return a.recordError(ReasonConnectionLost, v, err)
+	reqErr := a.recordError(ReasonConnectionLost, v, err)
+	reqErr.Begun = tracker.responseBegun.Load()
+	return reqErr
 }
 
 // classifyReadError returns the error for a failed read of a response body. The request
