Departures of endpoints are stored by a majority before they are acknowledged

Cause: the acknowledgement was sent when one member had the departure in its memory. Entries poll each member every 400 ms; those that had not polled it yet went on with the earlier announcements of the other members. An endpoint that has left announces nothing more, so nothing repeated it.

Change: draining and gone endpoints are stored in a file of each member, and acknowledged once a majority of the voters has stored them. A member that missed some pulls them from the others each second. No leader takes part. Without a majority the endpoint gets 503 and asks another member, as before without an entry that polls; entries still learn of the departure at once.

--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -313,6 +313,19 @@
 	return m.state.Member(id).GetAddress()
 }
 
+// VoterAddresses returns the address of each voter, "" for one whose address is not known.
+func (m *Member) VoterAddresses() []string {
+	var out []string
+	for _, id := range m.status.Load().Members.Voters {
+		if id == m.id() {
+			out = append(out, m.options.Address)
+		} else {
+			out = append(out, m.address(id))
+		}
+	}
+	return out
+}
+
 // replicatedMembers returns the address of each member as stored in the replicated
 // state.
 func (m *Member) replicatedMembers() []*controlv1.MemberAddress {
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -21,6 +21,7 @@
 	"auburnstep.example/auburnstep/internal/routing"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
+	"auburnstep.example/auburnstep/internal/rpc/directoryv1/directoryv1connect"
 	"auburnstep.example/auburnstep/internal/rpc/transport"
 )
 
@@ -186,6 +187,12 @@
 	})
 	control.NewService(d.Member).Register(d.peers)
 	d.Directory = directory.NewService(d.Events, d.crashes, d.Config.DataDirectory)
+	d.Directory.SetPeers(directory.Peers{
+		Self: d.Config.PeerListen, Voters: d.Member.VoterAddresses,
+		Dial: func(address string) directoryv1connect.DirectoryClient {
+			return directoryv1connect.NewDirectoryClient(d.pool.Peer(address).Client())
+		},
+	})
 	d.Directory.Register(d.peers)
 	if err := d.kernel.Register(ServiceControl, d.Member); err != nil {
 		return err
--- a/internal/directory/crashes_test.go
+++ b/internal/directory/crashes_test.go
@@ -41,6 +41,11 @@
 	return m.service.Acquire(ctx, r)
 }
 
+// RecordDepartures implements directoryv1connect.DirectoryClient.
+func (m *localMember) RecordDepartures(ctx context.Context, r *connect.Request[directoryv1.RecordDeparturesRequest]) (*connect.Response[directoryv1.RecordDeparturesResponse], error) {
+	return m.service.RecordDepartures(ctx, r)
+}
+
 // testEntry is a client without goroutines that polls members on demand.
 type testEntry struct {
 	*Client
--- /dev/null
+++ b/internal/directory/departure_store.go
@@ -0,0 +1,91 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"io/fs"
+	"sync/atomic"
+
+	"auburnstep.example/auburnstep/internal/event"
+	"auburnstep.example/auburnstep/internal/ring"
+	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
+)
+
+const (
+	departuresFile = "departures"
+	// maxSaveRequests bounds the calls that wait for the departures to be saved.
+	maxSaveRequests = 256
+)
+
+var (
+	eventDeparturesNotSaved  = event.Define(7108, "departures-not-saved", event.Warn, "departures cannot be written to the data directory; this member confirms none until they can")
+	eventDeparturesNotLoaded = event.Define(7109, "departures-not-loaded", event.Warn, "the stored departures cannot be read; the other members have theirs")
+)
+
+// departureStore keeps the departures that a member knows in its data directory, so that
+// they outlive the loss of all processes.
+type departureStore struct {
+	dir    string
+	events *event.Recorder
+	// requests holds the calls that wait for the next save.
+	requests *ring.Ring[chan error]
+	// saved is the revision of the registry whose departures are stored.
+	saved atomic.Uint64
+}
+
+func newDepartureStore(dir string, events *event.Recorder) *departureStore {
+	return &departureStore{dir: dir, events: events, requests: ring.New[chan error]("directory departures", maxSaveRequests, ring.Reject)}
+}
+
+// load returns the stored departures.
+func (s *departureStore) load() []*directoryv1.Endpoint {
+	var stored directoryv1.StoredDepartures
+	if err := loadFile(s.dir, departuresFile, &stored); err != nil {
+		if !errors.Is(err, fs.ErrNotExist) {
+			s.events.Emit(eventDeparturesNotLoaded, event.F("error", err))
+		}
+		return nil
+	}
+	return stored.Endpoints
+}
+
+// awaitSaved returns once the departures of a revision of the registry are stored.
+func (s *departureStore) awaitSaved(ctx context.Context, revision uint64) error {
+	if s.saved.Load() >= revision {
+		return nil
+	}
+	done := make(chan error, 1)
+	if err := s.requests.Push(ctx, done); err != nil {
+		return Error.Wrap(err)
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// run saves the departures, once for all calls that wait, until ctx ends. It is the only one
+// that waits for the disk.
+func (s *departureStore) run(ctx context.Context, current func() ([]*directoryv1.Endpoint, uint64)) {
+	failed := false
+	for {
+		first, err := s.requests.Pop(ctx)
+		if err != nil {
+			return
+		}
+		waiting := append(s.requests.Drain(maxSaveRequests), first)
+		endpoints, revision := current()
+		err = saveFile(s.dir, departuresFile, &directoryv1.StoredDepartures{Endpoints: endpoints})
+		if err == nil {
+			s.saved.Store(revision)
+		} else if !failed {
+			s.events.Emit(eventDeparturesNotSaved, event.F("error", err))
+		}
+		failed = err != nil
+		for _, done := range waiting {
+			done <- err
+		}
+	}
+}
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -52,6 +52,8 @@
 	// revision is the registry's revision at the last change other than a renewal.
 	revision uint64
 	lastSeen time.Time
+	// confirmed is set once a majority of the members has stored the endpoint's departure.
+	confirmed bool
 }
 
 type entryRecord struct {
@@ -143,9 +145,44 @@
 	return true
 }
 
+// RecordDeparture records that an endpoint is draining or gone, as another member knows it.
+// It is Stale if this member knows as much or more.
+func (r *Registry) RecordDeparture(now time.Time, e *directoryv1.Endpoint) Effect {
+	rec := r.endpoints[e.Id]
+	switch {
+	case !e.Gone && !e.Draining:
+		return Stale
+	case rec == nil && len(r.endpoints) >= maxEndpoints:
+		return Full
+	case e.Gone && e.Incarnation == 0:
+		if !r.Leave(now, e.Id, 0) {
+			return Stale
+		}
+		return Changed
+	case rec == nil:
+		rec = &endpointRecord{}
+		r.endpoints[e.Id] = rec
+	case resolve(rec.endpoint, e) != e:
+		return Stale
+	}
+	rec.endpoint, rec.lastSeen = e, now
+	r.bumpRevision(rec)
+	return Changed
+}
+
+// Departures returns the endpoints that are draining or gone.
+func (r *Registry) Departures() (out []*directoryv1.Endpoint) {
+	for _, rec := range r.endpoints {
+		if rec.endpoint.Gone || rec.endpoint.Draining {
+			out = append(out, rec.endpoint)
+		}
+	}
+	return out
+}
+
 func (r *Registry) bumpRevision(rec *endpointRecord) {
 	r.revision++
-	rec.revision = r.revision
+	rec.revision, rec.confirmed = r.revision, false
 }
 
 // Expire marks endpoints without an announcement for announceLease as silent, drops the
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -40,7 +40,10 @@
 	events  *event.Recorder
 	started time.Time
 	crashes *Crashes
-	store   *reportStore // nil if crash reports are not stored
+	// store and departures are nil if the member has no data directory.
+	store      *reportStore
+	departures *departureStore
+	peers      *Peers // nil for the only member
 
 	mu            sync.Mutex
 	registry      *Registry
@@ -50,13 +53,17 @@
 
 var _ directoryv1connect.DirectoryHandler = (*Service)(nil)
 
-// NewService returns an empty directory. It keeps the crash reports of entries in crashes,
-// and in a data directory unless dir is empty.
+// NewService returns a directory with the departures stored in a data directory, or an empty
+// one if dir is "". It keeps the crash reports of entries in crashes and in that directory.
 func NewService(events *event.Recorder, crashes *Crashes, dir string) *Service {
 	s := &Service{events: events, started: clock.Now(), crashes: crashes, registry: NewRegistry(rand.Uint64() | 1), limits: newLimitTable()}
 	if dir != "" {
 		s.store = &reportStore{dir: dir, crashes: crashes, events: events}
 		s.store.load(time.Now())
+		s.departures = newDepartureStore(dir, events)
+		for _, e := range s.departures.load() {
+			s.registry.RecordDeparture(clock.Now(), e)
+		}
 	}
 	return s
 }
@@ -69,8 +76,14 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(ctx context.Context) error {
+	var duties sync.WaitGroup
+	defer duties.Wait()
 	if s.store != nil {
-		go s.store.run(ctx)
+		duties.Go(func() { s.store.run(ctx) })
+		duties.Go(func() { s.departures.run(ctx, s.currentDepartures) })
+	}
+	if s.peers != nil {
+		duties.Go(func() { s.reconcile(ctx) })
 	}
 	for kernel.Sleep(ctx, expireInterval) == nil {
 		s.crashes.Update(time.Now())
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -52,16 +52,9 @@
 }
 
 func (s *reportStore) tryLoad(now time.Time) error {
-	b, err := os.ReadFile(filepath.Join(s.dir, reportsFile))
-	if err != nil {
-		return err
-	}
-	if len(b) < checksumBytes || binary.BigEndian.Uint64(b) != xxhash.Sum64(b[checksumBytes:]) {
-		return Error.New("the checksum of %s is wrong", reportsFile)
-	}
 	var stored directoryv1.StoredCrashReports
-	if err := proto.Unmarshal(b[checksumBytes:], &stored); err != nil {
-		return Error.Wrap(err)
+	if err := loadFile(s.dir, reportsFile, &stored); err != nil {
+		return err
 	}
 	// A clock that has been set back must not make the reports younger.
 	savedAt := now.Add(-max(0, now.Sub(time.UnixMilli(stored.SavedAtMs))))
@@ -83,7 +76,7 @@
 			continue
 		}
 		now := time.Now()
-		err := s.save(&directoryv1.StoredCrashReports{SavedAtMs: now.UnixMilli(), Reports: packCrashReports(now, reports)})
+		err := saveFile(s.dir, reportsFile, &directoryv1.StoredCrashReports{SavedAtMs: now.UnixMilli(), Reports: packCrashReports(now, reports)})
 		if err == nil {
 			s.saved = revision
 		} else if !failed {
@@ -93,25 +86,37 @@
 	}
 }
 
-// save replaces the file atomically and durably.
-func (s *reportStore) save(stored *directoryv1.StoredCrashReports) error {
-	body, err := proto.Marshal(stored)
+// loadFile reads a file that saveFile has written.
+func loadFile(dir, name string, into proto.Message) error {
+	b, err := os.ReadFile(filepath.Join(dir, name))
+	if err != nil {
+		return err
+	}
+	if len(b) < checksumBytes || binary.BigEndian.Uint64(b) != xxhash.Sum64(b[checksumBytes:]) {
+		return Error.New("the checksum of %s is wrong", name)
+	}
+	return Error.Wrap(proto.Unmarshal(b[checksumBytes:], into))
+}
+
+// saveFile replaces a file atomically and durably.
+func saveFile(dir, name string, content proto.Message) error {
+	body, err := proto.Marshal(content)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	content := append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(body)), body...)
-	path := filepath.Join(s.dir, reportsFile)
-	if err := errors.Join(os.MkdirAll(s.dir, 0o700), writeSynced(path+newSuffix, content)); err != nil {
+	bytes := append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(body)), body...)
+	path := filepath.Join(dir, name)
+	if err := errors.Join(os.MkdirAll(dir, 0o700), writeSynced(path+newSuffix, bytes)); err != nil {
 		return Error.Wrap(err)
 	}
 	if err := os.Rename(path+newSuffix, path); err != nil {
 		return Error.Wrap(err)
 	}
-	dir, err := os.Open(s.dir)
+	folder, err := os.Open(dir)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return Error.Wrap(errors.Join(dir.Sync(), dir.Close()))
+	return Error.Wrap(errors.Join(folder.Sync(), folder.Close()))
 }
 
 func writeSynced(path string, content []byte) error {
--- a/internal/rpc/directoryv1/directoryv1connect/directory.connect.go
+++ b/internal/rpc/directoryv1/directoryv1connect/directory.connect.go
@@ -38,12 +38,16 @@
 	DirectorySyncProcedure = "/auburnstep.directory.v1.Directory/Sync"
 	// DirectoryAcquireProcedure is the fully-qualified name of the Directory's Acquire RPC.
 	DirectoryAcquireProcedure = "/auburnstep.directory.v1.Directory/Acquire"
+	// DirectoryRecordDeparturesProcedure is the fully-qualified name of the Directory's
+	// RecordDepartures RPC.
+	DirectoryRecordDeparturesProcedure = "/auburnstep.directory.v1.Directory/RecordDepartures"
 )
 
 // DirectoryClient is a client for the auburnstep.directory.v1.Directory service.
 type DirectoryClient interface {
 	Sync(context.Context, *connect.Request[directoryv1.SyncRequest]) (*connect.Response[directoryv1.SyncResponse], error)
 	Acquire(context.Context, *connect.Request[directoryv1.AcquireRequest]) (*connect.Response[directoryv1.AcquireResponse], error)
+	RecordDepartures(context.Context, *connect.Request[directoryv1.RecordDeparturesRequest]) (*connect.Response[directoryv1.RecordDeparturesResponse], error)
 }
 
 // NewDirectoryClient constructs a client for the auburnstep.directory.v1.Directory service. By
@@ -69,13 +73,20 @@
 			connect.WithSchema(directoryMethods.ByName("Acquire")),
 			connect.WithClientOptions(opts...),
 		),
+		recordDepartures: connect.NewClient[directoryv1.RecordDeparturesRequest, directoryv1.RecordDeparturesResponse](
+			httpClient,
+			baseURL+DirectoryRecordDeparturesProcedure,
+			connect.WithSchema(directoryMethods.ByName("RecordDepartures")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // directoryClient implements DirectoryClient.
 type directoryClient struct {
-	sync    *connect.Client[directoryv1.SyncRequest, directoryv1.SyncResponse]
-	acquire *connect.Client[directoryv1.AcquireRequest, directoryv1.AcquireResponse]
+	sync             *connect.Client[directoryv1.SyncRequest, directoryv1.SyncResponse]
+	acquire          *connect.Client[directoryv1.AcquireRequest, directoryv1.AcquireResponse]
+	recordDepartures *connect.Client[directoryv1.RecordDeparturesRequest, directoryv1.RecordDeparturesResponse]
 }
 
 // Sync calls auburnstep.directory.v1.Directory.Sync.
@@ -88,10 +99,16 @@
 	return c.acquire.CallUnary(ctx, req)
 }
 
+// RecordDepartures calls auburnstep.directory.v1.Directory.RecordDepartures.
+func (c *directoryClient) RecordDepartures(ctx context.Context, req *connect.Request[directoryv1.RecordDeparturesRequest]) (*connect.Response[directoryv1.RecordDeparturesResponse], error) {
+	return c.recordDepartures.CallUnary(ctx, req)
+}
+
 // DirectoryHandler is an implementation of the auburnstep.directory.v1.Directory service.
 type DirectoryHandler interface {
 	Sync(context.Context, *connect.Request[directoryv1.SyncRequest]) (*connect.Response[directoryv1.SyncResponse], error)
 	Acquire(context.Context, *connect.Request[directoryv1.AcquireRequest]) (*connect.Response[directoryv1.AcquireResponse], error)
+	RecordDepartures(context.Context, *connect.Request[directoryv1.RecordDeparturesRequest]) (*connect.Response[directoryv1.RecordDeparturesResponse], error)
 }
 
 // NewDirectoryHandler builds an HTTP handler from the service implementation. It returns the path
@@ -113,12 +130,20 @@
 		connect.WithSchema(directoryMethods.ByName("Acquire")),
 		connect.WithHandlerOptions(opts...),
 	)
+	directoryRecordDeparturesHandler := connect.NewUnaryHandler(
+		DirectoryRecordDeparturesProcedure,
+		svc.RecordDepartures,
+		connect.WithSchema(directoryMethods.ByName("RecordDepartures")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/auburnstep.directory.v1.Directory/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case DirectorySyncProcedure:
 			directorySyncHandler.ServeHTTP(w, r)
 		case DirectoryAcquireProcedure:
 			directoryAcquireHandler.ServeHTTP(w, r)
+		case DirectoryRecordDeparturesProcedure:
+			directoryRecordDeparturesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -135,3 +160,7 @@
 func (UnimplementedDirectoryHandler) Acquire(context.Context, *connect.Request[directoryv1.AcquireRequest]) (*connect.Response[directoryv1.AcquireResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.directory.v1.Directory.Acquire is not implemented"))
 }
+
+func (UnimplementedDirectoryHandler) RecordDepartures(context.Context, *connect.Request[directoryv1.RecordDeparturesRequest]) (*connect.Response[directoryv1.RecordDeparturesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("auburnstep.directory.v1.Directory.RecordDepartures is not implemented"))
+}
