Updates of the directory hold no lock that a retry needs

Cause: two locks in opposite orders. registry.update, loads and busy held the registry's lock while they locked the state of each service; takeRetry and the stall timer hold the state of a service and asked the registry for the number of entries. A reader that waits behind a waiting writer is enough.

Change: the services are in a map that is replaced and not changed, the number of entries is atomic, and a lock of its own serializes updates, which no request takes. What runs under the lock of a service calls the balancer, the budget, Limits.Of and atomics only; no lock is taken in the other order.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -80,9 +80,7 @@
 }
 
 func (q *request) withBalancer(f func(b *dispatch.Balancer)) {
-	q.serviceState.mu.Lock()
-	defer q.serviceState.mu.Unlock()
-	f(q.serviceState.balancer)
+	q.serviceState.withBalancer(f)
 }
 
 // awaitPlacement places the next attempt. The first attempt waits for capacity for
--- a/internal/router/registry.go
+++ b/internal/router/registry.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"auburnstep.example/auburnstep/internal/directory"
@@ -19,13 +21,19 @@
 }
 
 // registry holds the states of all services. It is safe for concurrent use.
+//
+// Requests read from it while they hold the lock of a service. So nothing here waits for the
+// lock of a service while it holds another lock that a request may need.
 type registry struct {
 	failureDomain string
 	retryRules    dispatch.RetryRules
 
-	mu      sync.RWMutex
-	byName  map[string]*serviceState
-	entries int
+	// byName holds the services. The map is not changed once it is stored.
+	byName  atomic.Pointer[map[string]*serviceState]
+	entries atomic.Int64
+
+	// updating serializes update, which alone uses the following fields.
+	updating sync.Mutex
 	// index and snapshot are what the balancers' endpoints were last set from.
 	index    *routing.Index
 	snapshot *directory.Snapshot
@@ -34,54 +42,56 @@
 }
 
 func newRegistry(failureDomain string, retryRules dispatch.RetryRules) *registry {
-	return &registry{failureDomain: failureDomain, retryRules: retryRules, byName: make(map[string]*serviceState), entries: 1}
+	r := &registry{failureDomain: failureDomain, retryRules: retryRules}
+	r.byName.Store(&map[string]*serviceState{})
+	r.entries.Store(1)
+	return r
 }
 
 // serviceState returns the state of a service, or nil if the service is unknown.
-func (r *registry) serviceState(service string) *serviceState {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.byName[service]
-}
+func (r *registry) serviceState(service string) *serviceState { return (*r.byName.Load())[service] }
 
-func (r *registry) entryCount() int {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.entries
-}
+func (r *registry) entryCount() int { return int(r.entries.Load()) }
 
 // update applies the routing table, the endpoints, and the load and the limits reported by
 // other entries. Endpoints of a service that the table does not list are used once it
 // does.
 func (r *registry) update(index *routing.Index, s *directory.Snapshot, loads *directory.Loads, limits *directory.Limits) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.entries = s.Entries
+	r.updating.Lock()
+	defer r.updating.Unlock()
+	r.entries.Store(int64(s.Entries))
 	if index != r.index || s != r.snapshot {
 		r.index, r.snapshot = index, s
 		r.setEndpoints()
 	}
 	if limits.Changed() {
-		for _, state := range r.byName {
-			state.mu.Lock()
-			state.balancer.MergeLimits(limits.Of)
-			state.mu.Unlock()
-		}
+		r.eachBalancer(func(b *dispatch.Balancer) { b.MergeLimits(limits.Of) })
 	}
 	if !loads.At.After(r.loadsAt) {
 		return
 	}
 	r.loadsAt = loads.At
-	for _, state := range r.byName {
-		state.mu.Lock()
-		state.balancer.SetRemoteLoad(loads.At, loads.Of)
-		state.mu.Unlock()
+	r.eachBalancer(func(b *dispatch.Balancer) { b.SetRemoteLoad(loads.At, loads.Of) })
+}
+
+// eachBalancer calls f with each balancer, under the lock of its service only.
+func (r *registry) eachBalancer(f func(b *dispatch.Balancer)) {
+	for _, state := range *r.byName.Load() {
+		state.withBalancer(f)
 	}
 }
 
+// withBalancer calls f with the balancer under the lock of the service. f must not block,
+// and must not take a lock that is held while another goroutine waits for this one.
+func (s *serviceState) withBalancer(f func(b *dispatch.Balancer)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.balancer)
+}
+
 // setEndpoints passes the endpoints to the balancers of their services. It costs
 // about 1 us per endpoint, so it runs only when the table or the endpoints have
-// changed, not for each load report.
+// changed, not for each load report. Requests see a new service once it has its endpoints.
 func (r *registry) setEndpoints() {
 	byService := make(map[string][]dispatch.Endpoint)
 	for _, e := range r.snapshot.Endpoints {
@@ -90,59 +100,46 @@
 			Slots: int(e.Slots), Draining: e.Draining, Warming: e.WarmupMs > 0, Silent: e.Silent,
 		})
 	}
+	states := maps.Clone(*r.byName.Load())
 	if r.index != nil {
 		for _, service := range r.index.Table.Services {
-			r.ensureService(&service)
+			r.ensureService(states, &service)
 		}
 	}
-	for name, state := range r.byName {
-		state.mu.Lock()
-		state.balancer.SetEndpoints(byService[name], r.snapshot.Entries)
-		state.mu.Unlock()
+	for name, state := range states {
+		state.withBalancer(func(b *dispatch.Balancer) { b.SetEndpoints(byService[name], r.snapshot.Entries) })
 	}
+	r.byName.Store(&states)
 }
 
 // ensureService adds the state of a service, or replaces it if the service has
 // become or ceased to be an engine service.
-func (r *registry) ensureService(s *routing.Service) {
+func (r *registry) ensureService(states map[string]*serviceState, s *routing.Service) {
 	engine := s.Engine != nil
-	if state := r.byName[s.Name]; state != nil && state.engine == engine {
+	if state := states[s.Name]; state != nil && state.engine == engine {
 		return
 	}
 	var memory *dispatch.Memory
 	if engine {
 		memory = &dispatch.Memory{Tokens: s.Engine.KVTokens, FetchTokensPerMs: s.Engine.FetchTokensPerMs}
 	}
-	r.byName[s.Name] = &serviceState{
+	states[s.Name] = &serviceState{
 		balancer: dispatch.NewBalancer(r.failureDomain, memory, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), budget: dispatch.NewRetryBudget(r.retryRules), engine: engine,
 	}
 }
 
 // loads returns this entry's work in flight by endpoint.
 func (r *registry) loads() map[string]dispatch.Load {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
 	out := make(map[string]dispatch.Load)
-	for _, state := range r.byName {
-		state.mu.Lock()
-		state.balancer.EachOwnLoad(func(id string, l dispatch.Load) { out[id] = out[id].Plus(l) })
-		state.mu.Unlock()
-	}
+	r.eachBalancer(func(b *dispatch.Balancer) {
+		b.EachOwnLoad(func(id string, l dispatch.Load) { out[id] = out[id].Plus(l) })
+	})
 	return out
 }
 
 // busy reports whether requests were placed recently while endpoints were expected
 // to miss their objectives.
-func (r *registry) busy(now time.Time) bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	for _, state := range r.byName {
-		state.mu.Lock()
-		busy := state.balancer.Busy(now)
-		state.mu.Unlock()
-		if busy {
-			return true
-		}
-	}
-	return false
+func (r *registry) busy(now time.Time) (busy bool) {
+	r.eachBalancer(func(b *dispatch.Balancer) { busy = busy || b.Busy(now) })
+	return busy
 }
