The heap of a routed instance is bounded by its memory limit

Reported by other operators: all endpoints of a service send bytes without end, in heads and bodies, and the entry that called them runs out of memory.

Here bodies, heads and events were bounded one by one, but the garbage of bodies that had ended was not: the collector runs once the heap has doubled.

Change: the memory limit in the settings is passed to the Go runtime, 60 in 100 of it for the heap.

--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -4,6 +4,7 @@
 	"io"
 	stdlog "log"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,10 @@
 	ServiceRouter          = "router"
 )
 
+// heapPercent is the share of the memory limit that the Go runtime may use. The program itself
+// and bytes that wait in sockets need the rest.
+const heapPercent = 60
+
 // RoutedConfig holds the process settings of an instance that serves a routing
 // table. The instance is an entry, a control member, or both.
 type RoutedConfig struct {
@@ -50,8 +55,9 @@
 	// MetricsListen is the address for GET /metrics. If it is empty, metrics are not served.
 	MetricsListen string
 	Retry         dispatch.RetryRules
-	// BodyMemory is the memory for buffered bodies in bytes, 0 for the default.
-	BodyMemory int64
+	// Memory is the memory limit of the process in bytes, 0 for none. BodyMemory is the part
+	// of it for buffered bodies, 0 for the default.
+	Memory, BodyMemory int64
 	// DrainWait and Grace are passed to router.Options.
 	DrainWait, Grace time.Duration
 	// AllowUnauthenticatedPeers permits the instance to run without PeerToken; see AllowUnauthenticated of
@@ -127,6 +133,11 @@
 // when kill is closed, it returns immediately.
 func (d *RoutedDaemon) Run(stop, kill <-chan struct{}) error {
 	c := &d.Config
+	if c.Memory > 0 {
+		// Bodies that end leave garbage. Without a limit the collector lets the heap grow to
+		// twice of what is in use before it runs.
+		debug.SetMemoryLimit(c.Memory / 100 * heapPercent)
+	}
 	d.Events.Emit(eventStarted, event.F("failure_domain", c.FailureDomain), event.F("listen", c.EntryListen),
 		event.F("peer_listen", c.PeerListen), event.F("control_member", c.DataDirectory != ""), event.F("founding", c.BootstrapCluster), event.F("peers", c.Peers))
 	err := d.kernel.Run(stop, kill)
