Requests in flight at the end of the grace time get an answer

Reported by other operators: in a planned stop, requests that came late in the grace were passed on and cut with no answer at its end.

Here an entry takes no requests later than 2.5 s after SIGTERM, but those taken before, and those sent again after an endpoint had turned them away, were cut at the end of the grace: Stop closed their connections. The native entry waits for all requests without a limit (TestGracefulStop).

Change: 200 ms before the end of the grace, requests in flight are ended with an answer: 502 if they may have run, 503 if they have not. Streams that have begun are broken off as before.

TestRequestsLateInGrace (requests of four kinds throughout the stop, some turned away late) failed before for all four kinds, and passes.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -195,7 +195,7 @@
 		r.err = cause
 		switch {
 		case errors.Is(cause, errStalled), errors.Is(cause, errTimeLimit):
-		case errors.Is(cause, errQuarantined):
+		case errors.Is(cause, errQuarantined), errors.Is(cause, errStopping):
 			r.outcome = dispatch.Abandoned
 		default:
 			r.outcome, r.err = dispatch.Abandoned, errCallerDisconnected
@@ -356,7 +356,7 @@
 func (q *request) giveUp(ctx context.Context, last attemptResult, reason string) {
 	cause := context.Cause(ctx)
 	switch {
-	case errors.Is(last.err, errCallerDisconnected), cause != nil && !errors.Is(cause, errTimeLimit):
+	case errors.Is(last.err, errCallerDisconnected), cause != nil && !errors.Is(cause, errTimeLimit) && !errors.Is(cause, errStopping):
 		q.server.metrics.disconnected.Inc(1)
 		q.server.options.Events.Emit(eventCallerLeft, q.eventFields(event.F("last_event", q.lastEvent))...)
 		q.abort()
@@ -364,7 +364,10 @@
 		q.sendBuffered(last.response)
 	case q.runs > 0:
 		status, code := http.StatusBadGateway, "endpoint-failed"
-		if cause != nil {
+		switch {
+		case errors.Is(cause, errStopping):
+			code = "stopping"
+		case cause != nil:
 			status, code = http.StatusGatewayTimeout, "time-limit"
 		}
 		q.fail(status, code, last.err)
@@ -374,6 +377,8 @@
 			code = "request-quarantined"
 		}
 		q.refuse(refusal(http.StatusServiceUnavailable, code, reason, quarantineRetryAfter))
+	case errors.Is(cause, errStopping):
+		q.refuse(refusal(http.StatusServiceUnavailable, "leaving", errStopping.Error(), drainRetryAfter))
 	default:
 		if reason == "" {
 			reason = "no endpoint took the request"
--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -355,6 +355,54 @@
 	}
 }
 
+// TestRequestsLateInGrace guards against requests that are cut without an answer at the end
+// of the grace time of a planned stop: those that were taken while the entry still accepted
+// requests and run for long, and those that an endpoint turns away so late that the next
+// attempt cannot end.
+func TestRequestsLateInGrace(t *testing.T) {
+	for _, path := range []string{"/look/", "/book/", "/chat/", "/plan/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			answer := func(c net.Conn, r *http.Request, _ string) bool {
+				var n int
+				_, _ = fmt.Sscan(r.URL.Path[len(path):], &n)
+				time.Sleep(time.Duration(n%5) * 400 * time.Millisecond)
+				switch {
+				case n%3 == 0: // Turned away, so that also a booking is sent again.
+					fmt.Fprintf(c, "HTTP/1.1 503 X\r\n%s: %s\r\nX-Auburnstep-Verdict: not-run\r\nContent-Length: 0\r\n\r\n", nativeRequestID, r.Header.Get(nativeRequestID))
+				case path == "/chat/" || path == "/plan/":
+					writeEvents(c, r, 0, 3, true)
+				default:
+					writeResponse(c, r, http.StatusOK, "fine")
+				}
+				return true
+			}
+			endpoints := []*fakeEndpoint{newFakeEndpoint(t, "e1", answer), newFakeEndpoint(t, "e2", answer), newFakeEndpoint(t, "e3", answer)}
+			s, address := startRouter(t, endpoints...)
+			s.options.DrainWait = 500 * time.Millisecond
+			stopped := make(chan error, 1)
+			time.AfterFunc(200*time.Millisecond, func() { stopped <- s.Stop(context.Background()) })
+			var callers sync.WaitGroup
+			for n := range 60 {
+				callers.Go(func() {
+					time.Sleep(time.Duration(n) * 20 * time.Millisecond)
+					var id string
+					resp, _, err := postRequest(t, address, fmt.Sprint(path, n), func(r *http.Request) { id = r.Header.Get(nativeRequestID) })
+					received := slices.ContainsFunc(endpoints, func(e *fakeEndpoint) bool { return e.hasReceived(id) })
+					switch {
+					case err != nil && received:
+						t.Errorf("request %d was passed on and got no answer: %v", n, err)
+					case err == nil && resp.StatusCode == http.StatusServiceUnavailable && received && n%3 != 0:
+						t.Errorf("request %d was passed on and is said not to have run", n)
+					}
+				})
+			}
+			callers.Wait()
+			qt.Check(t, <-stopped, qt.IsNil)
+		})
+	}
+}
+
 // TestStopEndsWithinGrace guards against an entry that is still there at the end of its
 // grace time, when it is killed with whatever it is doing.
 func TestStopEndsWithinGrace(t *testing.T) {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -90,11 +90,13 @@
 }
 
 // Causes that end a request or an attempt: the caller disconnected, the request's
-// deadline passed, or the endpoint's first event was overdue.
+// deadline passed, the endpoint's first event was overdue, or the grace time of the entry
+// is about to end.
 var (
 	errCallerDisconnected = errors.New("the caller has disconnected")
 	errTimeLimit          = errors.New("the time limit of the request has passed")
 	errStalled            = errors.New("the endpoint did not begin to answer in time")
+	errStopping           = errors.New("the entry is stopping")
 )
 
 // ServeHTTP implements http.Handler.
@@ -114,6 +116,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errTimeLimit)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(s.stopping, func() { end(errStopping) })()
 	q.serve(ctx)
 }
 
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -34,6 +34,9 @@
 	// headGrace is how long an entry that stops listening waits for requests whose head is
 	// arriving.
 	headGrace = 300 * time.Millisecond
+	// finalAnswerTime is the time before the end of the grace in which requests that are still
+	// in flight get their final answers.
+	finalAnswerTime = 200 * time.Millisecond
 	// defaultBodyMemory replaces a BodyMemory of 0.
 	defaultBodyMemory = 64 << 20
 )
@@ -84,9 +87,12 @@
 	// drainingSince is when draining began, in nanoseconds since started.
 	drainingSince atomic.Int64
 	started       time.Time
-	crashChecks   *crashChecks
-	attempts      *attemptSet
-	lastIndex     *routing.Index // last table applied; used only by runUpdates
+	// stopping ends with errStopping shortly before the end of the grace time.
+	stopping    context.Context
+	endRequests context.CancelCauseFunc
+	crashChecks *crashChecks
+	attempts    *attemptSet
+	lastIndex   *routing.Index // last table applied; used only by runUpdates
 }
 
 // New returns a server that has not been started.
@@ -102,6 +108,7 @@
 	}
 	s := &Server{options: o, started: time.Now(), crashChecks: newCrashChecks(), attempts: newAttemptSet(), registry: newRegistry(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope),
 		metrics: newMetrics(o.Scope)}
+	s.stopping, s.endRequests = context.WithCancelCause(context.Background())
 	half := cmp.Or(o.BodyMemory, defaultBodyMemory) / 2
 	s.requestBodies, s.responseBodies = bytebudget.New(half), bytebudget.New(half)
 	s.http = &http.Server{
@@ -175,7 +182,8 @@
 
 // Stop implements kernel.Service. The entry keeps accepting requests for
 // DrainWait, since callers keep using its address for a while, and stops once no
-// request is in flight or Grace has passed.
+// request is in flight or Grace has passed. Requests that are in flight shortly before
+// that are ended with an answer.
 func (s *Server) Stop(ctx context.Context) error {
 	s.drainingSince.Store(int64(time.Since(s.started)))
 	// Idle connections stay open, since a request may already be on its way on them; its
@@ -183,6 +191,8 @@
 	s.draining.Store(true)
 	s.options.Events.Emit(eventDraining, event.F("in_flight", s.inFlight.Load()))
 	began := time.Now()
+	endRequests := time.AfterFunc(s.options.Grace-min(finalAnswerTime, s.options.Grace/4), func() { s.endRequests(errStopping) })
+	defer endRequests.Stop()
 	for time.Since(began) < s.options.Grace {
 		if time.Since(began) >= s.options.DrainWait && s.inFlight.Load() == 0 {
 			break
