Tests: an answer whose head stops at any byte is never complete

Reported by other operators: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. It cannot happen here: TestHeadThatStopsInItsMiddle (routed plane; four kinds, with and without an interim response, close and reset, each byte) and TestHeaderThatStopsInItsMiddle (native plane) passed on the code as it was.

--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -18,6 +19,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"auburnstep.example/auburnstep/internal/bytebudget"
+	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
 
@@ -355,6 +357,53 @@
 	}
 }
 
+// TestHeadThatStopsInItsMiddle guards against an answer whose head stops at any byte, with
+// a regular close or a reset, and that the caller gets as a complete one.
+func TestHeadThatStopsInItsMiddle(t *testing.T) {
+	for _, path := range []string{"/look/1", "/book/1", "/chat/1", "/plan/1"} {
+		for _, interim := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+			for _, reset := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s after %q, reset %v", path, interim, reset), func(t *testing.T) {
+					t.Parallel()
+					fields := "Content-Type: text/plain\r\nContent-Length: 4\r\n"
+					if path == "/chat/1" || path == "/plan/1" {
+						fields = "Content-Type: text/event-stream\r\n"
+					}
+					var cut atomic.Int64
+					e := newFakeEndpoint(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+						whole := interim + head(r, fields)
+						_, _ = io.WriteString(c, whole[:min(int(cut.Load()), len(whole)-1)])
+						if reset {
+							_ = c.(*net.TCPConn).SetLinger(0)
+						}
+						return false
+					})
+					s, address := startRouter(t, e)
+					for n := range len(interim) + 110 {
+						cut.Store(int64(n))
+						before := e.runs.Load()
+						resp, body, err := postRequest(t, address, path, nil)
+						if err == nil && resp.StatusCode < http.StatusInternalServerError {
+							t.Errorf("after %d bytes of the head the caller got status %d and %q", n, resp.StatusCode, body)
+						}
+						if err == nil && resp.StatusCode == http.StatusServiceUnavailable && e.runs.Load() > before {
+							t.Errorf("after %d bytes of the head the caller learned that the request has not run", n)
+						}
+						state := s.registry.serviceState("s") // The endpoint would be left out after such answers.
+						state.mu.Lock()
+						state.balancer = dispatch.NewBalancer("", nil, rand.New(rand.NewPCG(1, uint64(n))))
+						state.balancer.SetEndpoints([]dispatch.Endpoint{{ID: "e1", Incarnation: 1, Address: e.listener.Addr().String(), Slots: 4}}, 1)
+						state.mu.Unlock()
+					}
+					if n := int(e.runs.Load()); n < len(interim)+110 {
+						t.Errorf("only %d requests reached the endpoint", n)
+					}
+				})
+			}
+		}
+	}
+}
+
 // TestRequestsLateInGrace guards against requests that are cut without an answer at the end
 // of the grace time of a planned stop: those that were taken while the entry still accepted
 // requests and run for long, and those that an endpoint turns away so late that the next
--- a/internal/upstream/plain_test.go
+++ b/internal/upstream/plain_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -166,3 +167,58 @@
 		})
 	}
 }
+
+// TestHeaderThatStopsInItsMiddle guards against a response whose header stops at any byte, with
+// a regular close or a reset, and that counts as a response, or as proof that the request
+// has not run.
+func TestHeaderThatStopsInItsMiddle(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		c := qt.New(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		defer listener.Close()
+		const header = "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": r\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n"
+		cut := make(chan int, 1)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				// Requests to cancel another one get no answer.
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil && r.Method != http.MethodDelete {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(conn, header[:<-cut])
+				}
+				if reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			}
+		}()
+		client := startClient(c, Options{})
+		for n := range len(header) {
+			for _, send := range []func() error{
+				func() error {
+					_, err := client.Do(context.Background(), PlainCall{Endpoint: listener.Addr().String(), RequestID: "r", Method: http.MethodGet, Target: "/",
+						MaxResponse: 1000, MaxTimeToFirstByte: longTimeout, MaxTimeBetweenBytes: longTimeout})
+					return err
+				},
+				func() error {
+					stream, err := client.Chat(context.Background(), Call{Endpoint: listener.Addr().String(), RequestID: "r", Body: chatBody("x", 2),
+						MaxTimeToFirstToken: longTimeout, MaxTimeBetweenTokens: longTimeout})
+					if err == nil {
+						stream.Close()
+					}
+					return err
+				},
+			} {
+				cut <- n
+				err := send()
+				var failure *RequestError
+				c.Assert(errors.As(err, &failure), qt.IsTrue, qt.Commentf("%d bytes: %v", n, err))
+				c.Check(failure.Err.Verdict, qt.Equals, verdict.MayHaveRun, qt.Commentf("%d bytes", n))
+			}
+		}
+	}
+}
