A member that leaves names its own id and address

A request of a peer to remove an id that the leader does not know with that address is refused; an unknown id passed before. TestMemberRemovesOnlyItself.

--- a/internal/control/replaced_test.go
+++ b/internal/control/replaced_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
 // retire stops a member as for SIGTERM. Its instance does not come back.
@@ -202,3 +204,22 @@
 		})
 	}
 }
+
+// TestMemberRemovesOnlyItself guards against a process that removes another member by its id.
+func TestMemberRemovesOnlyItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newReplacingCluster(t, 46)
+		defer c.stop()
+		c.addInstance("m3")
+		c.waitForVoters("m0", "m1", "m2", "m3")
+		leader := c.leader()
+		victim := other(leader, "m0", "m1")
+		for _, r := range []*controlv1.MemberRequest{
+			{Id: c.id(victim), Address: "elsewhere", Remove: true}, {Id: 42, Address: victim, Remove: true},
+		} {
+			_, err := c.member(leader).ChangeMember(context.Background(), r)
+			qt.Check(t, err, qt.IsNotNil)
+		}
+		c.waitForVoters("m0", "m1", "m2", "m3")
+	})
+}
--- a/internal/control/surplus.go
+++ b/internal/control/surplus.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"auburnstep.example/auburnstep/internal/consensus"
@@ -108,10 +109,11 @@
 // removeLeaving removes a member that asks for it before it stops. The address tells
 // whether the request is the member's own.
 func (m *Member) removeLeaving(ctx context.Context, r *controlv1.MemberRequest) (string, error) {
-	for _, known := range m.replicatedMembers() {
-		if known.Id == r.GetId() && known.Address != r.GetAddress() {
-			return "", Error.New("member %d has another address", r.GetId())
-		}
+	own := func(known *controlv1.MemberAddress) bool {
+		return known.Id == r.GetId() && known.Address == r.GetAddress()
+	}
+	if !slices.ContainsFunc(m.replicatedMembers(), own) {
+		return "", Error.New("no member %d with the address %s is known", r.GetId(), r.GetAddress())
 	}
 	return m.removeMemberIf(ctx, r.GetId(), hasSurplus)
 }
