A member that joins anew keeps the stored departures and crash reports

Storage.Clear deleted every file of the data directory, also those of the directory service in the same process, while their contents counted as stored: an acknowledged departure could lose a copy each time a member rejoined. TestRejoiningMemberKeepsDepartures (new; it needs the new parameter).

--- a/internal/control/replaced_test.go
+++ b/internal/control/replaced_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -223,3 +225,24 @@
 		c.waitForVoters("m0", "m1", "m2", "m3")
 	})
 }
+
+// TestRejoiningMemberKeepsDepartures guards against a member that was removed and joins anew,
+// and deletes files of others from its data directory: a departure that it has stored counts
+// as acknowledged.
+func TestRejoiningMemberKeepsDepartures(t *testing.T) {
+	dir := t.TempDir()
+	storage := NewDirStorage(dir, "departures")
+	log, first, err := storage.Open("c")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, log.Close(), qt.IsNil)
+	qt.Assert(t, os.WriteFile(filepath.Join(dir, "departures"), []byte("x"), 0o600), qt.IsNil)
+	qt.Assert(t, storage.Clear(), qt.IsNil)
+	log, second, err := storage.Open("c")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, log.Close(), qt.IsNil)
+	qt.Check(t, second.New, qt.IsTrue)
+	qt.Check(t, second.ID, qt.Not(qt.Equals), first.ID)
+	content, err := os.ReadFile(filepath.Join(dir, "departures"))
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(content), qt.Equals, "x")
+}
--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/wal"
@@ -34,19 +35,23 @@
 // Storage opens the data directory of a member.
 type Storage interface {
 	Open(cluster string) (Log, OpenResult, error)
-	// Clear removes the content of the directory, with the effect of a lost disk. No
-	// log may be open.
+	// Clear removes the log and the identity of the member, with the effect of a lost disk.
+	// No log may be open.
 	Clear() error
 }
 
-// NewDirStorage returns a Storage for a directory of the file system.
-func NewDirStorage(dir string) Storage { return dirStorage(dir) }
+// NewDirStorage returns a Storage for a directory of the file system. keep lists the names of
+// files in it that belong to others.
+func NewDirStorage(dir string, keep ...string) Storage { return dirStorage{dir, keep} }
 
-type dirStorage string
+type dirStorage struct {
+	dir  string
+	keep []string
+}
 
 // Open implements Storage.
 func (d dirStorage) Open(cluster string) (Log, OpenResult, error) {
-	log, r, err := wal.Open(string(d), wal.Options{Cluster: cluster})
+	log, r, err := wal.Open(d.dir, wal.Options{Cluster: cluster})
 	if err != nil {
 		return nil, OpenResult{}, err
 	}
@@ -59,16 +64,18 @@
 
 // Clear implements Storage.
 func (d dirStorage) Clear() error {
-	files, err := os.ReadDir(string(d))
+	files, err := os.ReadDir(d.dir)
 	for _, f := range files {
-		err = errors.Join(err, os.RemoveAll(filepath.Join(string(d), f.Name())))
+		if !slices.Contains(d.keep, f.Name()) {
+			err = errors.Join(err, os.RemoveAll(filepath.Join(d.dir, f.Name())))
+		}
 	}
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	// The removal must be durable before a new member ID is generated. Otherwise a
 	// power loss could leave files of two IDs in the directory.
-	dir, err := os.Open(string(d))
+	dir, err := os.Open(d.dir)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -192,7 +192,7 @@
 	}
 	d.Member = control.NewMember(control.Options{
 		Cluster: d.Config.Cluster, Instance: d.Config.Instance, Address: d.Config.PeerListen,
-		InitialMembers: initial, Peers: d.Config.Peers, Storage: control.NewDirStorage(d.Config.DataDirectory),
+		InitialMembers: initial, Peers: d.Config.Peers, Storage: control.NewDirStorage(d.Config.DataDirectory, directory.StoredFiles...),
 		Network: control.NewNetwork(d.pool), Events: d.Events, Scope: d.metrics.Scope, Seed: instanceSeed(d.Config.Instance),
 		ReplaceLostVoters: true,
 	})
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -32,6 +32,9 @@
 	eventReportsNotLoaded = event.Define(7107, "crash-reports-not-loaded", event.Warn, "the stored crash reports cannot be read; entries will send theirs")
 )
 
+// StoredFiles lists the names of the files that a Service keeps in its data directory.
+var StoredFiles = []string{reportsFile, departuresFile}
+
 // reportStore keeps the crash reports of a member in its data directory, so that a
 // quarantine outlives the loss of all processes. The reports need no quorum: those that
 // are lost with a disk come back from the other members by way of the entries.
