Planned restarts of five control members leave their votes alone

Callers would have seen: on sites with five core machines each planned restart of one made it leave the cluster, delete its data and join anew; entries stopped polling it meanwhile.

TestRestartsOfFiveKeepVoters failed before for each of the five members.

--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -61,12 +61,12 @@
 // transfers its leadership and returns ErrNotLeader, so that the caller repeats
 // the request at the next leader.
 func (m *Member) removeMember(ctx context.Context, id uint64) (string, error) {
-	return m.removeMemberIf(ctx, id, func(consensus.Membership) error { return nil })
+	return m.removeMemberIf(ctx, id, func(consensus.Status) error { return nil })
 }
 
-// removeMemberIf is removeMember with a condition on the membership that the change is
-// applied to.
-func (m *Member) removeMemberIf(ctx context.Context, id uint64, allowed func(consensus.Membership) error) (string, error) {
+// removeMemberIf is removeMember with a condition on the status of the leader at the moment of
+// the change.
+func (m *Member) removeMemberIf(ctx context.Context, id uint64, allowed func(consensus.Status) error) (string, error) {
 	if id == m.id() {
 		m.transferLeadership(ctx)
 		return "", fmt.Errorf("%w: the leader has handed over and can be removed by the next one", ErrNotLeader)
@@ -84,12 +84,12 @@
 // changeMembership proposes a change and waits until it is committed and done
 // reports that the membership contains it.
 func (m *Member) changeMembership(ctx context.Context, c consensus.MembershipChange, done func(consensus.Membership) bool) error {
-	return m.changeMembershipIf(ctx, c, func(consensus.Membership) error { return nil }, done)
+	return m.changeMembershipIf(ctx, c, func(consensus.Status) error { return nil }, done)
 }
 
-// changeMembershipIf is changeMembership with a condition on the membership that the change
-// is applied to.
-func (m *Member) changeMembershipIf(ctx context.Context, c consensus.MembershipChange, allowed func(consensus.Membership) error, done func(consensus.Membership) bool) error {
+// changeMembershipIf is changeMembership with a condition on the status of the leader at the
+// moment of the change.
+func (m *Member) changeMembershipIf(ctx context.Context, c consensus.MembershipChange, allowed func(consensus.Status) error, done func(consensus.Membership) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, membershipWaitTimeout)
 	defer cancel()
 	proposed := uint64(0)
@@ -104,7 +104,7 @@
 				}
 				return nil
 			}
-			if err := allowed(s.Members); err != nil {
+			if err := allowed(s); err != nil {
 				return err
 			}
 			if err := n.ProposeMembership(c); err != nil {
--- a/internal/control/replaced_test.go
+++ b/internal/control/replaced_test.go
@@ -246,3 +246,25 @@
 	qt.Check(t, err, qt.IsNil)
 	qt.Check(t, string(content), qt.Equals, "x")
 }
+
+// TestRestartsOfFiveKeepVoters guards against restarts of one member after the other that
+// make each of five leave and join anew, with the loss of all that it holds, although a
+// cluster of four tolerates no more losses than five with one of them away.
+func TestRestartsOfFiveKeepVoters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newReplacingCluster(t, 47)
+		defer c.stop()
+		c.addInstance("m3")
+		c.addInstance("m4")
+		c.waitForVoters("m0", "m1", "m2", "m3", "m4")
+		for _, name := range c.names {
+			id := c.id(name)
+			c.retire(name)
+			time.Sleep(4 * time.Second)
+			c.start(name)
+			time.Sleep(2 * time.Second) // It responds to the leader again.
+			c.waitForVoters("m0", "m1", "m2", "m3", "m4")
+			qt.Check(t, c.id(name), qt.Equals, id)
+		}
+	})
+}
--- a/internal/control/surplus.go
+++ b/internal/control/surplus.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/kernel"
@@ -22,8 +24,8 @@
 	// minVoters is the number of voters below which no voter is given up without a
 	// successor: three tolerate the loss of one.
 	minVoters = 3
-	// surplusVoterTimeout is how long a voter must have been unresponsive before the
-	// leader removes it without a successor.
+	// surplusVoterTimeout is how long a voter of an even number must have been unresponsive
+	// before the leader removes it without a successor.
 	surplusVoterTimeout = time.Second
 	// leaveTimeout bounds how long a member that stops asks the leader to be removed.
 	leaveTimeout = 2 * time.Second
@@ -34,29 +36,43 @@
 
 // hasSurplus returns errVoterNeeded if the removal of a voter would leave fewer than
 // minVoters.
-func hasSurplus(s consensus.Membership) error {
-	if len(s.Voters) <= minVoters {
+func hasSurplus(s consensus.Status) error {
+	if len(s.Members.Voters) <= minVoters {
 		return errVoterNeeded
 	}
 	return nil
 }
 
+// mayLeave returns errVoterNeeded unless a voter that stops should leave. With an even number
+// of voters one fewer needs a smaller majority. With an odd number that takes two, so that
+// it stays unless another voter is lost: the restart of a single one changes nothing.
+func mayLeave(s consensus.Status, id uint64) error {
+	otherLost := slices.ContainsFunc(s.Progress, func(p consensus.Progress) bool { return p.ID != id && !p.Learner && !p.Active })
+	if len(s.Members.Voters)%2 != 0 && !otherLost {
+		return errVoterNeeded
+	}
+	return hasSurplus(s)
+}
+
 // surplusVoter returns a voter that is lost and whose removal makes the cluster tolerate
-// more further losses, or prepares it: with an even number of voters one fewer needs a
-// smaller majority, and with an odd number two fewer do. It returns 0 if there is none.
-func surplusVoter(s consensus.Membership, unresponsiveSince map[uint64]time.Time, now time.Time) uint64 {
-	lost, longest := uint64(0), time.Duration(0)
-	count := 0
+// more further losses: with an even number of voters, or as the first of two that are lost
+// with an odd number; for the latter it waits as long as for the replacement of a voter. It
+// returns 0 if there is none.
+func surplusVoter(s consensus.Status, unresponsiveSince map[uint64]time.Time, now time.Time) uint64 {
+	needed, timeout := 1, surplusVoterTimeout
+	if len(s.Members.Voters)%2 != 0 {
+		needed, timeout = 2, lostVoterTimeout
+	}
+	lost, longest, count := uint64(0), time.Duration(0), 0
 	for id, since := range unresponsiveSince {
-		if age := now.Sub(since); s.IsVoter(id) && age >= surplusVoterTimeout {
+		if age := now.Sub(since); s.Members.IsVoter(id) && age >= timeout {
 			count++
 			if lost == 0 || age > longest || age == longest && id < lost {
 				lost, longest = id, age
 			}
 		}
 	}
-	even := len(s.Voters)%2 == 0
-	if hasSurplus(s) != nil || !even && count < 2 {
+	if hasSurplus(s) != nil || count < needed {
 		return 0
 	}
 	return lost
@@ -68,13 +84,13 @@
 	if !m.options.ReplaceLostVoters {
 		return
 	}
-	members := m.status.Load().Members
-	id := surplusVoter(members, m.unresponsiveSince, m.now())
+	s := m.status.Load()
+	id := surplusVoter(*s, m.unresponsiveSince, m.now())
 	if id == 0 {
 		return
 	}
 	_, err := m.removeMemberIf(ctx, id, hasSurplus)
-	m.options.Events.Emit(eventSurplusRemoved, event.F("lost", id), event.F("voters", len(members.Voters)), event.F("error", err))
+	m.options.Events.Emit(eventSurplusRemoved, event.F("lost", id), event.F("voters", len(s.Members.Voters)), event.F("error", err))
 }
 
 // leave asks the leader to remove this member, which is about to stop, if the cluster has
@@ -87,7 +103,7 @@
 	defer cancel()
 	for {
 		s := m.status.Load()
-		if s.Removed || !s.Members.IsVoter(s.ID) || hasSurplus(s.Members) != nil {
+		if s.Removed || !s.Members.IsVoter(s.ID) || hasSurplus(*s) != nil {
 			return
 		}
 		// This member may have become the leader since Stop transferred its leadership.
@@ -98,6 +114,9 @@
 				m.options.Events.Emit(eventLeft, event.F("member", s.ID), event.F("voters", len(s.Members.Voters)))
 				return
 			}
+			if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+				return // The leader knows that the cluster needs this voter.
+			}
 		}
 		if kernel.Sleep(ctx, m.options.Tick) != nil {
 			m.options.Events.Emit(eventLeaveFailed, event.F("member", s.ID), event.F("voters", len(s.Members.Voters)))
@@ -115,5 +134,5 @@
 	if !slices.ContainsFunc(m.replicatedMembers(), own) {
 		return "", Error.New("no member %d with the address %s is known", r.GetId(), r.GetAddress())
 	}
-	return m.removeMemberIf(ctx, r.GetId(), hasSurplus)
+	return m.removeMemberIf(ctx, r.GetId(), func(s consensus.Status) error { return mayLeave(s, r.GetId()) })
 }
