Members without a leader hand out the routing table that they have applied

What callers see: an entry refuses an acknowledged route, or runs a dropped one, while members have no leader or can't reach it, although the members that it polls have the table. Cause: a poll was answered only with a proof of the leader. A member without one returned an error, and the entry kept its table until an election was over and a new leader had its lease. Change: such a member answers with its table if that is newer than the table of the poll, and without a freshness period. What it has applied is committed and versions never fall at entries, so the table may be used; that there is no newer one stays unproven. Measured: TestMembersWithoutLeaderWithholdRoutingTable got 'this member is not the leader' before; internal/control tests of routing, feeds and proofs pass.

--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -43,8 +43,27 @@
 //   - The response may be sent after the term of the proof has ended. The
 //     instance counts its leases from ts <= tb, where tb lies within that term,
 //     and a later leader waits formerLeaseWait from the start of its own term.
+//
+// A member that cannot respond in this way still hands out a routing table that is newer than
+// that of the instance, with FreshForMs 0. What it has applied is committed, so that the
+// instance may use it; only that there is no newer one is not known.
 func (m *Member) Feed(ctx context.Context, r *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
 	m.metrics.feedPolls.Inc(1)
+	out, err := m.provenFeed(ctx, r)
+	if err == nil {
+		return out, nil
+	}
+	m.mu.RLock()
+	table := m.state.Routing()
+	m.mu.RUnlock()
+	if table.GetVersion() <= r.GetRoutingVersion() {
+		return nil, err
+	}
+	return &controlv1.FeedResponse{Routing: table}, nil
+}
+
+// provenFeed serves a poll with a state that is as new as that of the leader.
+func (m *Member) provenFeed(ctx context.Context, r *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
 	term, ok := m.lease()
 	if !ok {
 		return m.feedAsFollower(ctx, r)
--- a/internal/control/routing_test.go
+++ b/internal/control/routing_test.go
@@ -172,3 +172,38 @@
 		qt.Assert(t, err, qt.IsNotNil)
 	})
 }
+
+// TestMembersWithoutLeaderWithholdRoutingTable guards against an instance that waits for an
+// election although a member that it polls has applied a newer table.
+func TestMembersWithoutLeaderWithholdRoutingTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 23, 3)
+		defer c.stop()
+		c.putRouting(routingTable(t, 7, "seven"))
+		c.waitFor("all members to apply the table", func() bool {
+			for _, name := range c.names {
+				if c.member(name).routingVersion() != 7 {
+					return false
+				}
+			}
+			return true
+		})
+		follower := c.names[0]
+		if c.leader() == follower {
+			follower = c.names[1]
+		}
+		c.isolate(follower, true)
+		time.Sleep(2 * time.Second)
+		poll := func(version uint64) (*controlv1.FeedResponse, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			return c.member(follower).Feed(ctx, &controlv1.FeedRequest{Self: &controlv1.EntryInfo{Instance: "e0"}, RoutingVersion: version})
+		}
+		r, err := poll(6)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.GetRouting().GetVersion(), qt.Equals, uint64(7))
+		qt.Assert(t, r.GetFreshForMs(), qt.Equals, uint32(0))
+		_, err = poll(7)
+		qt.Assert(t, err, qt.IsNotNil)
+	})
+}
