Feed, router: events and metrics tell the age of the routing table

New events: feed-poll-slow (member, elapsed time), feed-round-slow (elapsed time, polls, age), feed-polls-delayed (the entry itself did not run). New metrics: feed_table_age_seconds, feed_poll_duration.

No logic is changed. Run: go test ./internal/control/feed ./internal/router ./internal/daemon.

--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -40,8 +40,22 @@
 	eventSettingsInForce = event.Define(3103, "settings-in-force", event.Info, "this instance applied a settings version")
 
 	eventRoutingInForce = event.Define(3105, "routing-in-force", event.Info, "this instance applied a routing table")
+	eventPollSlow       = event.Define(3106, "feed-poll-slow", event.Warn, "a control member took long to answer a poll, or did not answer it")
+	eventRoundSlow      = event.Define(3107, "feed-round-slow", event.Warn, "the polls of one round took long")
+	eventPollsDelayed   = event.Define(3108, "feed-polls-delayed", event.Warn, "a round of polls began late, because this process did not run or had no processor time")
 )
 
+const (
+	// slowPoll is the duration from which a poll, or a round of polls, is logged.
+	slowPoll = 300 * time.Millisecond
+	// maxRoundDelay is the delay from which a late round of polls is logged.
+	maxRoundDelay = 200 * time.Millisecond
+)
+
+// pollDurationBuckets range from a poll of the leader on the same machine to the longest
+// transfer of the whole settings.
+var pollDurationBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
 // Options configures a Client.
 type Options struct {
 	// Members lists addresses of control members to start with. The client learns
@@ -93,6 +107,8 @@
 
 	polls, failures          tally.Counter
 	versionGauge, freshGauge tally.Gauge
+	tableAge                 tally.Gauge
+	pollDuration             tally.Histogram
 	// stopping is closed by Stop. done is closed when Start returns.
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -113,6 +129,7 @@
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		polls: o.Scope.Counter("feed_polls_sent"), failures: o.Scope.Counter("feed_polls_failed"),
 		versionGauge: o.Scope.Gauge("feed_settings_version"), freshGauge: o.Scope.Gauge("feed_fresh_seconds"),
+		tableAge: o.Scope.Gauge("feed_table_age_seconds"), pollDuration: o.Scope.Histogram("feed_poll_duration", pollDurationBuckets),
 	}
 	c.view.Store(&View{Tree: tree, Index: tree.Index()})
 	c.leases.Store(&map[string]Lease{})
@@ -178,6 +195,7 @@
 			pause = handOverPollInterval
 		}
 		timer := time.NewTimer(pause)
+		pausedAt := c.options.Clock()
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -191,6 +209,9 @@
 		case <-timer.C:
 		}
 		timer.Stop()
+		if delay := c.options.Clock().Sub(pausedAt) - pause; delay >= maxRoundDelay {
+			c.options.Events.Emit(eventPollsDelayed, event.F("delay_ms", delay.Milliseconds()), event.F("table_age_ms", c.Age(c.View()).Milliseconds()))
+		}
 	}
 }
 
@@ -223,15 +244,21 @@
 // pollAnyMember polls members until one sends a valid response. It bounds the
 // number of polls, so that each member is tried once or twice at most.
 func (c *Client) pollAnyMember(ctx context.Context) {
+	began, polls, answered := c.options.Clock(), 0, false
 	for range c.selector.maxAddresses() + 2 {
 		address := c.selector.pick()
 		if address == "" || ctx.Err() != nil {
-			return
+			break
 		}
-		if c.poll(ctx, address) {
-			return
+		polls++
+		if answered = c.poll(ctx, address); answered {
+			break
 		}
 	}
+	if elapsed := c.options.Clock().Sub(began); elapsed >= slowPoll {
+		c.options.Events.Emit(eventRoundSlow, event.F("elapsed_ms", elapsed.Milliseconds()), event.F("polls", polls),
+			event.F("answered", answered), event.F("table_age_ms", c.Age(c.View()).Milliseconds()))
+	}
 }
 
 // poll polls one member and reports whether it sent a valid response, as the leader
@@ -247,6 +274,11 @@
 	defer cancel()
 	sentAt := c.options.Clock()
 	r, err := c.options.MemberClient.Feed(ctx, address, pollRequest)
+	elapsed := c.options.Clock().Sub(sentAt)
+	c.pollDuration.RecordDuration(elapsed)
+	if elapsed >= slowPoll {
+		c.options.Events.Emit(eventPollSlow, event.F("member", address), event.F("elapsed_ms", elapsed.Milliseconds()), event.F("error", err))
+	}
 	if err != nil {
 		c.failures.Inc(1)
 		c.selector.recordFailure(address)
@@ -336,6 +368,9 @@
 		}
 	}
 	next.Groups = r.GetGroups()
+	if sentAt.After(next.ConfirmedAt) {
+		next.ConfirmedAt = sentAt
+	}
 	if until := sentAt.Add(time.Duration(r.GetFreshForMs()) * time.Millisecond); until.After(next.FreshUntil) {
 		next.FreshUntil = until
 	}
@@ -419,6 +454,9 @@
 	view, now := c.view.Load(), c.options.Clock()
 	c.versionGauge.Update(float64(view.Version))
 	c.freshGauge.Update(max(0, view.FreshUntil.Sub(now).Seconds()))
+	if !view.ConfirmedAt.IsZero() {
+		c.tableAge.Update(now.Sub(view.ConfirmedAt).Seconds())
+	}
 	feedLost := !view.Fresh(now)
 	if feedLost == c.feedLost {
 		return
@@ -431,3 +469,15 @@
 	}
 	c.notifyChanged()
 }
+
+// neverConfirmed is the age of a view that no control member has confirmed.
+const neverConfirmed = -time.Millisecond
+
+// Age returns the time since a control member last confirmed v, or a negative value if
+// none has.
+func (c *Client) Age(v *View) time.Duration {
+	if v.ConfirmedAt.IsZero() {
+		return neverConfirmed
+	}
+	return c.options.Clock().Sub(v.ConfirmedAt)
+}
--- a/internal/control/feed/view.go
+++ b/internal/control/feed/view.go
@@ -28,6 +28,10 @@
 	// carries a monotonic clock reading, so that adjustments of the wall clock do
 	// not affect it.
 	FreshUntil time.Time
+	// ConfirmedAt is when the poll was sent whose response last confirmed the view, by the
+	// clock of FreshUntil. The view holds all that was acknowledged before. It is zero
+	// before the first response.
+	ConfirmedAt time.Time
 }
 
 // Fresh reports whether the view is still valid, so that the instance may act on
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -19,7 +19,6 @@
 	"auburnstep.example/auburnstep/internal/kernel"
 	"auburnstep.example/auburnstep/internal/metrics"
 	"auburnstep.example/auburnstep/internal/router"
-	"auburnstep.example/auburnstep/internal/routing"
 	controlv1 "auburnstep.example/auburnstep/internal/rpc/controlv1"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1/directoryv1connect"
@@ -226,7 +225,7 @@
 	})
 	d.Router = router.New(router.Options{
 		Listener: l, Codec: codec, Domain: d.Config.FailureDomain,
-		Routing:   func() *routing.Index { return d.feed.View().Routing },
+		Routing:   d.routingTable,
 		Directory: d.directoryClient, Retry: d.Config.Retry, BodyMemory: d.Config.BodyMemory, DrainWait: d.Config.DrainWait, Grace: d.Config.Grace,
 		Crashes: d.crashes, Limits: limits, Events: d.Events, Scope: d.metrics.Scope,
 	})
@@ -239,6 +238,12 @@
 	return d.kernel.Register(ServiceRouter, d.Router)
 }
 
+// routingTable returns the routing table in force and its age.
+func (d *RoutedDaemon) routingTable() router.Table {
+	v := d.feed.View()
+	return router.Table{Index: v.Routing, Age: d.feed.Age(v)}
+}
+
 // memberAddresses returns the addresses of control members from the feed, or those
 // from the settings until the feed has provided any.
 func (d *RoutedDaemon) memberAddresses() []string {
--- a/internal/router/registry_test.go
+++ b/internal/router/registry_test.go
@@ -82,7 +82,7 @@
 	s, address := startRouter(t, failing, sound)
 	stop := make(chan struct{})
 	var updates sync.WaitGroup
-	index := s.options.Routing()
+	index := s.options.Routing().Index
 	endpoints := s.options.Directory.Snapshot().Endpoints
 	updates.Go(func() {
 		for n := 1; ; n++ {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -38,8 +38,10 @@
 
 // request is a caller's request in progress.
 type request struct {
-	server       *Server
-	call         Call
+	server *Server
+	call   Call
+	// table is the routing table that the request is handled by.
+	table        Table
 	route        *routing.Route
 	service      string
 	serviceState *serviceState
@@ -124,7 +126,8 @@
 
 // accept decodes a request, finds its route and customer, and reads its body.
 func (q *request) accept(r *http.Request) *verdict.Error {
-	index := q.server.options.Routing()
+	q.table = q.server.options.Routing()
+	index := q.table.Index
 	if index == nil {
 		return refusal(http.StatusServiceUnavailable, "no-table", "no routing table is known yet", startupRetryAfter)
 	}
@@ -234,7 +237,7 @@
 	}
 	q.server.metrics.denied.Inc(1)
 	q.server.options.Events.Emit(eventDenied, event.Request(q.call.ID), event.F("host", q.host), event.F("target", q.target),
-		event.F("status", e.Status), event.F("code", e.Code), event.F("table", q.tableVersion()))
+		event.F("status", e.Status), event.F("code", e.Code), event.F("table", q.table.version()), event.F("table_age_ms", q.table.Age.Milliseconds()))
 	q.reply(e)
 }
 
@@ -303,13 +306,6 @@
 // partsField returns the ids of prompt parts as an event field, separated by commas.
 func partsField(parts []dispatch.Part) string { return strings.Join(partIDs(parts), ",") }
 
-func (q *request) tableVersion() uint64 {
-	if index := q.server.options.Routing(); index != nil {
-		return index.Table.Version
-	}
-	return 0
-}
-
 // reply sends a response that the router itself made.
 func (q *request) reply(e *verdict.Error) {
 	h := q.w.Header()
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -147,7 +147,7 @@
 	}
 	index := routing.NewIndex(table)
 	s := New(Options{
-		Listener: l, Codec: NativeCodec{}, Routing: func() *routing.Index { return index },
+		Listener: l, Codec: NativeCodec{}, Routing: func() Table { return Table{Index: index} },
 		Directory: &staticDirectory{snapshot, make(chan struct{})}, Retry: dispatch.RetryRules{Ratio: 1, Window: 10 * time.Second, Slack: 100},
 		DrainWait: 100 * time.Millisecond, Grace: time.Second,
 	})
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -47,8 +47,8 @@
 	Codec    Codec
 	// Domain is the failure domain of this entry.
 	Domain string
-	// Routing returns the routing table in force, nil until one is known.
-	Routing   func() *routing.Index
+	// Routing returns the routing table in force.
+	Routing   func() Table
 	Directory interface {
 		Snapshot() *directory.Snapshot
 		Loads() *directory.Loads
@@ -139,7 +139,7 @@
 // Ready reports whether the entry can serve requests: it has a routing table, has
 // synchronized the endpoints with the directory, and is not draining.
 func (s *Server) Ready() bool {
-	return !s.draining.Load() && s.options.Routing() != nil && s.options.Directory.Synced()
+	return !s.draining.Load() && s.options.Routing().Index != nil && s.options.Directory.Synced()
 }
 
 // Start implements kernel.Service.
@@ -159,7 +159,7 @@
 	tick := time.NewTicker(updateInterval)
 	defer tick.Stop()
 	for {
-		index := s.options.Routing()
+		index := s.options.Routing().Index
 		if index != s.lastIndex {
 			s.lastIndex = index
 			s.update(index)
