Feed: a silent member does not hold up the polls of an entry

Cause: an entry polled one member after the other and waited for each. A poll with settings version 0 had 5 s, and on the platform every poll has version 0. A selected member that was stopped held up the feed for as long.

Change: polls of a round overlap. After 150 ms without an answer the next member is polled beside the first, after an error or a redirect at once. The polling goroutine alone applies responses; the first valid one ends the round and cancels the others. Each member is polled once in a round, and those that failed at once again after 250 ms, only while another poll is awaited. The bound of 5 s is kept for responses that may hold the whole settings: the first one, and after one was rejected or cut short. These are hedged after 400 ms, or 1 s after the response began to arrive. Resign no longer waits for a round in progress; the round ends and the next one serves the request.

Why it works: the wait for any minority of n members is (n-1)/2 x 150 ms, 0.45 s for 7, and no longer depends on how long a poll may take. Leases and freshness count from the sending of the applied poll, as before, so the argument at Member.Feed holds for each poll by itself.

--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -16,17 +16,6 @@
 	"auburnstep.example/auburnstep/internal/settings"
 )
 
-// pollTimeout bounds one poll, so that several members can be tried before the last
-// response expires.
-const pollTimeout = 400 * time.Millisecond
-
-// snapshotPollTimeout bounds a poll that requests the whole settings tree. Such a
-// poll takes longer than others: 33,000 customers take 1.3 MB, and after a failure
-// domain returns, members send it to many instances at once. A poll that is cancelled
-// halfway costs the member the work without advancing the instance. If the connection
-// delivers no data, the poll fails earlier.
-const snapshotPollTimeout = 5 * time.Second
-
 // handOverPollInterval is the time between polls while this instance stops a group
 // that the leader asked it to give up. The leader assigns the group to another
 // instance once this instance reports it as stopped, so a short interval shortens
@@ -94,6 +83,12 @@
 	// fullSync makes the next poll request the whole settings and directory, after
 	// a response could not be applied.
 	fullSync bool
+	// snapshotDue is set while the next response may hold the whole settings: until the
+	// first response, and after one could not be applied or took too long to arrive.
+	snapshotDue bool
+	// pollRequests holds the requests of pollNow that the next round serves.
+	pollRequests []chan struct{}
+	inFlight     sync.WaitGroup // polls in flight, including those that are cancelled
 	// excludedEpochs holds the epochs of groups under which this process must not
 	// act: those assigned to this instance before the process started, which belong
 	// to the former process, and those given up at the request of the leader. It
@@ -125,7 +120,7 @@
 	}
 	tree := settings.New()
 	c := &Client{
-		options: o, selector: newSelector(o.Members), incarnation: rand.Uint64(), pollNow: make(chan chan struct{}), handingOver: make(map[string]uint64),
+		options: o, selector: newSelector(o.Members), incarnation: rand.Uint64(), pollNow: make(chan chan struct{}), handingOver: make(map[string]uint64), snapshotDue: true,
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		polls: o.Scope.Counter("feed_polls_sent"), failures: o.Scope.Counter("feed_polls_failed"),
 		versionGauge: o.Scope.Gauge("feed_settings_version"), freshGauge: o.Scope.Gauge("feed_fresh_seconds"),
@@ -184,11 +179,15 @@
 // Start implements kernel.Service. It polls until ctx ends or Stop is called.
 func (c *Client) Start(ctx context.Context) error {
 	defer close(c.done)
+	defer c.inFlight.Wait()
 	c.instance = c.options.Self().GetInstance()
 	c.selector.setKey(c.instance)
 	for {
-		c.pollAnyMember(ctx)
+		c.pollRound(ctx)
 		c.updateFreshness()
+		if len(c.pollRequests) > 0 {
+			continue
+		}
 		// Jitter spreads the polls of many instances over time.
 		pause := PollInterval*4/5 + rand.N(PollInterval*2/5)
 		if len(c.handingOver) > 0 {
@@ -204,8 +203,7 @@
 			timer.Stop()
 			return nil
 		case done := <-c.pollNow:
-			c.pollAnyMember(ctx)
-			close(done)
+			c.pollRequests = append(c.pollRequests, done)
 		case <-timer.C:
 		}
 		timer.Stop()
@@ -241,63 +239,6 @@
 	}
 }
 
-// pollAnyMember polls members until one sends a valid response. It bounds the
-// number of polls, so that each member is tried once or twice at most.
-func (c *Client) pollAnyMember(ctx context.Context) {
-	began, polls, answered := c.options.Clock(), 0, false
-	for range c.selector.maxAddresses() + 2 {
-		address := c.selector.pick()
-		if address == "" || ctx.Err() != nil {
-			break
-		}
-		polls++
-		if answered = c.poll(ctx, address); answered {
-			break
-		}
-	}
-	if elapsed := c.options.Clock().Sub(began); elapsed >= slowPoll {
-		c.options.Events.Emit(eventRoundSlow, event.F("elapsed_ms", elapsed.Milliseconds()), event.F("polls", polls),
-			event.F("answered", answered), event.F("table_age_ms", c.Age(c.View()).Milliseconds()))
-	}
-}
-
-// poll polls one member and reports whether it sent a valid response, as the leader
-// or on behalf of it. A response without a freshness period is a redirect.
-func (c *Client) poll(ctx context.Context, address string) bool {
-	c.polls.Inc(1)
-	pollRequest := c.pollRequest()
-	timeout := pollTimeout
-	if pollRequest.SettingsVersion == 0 {
-		timeout = snapshotPollTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	sentAt := c.options.Clock()
-	r, err := c.options.MemberClient.Feed(ctx, address, pollRequest)
-	elapsed := c.options.Clock().Sub(sentAt)
-	c.pollDuration.RecordDuration(elapsed)
-	if elapsed >= slowPoll {
-		c.options.Events.Emit(eventPollSlow, event.F("member", address), event.F("elapsed_ms", elapsed.Milliseconds()), event.F("error", err))
-	}
-	if err != nil {
-		c.failures.Inc(1)
-		c.selector.recordFailure(address)
-		return false
-	}
-	if r.GetFreshForMs() == 0 {
-		c.selector.recordRedirect(address, r.GetLeaderAddress())
-		return false
-	}
-	if err := c.applyResponse(r, sentAt); err != nil {
-		c.options.Events.Emit(eventFeedRejected, event.F("member", address), event.F("error", err))
-		c.fullSync = true
-		c.selector.recordFailure(address)
-		return false
-	}
-	c.selector.recordSuccess(address, r.GetMembers())
-	return true
-}
-
 // pollRequest returns the request of the next poll: the versions that this instance
 // has and the state of the groups assigned to it.
 func (c *Client) pollRequest() *controlv1.FeedRequest {
@@ -356,7 +297,7 @@
 	if err != nil {
 		return err
 	}
-	c.fullSync = false
+	c.fullSync, c.snapshotDue = false, false
 	firstResponse := c.excludedEpochs == nil
 	if len(r.GetMembers()) > 0 {
 		c.directoryVersion = DirectoryVersion(r, EntriesVersion(r.GetEntries()))
@@ -385,7 +326,7 @@
 		c.options.Events.Emit(eventSettingsInForce, event.F("version", next.Version))
 	}
 	if next.Routing != old.Routing {
-		c.options.Events.Emit(eventRoutingInForce, event.F("version", next.RoutingVersion()), event.F("before", old.RoutingVersion()))
+		c.emitRoutingInForce(old, next)
 	}
 	if changed {
 		c.notifyChanged()
@@ -393,6 +334,10 @@
 	return nil
 }
 
+func (c *Client) emitRoutingInForce(old, next *View) {
+	c.options.Events.Emit(eventRoutingInForce, event.F("version", next.RoutingVersion()), event.F("before", old.RoutingVersion()))
+}
+
 // excludeInherited is called for the first response. It excludes the epochs of the
 // groups that were assigned to this instance before this process started.
 func (c *Client) excludeInherited(v *View) {
--- a/internal/control/feed/selector.go
+++ b/internal/control/feed/selector.go
@@ -88,6 +88,24 @@
 	return all[(r.next-1)%len(all)]
 }
 
+// pickUnless returns the target unless excluded reports it, and otherwise the first address
+// in the order of pick that excluded does not report, or "".
+func (r *selector) pickUnless(excluded func(address string) bool) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.target != "" && !excluded(r.target) {
+		return r.target
+	}
+	all := r.candidates()
+	for range all {
+		r.next++
+		if address := all[(r.next-1)%len(all)]; !excluded(address) {
+			return address
+		}
+	}
+	return ""
+}
+
 // candidates returns the members and seeds in the order in which pick tries them. The
 // caller holds mu.
 func (r *selector) candidates() []string {
@@ -127,14 +145,6 @@
 	}
 }
 
-// maxAddresses returns an upper bound of the number of different addresses that
-// pick can return, and at least 1.
-func (r *selector) maxAddresses() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return max(1, len(r.seeds)+len(r.members))
-}
-
 // recordFailure stops using address if it is the target.
 func (r *selector) recordFailure(address string) {
 	r.mu.Lock()
