Feed: a redirect may carry the routing table

A member without a leader answers a poll with a redirect or an error, and the instance keeps its table until a leader is in place, though the member may have applied a newer one, which is committed.

The client now applies the routing table of a response without a freshness period if its version is higher than its own. Such a response confirms nothing: it extends neither the freshness nor the leases, and the search goes on. If its table cannot be applied, the member counts as failed.

Run: go test ./internal/control/feed.

--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -334,6 +334,22 @@
 	return nil
 }
 
+// applyTable applies a routing table that a member without a leader has applied. It is
+// committed, but a newer one may be in force, so it confirms nothing.
+func (c *Client) applyTable(t *controlv1.RoutingTable) error {
+	old := c.view.Load()
+	next := *old
+	if err := next.advanceRouting(t); err != nil {
+		return err
+	}
+	if next.Routing != old.Routing {
+		c.view.Store(&next)
+		c.emitRoutingInForce(old, &next)
+		c.notifyChanged()
+	}
+	return nil
+}
+
 func (c *Client) emitRoutingInForce(old, next *View) {
 	c.options.Events.Emit(eventRoutingInForce, event.F("version", next.RoutingVersion()), event.F("before", old.RoutingVersion()))
 }
--- a/internal/control/feed/poll.go
+++ b/internal/control/feed/poll.go
@@ -226,16 +226,23 @@
 		return false
 	}
 	response := result.response
-	if response.GetFreshForMs() == 0 {
-		c.selector.recordRedirect(p.address, response.GetLeaderAddress())
-		return false
-	}
-	if err := c.applyResponse(response, p.sentAt); err != nil {
+	redirect := response.GetFreshForMs() == 0
+	var err error
+	if redirect {
+		err = c.applyTable(response.GetRouting())
+	} else {
+		err = c.applyResponse(response, p.sentAt)
+	}
+	switch {
+	case err != nil:
 		c.options.Events.Emit(eventFeedRejected, event.F("member", p.address), event.F("error", err))
 		c.fullSync, c.snapshotDue = true, true
 		c.selector.recordFailure(p.address)
-		return false
+	case redirect:
+		c.selector.recordRedirect(p.address, response.GetLeaderAddress())
+	default:
+		c.selector.recordSuccess(p.address, response.GetMembers())
+		return true
 	}
-	c.selector.recordSuccess(p.address, response.GetMembers())
-	return true
+	return false
 }
--- a/internal/control/feed/silent_test.go
+++ b/internal/control/feed/silent_test.go
@@ -222,3 +222,38 @@
 		qt.Check(t, members.pending, qt.Equals, 0)
 	})
 }
+
+// TestRedirectCarriesTable guards against an instance that ignores the table of a member
+// without a leader, returns to an older table, or takes such a response for a confirmation.
+func TestRedirectCarriesTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := newCluster(3)
+		c := newClusterClient(members)
+		defer startClient(c)()
+		time.Sleep(time.Second)
+		redirect := func(version uint64) {
+			members.set(func() {
+				members.respond = func(string, *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
+					return &controlv1.FeedResponse{Routing: &controlv1.RoutingTable{Version: version, Document: tableDocument(version)}}, nil
+				}
+			})
+		}
+		confirmedAt := c.View().ConfirmedAt
+		changed := c.Changed()
+		redirect(7)
+		time.Sleep(time.Second)
+		before := c.View()
+		qt.Check(t, before.RoutingVersion(), qt.Equals, uint64(7))
+		qt.Check(t, before.ConfirmedAt.Sub(confirmedAt) < 400*time.Millisecond, qt.IsTrue)
+		select {
+		case <-changed:
+		default:
+			t.Error("the change of the table is not announced")
+		}
+		redirect(6)
+		time.Sleep(5 * time.Second)
+		qt.Check(t, c.View().RoutingVersion(), qt.Equals, uint64(7))
+		qt.Check(t, c.View().ConfirmedAt, qt.Equals, before.ConfirmedAt)
+		qt.Check(t, c.Fresh(), qt.IsFalse)
+	})
+}
