Router: a request does not use a table that nobody has confirmed for 1.5 s

Cause: the router used the feed's routing table whatever its age. The feed counts the freshness of its view, but only the native entry reads it.

Change: feed.Client.CurrentView returns the view at once if the poll that confirmed it was sent at most 1.5 s ago. Otherwise it starts a round of polls and waits until a whole round has ended that began after those 1.5 s. The router waits for it for 1 s at most, or as long as the caller waits. If no member confirms the table then, the request is handled by the last table, but 401 and 404 become 503 table-unconfirmed with Retry-After. The failure of a round is good for 4 s, so that an entry that is cut off does not wait again with each request.

Why it works: the wait ends with the answer to a poll that was sent after the entry ran again, and the view then holds all that was acknowledged before that poll. Up to the bound of 1.5 s, a request that was sent 2 s after an acknowledgement cannot meet an older table.

--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -77,6 +77,12 @@
 	leases  atomic.Pointer[map[string]Lease]
 	changed atomic.Pointer[chan struct{}]
 	pollNow chan chan struct{} // requests a poll at once; the sent channel is closed after it
+	// roundWanted requests that the next round of polls begin at once.
+	roundWanted chan struct{}
+	// asked is when the last round began that was not ended early, nil before it has ended.
+	// roundEnded is closed at the end of the current or next round.
+	asked      atomic.Pointer[time.Time]
+	roundEnded atomic.Pointer[chan struct{}]
 
 	// The fields from here to feedLost are used only by the polling goroutine.
 	directoryVersion uint64
@@ -120,7 +126,7 @@
 	}
 	tree := settings.New()
 	c := &Client{
-		options: o, selector: newSelector(o.Members), incarnation: rand.Uint64(), pollNow: make(chan chan struct{}), handingOver: make(map[string]uint64), snapshotDue: true,
+		options: o, selector: newSelector(o.Members), incarnation: rand.Uint64(), pollNow: make(chan chan struct{}), roundWanted: make(chan struct{}, 1), handingOver: make(map[string]uint64), snapshotDue: true,
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		polls: o.Scope.Counter("feed_polls_sent"), failures: o.Scope.Counter("feed_polls_failed"),
 		versionGauge: o.Scope.Gauge("feed_settings_version"), freshGauge: o.Scope.Gauge("feed_fresh_seconds"),
@@ -130,6 +136,8 @@
 	c.leases.Store(&map[string]Lease{})
 	ch := make(chan struct{})
 	c.changed.Store(&ch)
+	ended := make(chan struct{})
+	c.roundEnded.Store(&ended)
 	return c
 }
 
@@ -204,6 +212,7 @@
 			return nil
 		case done := <-c.pollNow:
 			c.pollRequests = append(c.pollRequests, done)
+		case <-c.roundWanted:
 		case <-timer.C:
 		}
 		timer.Stop()
--- a/internal/control/feed/poll.go
+++ b/internal/control/feed/poll.go
@@ -82,7 +82,8 @@
 		client: c, ctx: ctx, began: c.options.Clock(), results: make(chan *pollResult), begun: make(chan *poll, begunBuffer),
 		pending: make(map[string]*poll), asked: make(map[string]time.Time),
 	}
-	answered := r.run()
+	whole, answered := r.run()
+	c.recordRound(r.began, whole)
 	if elapsed := c.options.Clock().Sub(r.began); elapsed >= slowPoll {
 		c.options.Events.Emit(eventRoundSlow, event.F("elapsed_ms", elapsed.Milliseconds()), event.F("polls", r.polls),
 			event.F("answered", answered), event.F("table_age_ms", c.Age(c.View()).Milliseconds()))
@@ -97,30 +98,31 @@
 	}
 }
 
-// run polls members. It reports whether one sent a valid response.
-func (r *round) run() (answered bool) {
+// run polls members. It reports whether the round was not ended early, and whether a member
+// sent a valid response.
+func (r *round) run() (whole, answered bool) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		wait, ended := r.pollNext()
 		if ended {
-			return false
+			return r.ctx.Err() == nil, false
 		}
 		timer.Reset(wait)
 		select {
 		case <-r.ctx.Done():
-			return false
+			return false, false
 		case <-r.client.stopping:
-			return false
+			return false, false
 		case done := <-r.client.pollNow:
 			// The requested poll must be sent after the request.
 			r.client.pollRequests = append(r.client.pollRequests, done)
-			return false
+			return false, false
 		case p := <-r.begun:
 			r.recordBegun(p)
 		case result := <-r.results:
 			if r.recordResult(result) {
-				return true
+				return true, true
 			}
 		case <-timer.C:
 		}
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"io"
 	stdlog "log"
 	"net"
@@ -225,7 +226,7 @@
 	})
 	d.Router = router.New(router.Options{
 		Listener: l, Codec: codec, Domain: d.Config.FailureDomain,
-		Routing:   d.routingTable,
+		Routing: d.routingTable, CurrentTable: d.currentTable,
 		Directory: d.directoryClient, Retry: d.Config.Retry, BodyMemory: d.Config.BodyMemory, DrainWait: d.Config.DrainWait, Grace: d.Config.Grace,
 		Crashes: d.crashes, Limits: limits, Events: d.Events, Scope: d.metrics.Scope,
 	})
@@ -238,12 +239,19 @@
 	return d.kernel.Register(ServiceRouter, d.Router)
 }
 
-// routingTable returns the routing table in force and its age.
+// routingTable returns the latest routing table.
 func (d *RoutedDaemon) routingTable() router.Table {
 	v := d.feed.View()
 	return router.Table{Index: v.Routing, Age: d.feed.Age(v)}
 }
 
+// currentTable returns the routing table by which to handle a request; see
+// feed.Client.CurrentView.
+func (d *RoutedDaemon) currentTable(ctx context.Context) router.Table {
+	v, confirmed := d.feed.CurrentView(ctx)
+	return router.Table{Index: v.Routing, Age: d.feed.Age(v), Confirmed: confirmed}
+}
+
 // memberAddresses returns the addresses of control members from the feed, or those
 // from the settings until the feed has provided any.
 func (d *RoutedDaemon) memberAddresses() []string {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -126,23 +126,23 @@
 
 // accept decodes a request, finds its route and customer, and reads its body.
 func (q *request) accept(r *http.Request) *verdict.Error {
-	q.table = q.server.options.Routing()
-	index := q.table.Index
-	if index == nil {
+	if q.server.options.Routing().Index == nil {
 		return refusal(http.StatusServiceUnavailable, "no-table", "no routing table is known yet", startupRetryAfter)
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	var err error
 	q.call, err = q.server.options.Codec.DecodeRequest(r)
+	q.findTable(r.Context())
+	index := q.table.Index
 	if q.route = index.Match(r.Host, path); q.route == nil {
-		return refusal(http.StatusNotFound, "no-route", "no route serves this host and path", 0)
+		return q.denial(http.StatusNotFound, "no-route", "no route serves this host and path")
 	}
 	if err != nil {
 		return refusal(http.StatusBadRequest, "bad-request", err.Error(), 0)
 	}
 	if index.Table.KeyRequired && !q.route.Public {
 		if q.customer = index.Customer(q.call.Key); q.customer == nil {
-			return refusal(http.StatusUnauthorized, "bad-key", "the key is missing or unknown", 0)
+			return q.denial(http.StatusUnauthorized, "bad-key", "the key is missing or unknown")
 		}
 	}
 	if failure := q.readBody(r, index.Table.Limits); failure != nil {
@@ -245,7 +245,7 @@
 func (q *request) refuse(e *verdict.Error) {
 	q.server.metrics.refused.Inc(1)
 	q.server.options.Events.Emit(eventRefused, q.eventFields(event.F("status", e.Status), event.F("code", e.Code),
-		event.F("reason", e.Message), event.F("rank", q.demand.Rank), event.F("behind_ms", q.lateness.Milliseconds()), event.F("retry_after", e.RetryAfter),
+		event.F("reason", e.Message), event.F("table", q.table.version()), event.F("table_age_ms", q.table.Age.Milliseconds()), event.F("rank", q.demand.Rank), event.F("behind_ms", q.lateness.Milliseconds()), event.F("retry_after", e.RetryAfter),
 		event.F("part", q.quarantinedPart))...)
 	q.reply(e)
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -146,9 +146,11 @@
 		}
 	}
 	index := routing.NewIndex(table)
+	current := Table{Index: index, Confirmed: true}
 	s := New(Options{
-		Listener: l, Codec: NativeCodec{}, Routing: func() Table { return Table{Index: index} },
-		Directory: &staticDirectory{snapshot, make(chan struct{})}, Retry: dispatch.RetryRules{Ratio: 1, Window: 10 * time.Second, Slack: 100},
+		Listener: l, Codec: NativeCodec{}, Routing: func() Table { return current },
+		CurrentTable: func(context.Context) Table { return current },
+		Directory:    &staticDirectory{snapshot, make(chan struct{})}, Retry: dispatch.RetryRules{Ratio: 1, Window: 10 * time.Second, Slack: 100},
 		DrainWait: 100 * time.Millisecond, Grace: time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -47,9 +47,12 @@
 	Codec    Codec
 	// Domain is the failure domain of this entry.
 	Domain string
-	// Routing returns the routing table in force.
-	Routing   func() Table
-	Directory interface {
+	// Routing returns the latest routing table.
+	Routing func() Table
+	// CurrentTable returns the routing table by which to handle a request. It may wait for
+	// a confirmation until ctx ends.
+	CurrentTable func(ctx context.Context) Table
+	Directory    interface {
 		Snapshot() *directory.Snapshot
 		Loads() *directory.Loads
 		Changed() <-chan struct{}
