--- a/internal/control/feed/confirm_test.go
+++ b/internal/control/feed/confirm_test.go
@@ -109,6 +109,32 @@
 	}
 }
 
+// TestIsolatedInstanceResumes guards against an instance that was cut off before it stood
+// still, and after that takes the failed polls from before for an answer.
+func TestIsolatedInstanceResumes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := newCluster(3)
+		c := newClusterClient(members)
+		var stoodStill atomic.Int64
+		c.options.Clock = func() time.Time { return time.Now().Add(time.Duration(stoodStill.Load())) }
+		defer startClient(c)()
+		time.Sleep(time.Second)
+		members.set(func() {
+			for _, name := range members.names {
+				members.silent[name] = true
+			}
+		})
+		time.Sleep(10 * time.Second)
+		_, confirmed, _ := currentView(c)
+		qt.Check(t, confirmed, qt.IsFalse)
+		members.set(func() { clear(members.silent); members.version++ })
+		stoodStill.Add(int64(2 * askedFor))
+		v, confirmed, _ := currentView(c)
+		qt.Check(t, confirmed, qt.IsTrue)
+		qt.Check(t, v.RoutingVersion(), qt.Equals, members.version)
+	})
+}
+
 // TestInvalidTableConfirmsNothing guards against a response that confirms the table in
 // force though it carries another that cannot be applied.
 func TestInvalidTableConfirmsNothing(t *testing.T) {
