Router: a request waits until the balancers have its table's services

Callers saw: 503 no-service for up to 50 ms after an entry received a table with a new service. By reading, not by a run: after a service became or ceased to be an engine service, requests of the new table were placed by the balancer of the old one for as long.

Cause: requests are matched by the feed's table, while runUpdates passes it to the balancers at its next tick.

Change: a request whose table is newer than the applied one wakes runUpdates and waits until it has applied that table, within the same bound as the wait for a confirmation (1 s). In the usual case this costs the reads of two pointers.

Why it works: the services of a table are in the registry before applied is set, and the registry never removes a service, so a request that was matched by an older table also finds its own.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -30,6 +31,7 @@
 type fakeEndpoint struct {
 	id       string
 	domain   string // failure domain
+	service  string // "" for "s"
 	listener net.Listener
 	// handle responds to one request; it returns false to close the connection.
 	handle   func(c net.Conn, r *http.Request, body string) bool
@@ -137,24 +139,28 @@
 }
 
 func startRouterWithTable(t *testing.T, table *routing.Table, endpoints ...*fakeEndpoint) (*Server, string) {
+	current := Table{Index: routing.NewIndex(table), Confirmed: true}
+	return startRouterWithTables(t, func() Table { return current }, endpoints...)
+}
+
+// startRouterWithTables runs a router that uses the present result of tables.
+func startRouterWithTables(t *testing.T, tables func() Table, endpoints ...*fakeEndpoint) (*Server, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	snapshot := &directory.Snapshot{Endpoints: make(map[string]*directoryv1.Endpoint), Entries: 1}
 	for _, e := range endpoints {
 		snapshot.Endpoints[e.id] = &directoryv1.Endpoint{
-			Id: e.id, Incarnation: 1, Service: "s", Address: e.listener.Addr().String(), FailureDomain: e.domain, Slots: 4,
+			Id: e.id, Incarnation: 1, Service: cmp.Or(e.service, "s"), Address: e.listener.Addr().String(), FailureDomain: e.domain, Slots: 4,
 		}
 	}
-	index := routing.NewIndex(table)
-	current := Table{Index: index, Confirmed: true}
 	s := New(Options{
-		Listener: l, Codec: NativeCodec{}, Routing: func() Table { return current },
-		CurrentTable: func(context.Context) Table { return current },
+		Listener: l, Codec: NativeCodec{}, Routing: tables,
+		CurrentTable: func(context.Context) Table { return tables() },
 		Directory:    &staticDirectory{snapshot, make(chan struct{})}, Retry: dispatch.RetryRules{Ratio: 1, Window: 10 * time.Second, Slack: 100},
 		DrainWait: 100 * time.Millisecond, Grace: time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	s.update(index)
+	s.update(tables().Index)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -22,7 +22,7 @@
 
 const (
 	// updateInterval bounds the delay between receiving a routing table from the feed
-	// and using it.
+	// and applying it if no request needs it.
 	updateInterval = 50 * time.Millisecond
 	// defaultHeaderTimeout and defaultIdleTimeout apply to the listener. Its limits
 	// are fixed at start, before any routing table is known, so they are generous.
@@ -95,7 +95,11 @@
 	endRequests context.CancelCauseFunc
 	crashChecks *crashChecks
 	attempts    *attemptSet
-	lastIndex   *routing.Index // last table applied; used only by runUpdates
+	// applied is the last table that runUpdates has applied. appliedChanged is closed at its
+	// next change, and tableWaiting has a value if a request waits for one.
+	applied        atomic.Pointer[routing.Index]
+	appliedChanged atomic.Pointer[chan struct{}]
+	tableWaiting   chan struct{}
 }
 
 // New returns a server that has not been started.
@@ -110,7 +114,9 @@
 		o.Limits = directory.NewLimits(o.Scope)
 	}
 	s := &Server{options: o, started: time.Now(), crashChecks: newCrashChecks(), attempts: newAttemptSet(), registry: newRegistry(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope),
-		metrics: newMetrics(o.Scope)}
+		metrics: newMetrics(o.Scope), tableWaiting: make(chan struct{}, 1)}
+	changed := make(chan struct{})
+	s.appliedChanged.Store(&changed)
 	s.stopping, s.endRequests = context.WithCancelCause(context.Background())
 	half := cmp.Or(o.BodyMemory, defaultBodyMemory) / 2
 	s.requestBodies, s.responseBodies = bytebudget.New(half), bytebudget.New(half)
@@ -163,9 +169,8 @@
 	defer tick.Stop()
 	for {
 		index := s.options.Routing().Index
-		if index != s.lastIndex {
-			s.lastIndex = index
-			s.update(index)
+		if index != s.applied.Load() {
+			s.applyTable(index)
 		}
 		select {
 		case <-ctx.Done():
@@ -174,6 +179,7 @@
 			s.update(index)
 		case <-s.options.Crashes.Changed():
 			s.attempts.cancelQuarantined(s.options.Crashes)
+		case <-s.tableWaiting:
 		case <-tick.C:
 		}
 	}
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -34,11 +34,42 @@
 }
 
 // findTable sets the table that the request is handled by. If no control member has
-// confirmed the table lately, it waits for one, but no longer than the caller would.
+// confirmed the table lately, it waits for one, but no longer than the caller would. The
+// balancers have the services of the table then.
 func (q *request) findTable(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, min(tableWait, cmp.Or(q.call.MaxWait, tableWait)))
 	defer cancel()
 	q.table = q.server.options.CurrentTable(ctx)
+	q.server.awaitApplied(ctx, q.table.Index)
+}
+
+// awaitApplied waits until runUpdates has applied index or a later table, or until ctx
+// ends.
+func (s *Server) awaitApplied(ctx context.Context, index *routing.Index) {
+	for {
+		// The channel is read first, so that no change goes unnoticed.
+		changed := *s.appliedChanged.Load()
+		if applied := s.applied.Load(); applied != nil && applied.Table.Version >= index.Table.Version {
+			return
+		}
+		select {
+		case s.tableWaiting <- struct{}{}:
+		default: // runUpdates is about to look already.
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// applyTable passes a table to the balancers and wakes the requests that wait for it.
+func (s *Server) applyTable(index *routing.Index) {
+	s.update(index)
+	s.applied.Store(index)
+	next := make(chan struct{})
+	close(*s.appliedChanged.Swap(&next))
 }
 
 // denial returns the error response for a request that the table does not allow. A table
--- a/internal/router/table_test.go
+++ b/internal/router/table_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -53,26 +52,27 @@
 // TestRequestWaitsForConfirmedTable guards against a request that is handled by the table
 // which the entry had before it asked the control members.
 func TestRequestWaitsForConfirmedTable(t *testing.T) {
-	e := newFakeEndpoint(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
-		writeResponse(c, r, http.StatusOK, "fine")
-		return true
-	})
-	s, address := startRouter(t, e)
+	e := newFakeEndpoint(t, "e1", completeResponse(http.StatusOK, "fine"))
+	e.service = "new"
+	var current atomic.Pointer[Table]
+	current.Store(&Table{Index: routing.NewIndex(table())})
+	s, address := startRouterWithTables(t, func() Table { return *current.Load() }, e)
 	next := table()
 	next.Version++
+	next.Services = append(next.Services, routing.Service{Name: "new"})
 	next.Routes = append(next.Routes[1:], routing.Route{
-		Name: "new", Host: "a.example", Prefix: "/new/", Kind: routing.Idempotent, Targets: next.Routes[0].Targets, TimeoutMs: 2000, ObjectiveMs: 150, Attempts: 1,
+		Name: "new", Host: "a.example", Prefix: "/new/", Kind: routing.Idempotent, Targets: []routing.Target{{Service: "new", Weight: 1}}, TimeoutMs: 2000, ObjectiveMs: 150, Attempts: 1,
 	})
-	index := routing.NewIndex(next)
+	nextTable := Table{Index: routing.NewIndex(next), Confirmed: true}
 	asked := make(chan struct{})
 	s.options.CurrentTable = func(ctx context.Context) Table {
 		select {
 		case <-asked:
 		case <-ctx.Done():
 		}
-		return Table{Index: index, Confirmed: true}
+		return *current.Load()
 	}
-	time.AfterFunc(100*time.Millisecond, func() { close(asked) })
+	time.AfterFunc(100*time.Millisecond, func() { current.Store(&nextTable); close(asked) })
 	for path, want := range map[string]int{"/new/1": http.StatusOK, "/look/1": http.StatusNotFound} {
 		resp, _, err := postRequest(t, address, path, nil)
 		qt.Assert(t, err, qt.IsNil)
@@ -101,3 +101,24 @@
 	q.findTable(context.Background())
 	qt.Check(t, time.Since(began) < tableWait/2, qt.IsTrue)
 }
+
+// TestNewServiceIsServedAtOnce guards against a request that is matched by a table whose
+// services the balancers do not have yet.
+func TestNewServiceIsServedAtOnce(t *testing.T) {
+	e := newFakeEndpoint(t, "e1", completeResponse(http.StatusOK, "fine"))
+	e.service = "new"
+	var current atomic.Pointer[Table]
+	current.Store(&Table{Index: routing.NewIndex(table()), Confirmed: true})
+	_, address := startRouterWithTables(t, func() Table { return *current.Load() }, e)
+	next := table()
+	next.Services = append(next.Services, routing.Service{Name: "new"})
+	next.Routes[0].Targets = []routing.Target{{Service: "new", Weight: 1}}
+	next.Version++
+	resp, _, err := postRequest(t, address, "/look/1", nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable) // No endpoint.
+	current.Store(&Table{Index: routing.NewIndex(next), Confirmed: true})
+	resp, body, err := postRequest(t, address, "/look/1", nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+}
