--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -16,17 +16,6 @@
 	"auburnstep.example/auburnstep/internal/settings"
 )
 
-// pollTimeout bounds one poll, so that several members can be tried before the last
-// response expires.
-const pollTimeout = 400 * time.Millisecond
-
-// snapshotPollTimeout bounds a poll that requests the whole settings tree. Such a
-// poll takes longer than others: 33,000 customers take 1.3 MB, and after a failure
-// domain returns, members send it to many instances at once. A poll that is cancelled
-// halfway costs the member the work without advancing the instance. If the connection
-// delivers no data, the poll fails earlier.
-const snapshotPollTimeout = 5 * time.Second
-
 // handOverPollInterval is the time between polls while this instance stops a group
 // that the leader asked it to give up. The leader assigns the group to another
 // instance once this instance reports it as stopped, so a short interval shortens
@@ -40,8 +29,22 @@
 	eventSettingsInForce = event.Define(3103, "settings-in-force", event.Info, "this instance applied a settings version")
 
 	eventRoutingInForce = event.Define(3105, "routing-in-force", event.Info, "this instance applied a routing table")
+	eventPollSlow       = event.Define(3106, "feed-poll-slow", event.Warn, "a control member took long to answer a poll, or did not answer it")
+	eventRoundSlow      = event.Define(3107, "feed-round-slow", event.Warn, "the polls of one round took long")
+	eventPollsDelayed   = event.Define(3108, "feed-polls-delayed", event.Warn, "a round of polls began late, because this process did not run or had no processor time")
 )
 
+const (
+	// slowPoll is the duration from which a poll, or a round of polls, is logged.
+	slowPoll = 300 * time.Millisecond
+	// maxRoundDelay is the delay from which a late round of polls is logged.
+	maxRoundDelay = 200 * time.Millisecond
+)
+
+// pollDurationBuckets range from a poll of the leader on the same machine to the longest
+// transfer of the whole settings.
+var pollDurationBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
 // Options configures a Client.
 type Options struct {
 	// Members lists addresses of control members to start with. The client learns
@@ -74,12 +77,24 @@
 	leases  atomic.Pointer[map[string]Lease]
 	changed atomic.Pointer[chan struct{}]
 	pollNow chan chan struct{} // requests a poll at once; the sent channel is closed after it
+	// roundWanted requests that the next round of polls begin at once.
+	roundWanted chan struct{}
+	// asked is when the last round began that was not ended early, nil before it has ended.
+	// roundEnded is closed at the end of the current or next round.
+	asked      atomic.Pointer[time.Time]
+	roundEnded atomic.Pointer[chan struct{}]
 
 	// The fields from here to feedLost are used only by the polling goroutine.
 	directoryVersion uint64
 	// fullSync makes the next poll request the whole settings and directory, after
 	// a response could not be applied.
 	fullSync bool
+	// snapshotDue is set while the next response may hold the whole settings: until the
+	// first response, and after one could not be applied or took too long to arrive.
+	snapshotDue bool
+	// pollRequests holds the requests of pollNow that the next round serves.
+	pollRequests []chan struct{}
+	inFlight     sync.WaitGroup // polls in flight, including those that are cancelled
 	// excludedEpochs holds the epochs of groups under which this process must not
 	// act: those assigned to this instance before the process started, which belong
 	// to the former process, and those given up at the request of the leader. It
@@ -93,6 +108,8 @@
 
 	polls, failures          tally.Counter
 	versionGauge, freshGauge tally.Gauge
+	tableAge                 tally.Gauge
+	pollDuration             tally.Histogram
 	// stopping is closed by Stop. done is closed when Start returns.
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -109,15 +126,18 @@
 	}
 	tree := settings.New()
 	c := &Client{
-		options: o, selector: newSelector(o.Members), incarnation: rand.Uint64(), pollNow: make(chan chan struct{}), handingOver: make(map[string]uint64),
+		options: o, selector: newSelector(o.Members), incarnation: rand.Uint64(), pollNow: make(chan chan struct{}), roundWanted: make(chan struct{}, 1), handingOver: make(map[string]uint64), snapshotDue: true,
 		stopping: make(chan struct{}), done: make(chan struct{}),
 		polls: o.Scope.Counter("feed_polls_sent"), failures: o.Scope.Counter("feed_polls_failed"),
 		versionGauge: o.Scope.Gauge("feed_settings_version"), freshGauge: o.Scope.Gauge("feed_fresh_seconds"),
+		tableAge: o.Scope.Gauge("feed_table_age_seconds"), pollDuration: o.Scope.Histogram("feed_poll_duration", pollDurationBuckets),
 	}
 	c.view.Store(&View{Tree: tree, Index: tree.Index()})
 	c.leases.Store(&map[string]Lease{})
 	ch := make(chan struct{})
 	c.changed.Store(&ch)
+	ended := make(chan struct{})
+	c.roundEnded.Store(&ended)
 	return c
 }
 
@@ -167,17 +187,22 @@
 // Start implements kernel.Service. It polls until ctx ends or Stop is called.
 func (c *Client) Start(ctx context.Context) error {
 	defer close(c.done)
+	defer c.inFlight.Wait()
 	c.instance = c.options.Self().GetInstance()
 	c.selector.setKey(c.instance)
 	for {
-		c.pollAnyMember(ctx)
+		c.pollRound(ctx)
 		c.updateFreshness()
+		if len(c.pollRequests) > 0 {
+			continue
+		}
 		// Jitter spreads the polls of many instances over time.
 		pause := PollInterval*4/5 + rand.N(PollInterval*2/5)
 		if len(c.handingOver) > 0 {
 			pause = handOverPollInterval
 		}
 		timer := time.NewTimer(pause)
+		pausedAt := c.options.Clock()
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -186,11 +211,14 @@
 			timer.Stop()
 			return nil
 		case done := <-c.pollNow:
-			c.pollAnyMember(ctx)
-			close(done)
+			c.pollRequests = append(c.pollRequests, done)
+		case <-c.roundWanted:
 		case <-timer.C:
 		}
 		timer.Stop()
+		if delay := c.options.Clock().Sub(pausedAt) - pause; delay >= maxRoundDelay {
+			c.options.Events.Emit(eventPollsDelayed, event.F("delay_ms", delay.Milliseconds()), event.F("table_age_ms", c.Age(c.View()).Milliseconds()))
+		}
 	}
 }
 
@@ -220,52 +248,6 @@
 	}
 }
 
-// pollAnyMember polls members until one sends a valid response. It bounds the
-// number of polls, so that each member is tried once or twice at most.
-func (c *Client) pollAnyMember(ctx context.Context) {
-	for range c.selector.maxAddresses() + 2 {
-		address := c.selector.pick()
-		if address == "" || ctx.Err() != nil {
-			return
-		}
-		if c.poll(ctx, address) {
-			return
-		}
-	}
-}
-
-// poll polls one member and reports whether it sent a valid response, as the leader
-// or on behalf of it. A response without a freshness period is a redirect.
-func (c *Client) poll(ctx context.Context, address string) bool {
-	c.polls.Inc(1)
-	pollRequest := c.pollRequest()
-	timeout := pollTimeout
-	if pollRequest.SettingsVersion == 0 {
-		timeout = snapshotPollTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	sentAt := c.options.Clock()
-	r, err := c.options.MemberClient.Feed(ctx, address, pollRequest)
-	if err != nil {
-		c.failures.Inc(1)
-		c.selector.recordFailure(address)
-		return false
-	}
-	if r.GetFreshForMs() == 0 {
-		c.selector.recordRedirect(address, r.GetLeaderAddress())
-		return false
-	}
-	if err := c.applyResponse(r, sentAt); err != nil {
-		c.options.Events.Emit(eventFeedRejected, event.F("member", address), event.F("error", err))
-		c.fullSync = true
-		c.selector.recordFailure(address)
-		return false
-	}
-	c.selector.recordSuccess(address, r.GetMembers())
-	return true
-}
-
 // pollRequest returns the request of the next poll: the versions that this instance
 // has and the state of the groups assigned to it.
 func (c *Client) pollRequest() *controlv1.FeedRequest {
@@ -324,7 +306,7 @@
 	if err != nil {
 		return err
 	}
-	c.fullSync = false
+	c.fullSync, c.snapshotDue = false, false
 	firstResponse := c.excludedEpochs == nil
 	if len(r.GetMembers()) > 0 {
 		c.directoryVersion = DirectoryVersion(r, EntriesVersion(r.GetEntries()))
@@ -336,6 +318,9 @@
 		}
 	}
 	next.Groups = r.GetGroups()
+	if sentAt.After(next.ConfirmedAt) {
+		next.ConfirmedAt = sentAt
+	}
 	if until := sentAt.Add(time.Duration(r.GetFreshForMs()) * time.Millisecond); until.After(next.FreshUntil) {
 		next.FreshUntil = until
 	}
@@ -350,7 +335,7 @@
 		c.options.Events.Emit(eventSettingsInForce, event.F("version", next.Version))
 	}
 	if next.Routing != old.Routing {
-		c.options.Events.Emit(eventRoutingInForce, event.F("version", next.RoutingVersion()), event.F("before", old.RoutingVersion()))
+		c.emitRoutingInForce(old, next)
 	}
 	if changed {
 		c.notifyChanged()
@@ -358,6 +343,26 @@
 	return nil
 }
 
+// applyTable applies a routing table that a member without a leader has applied. It is
+// committed, but a newer one may be in force, so it confirms nothing.
+func (c *Client) applyTable(t *controlv1.RoutingTable) error {
+	old := c.view.Load()
+	next := *old
+	if err := next.advanceRouting(t); err != nil {
+		return err
+	}
+	if next.Routing != old.Routing {
+		c.view.Store(&next)
+		c.emitRoutingInForce(old, &next)
+		c.notifyChanged()
+	}
+	return nil
+}
+
+func (c *Client) emitRoutingInForce(old, next *View) {
+	c.options.Events.Emit(eventRoutingInForce, event.F("version", next.RoutingVersion()), event.F("before", old.RoutingVersion()))
+}
+
 // excludeInherited is called for the first response. It excludes the epochs of the
 // groups that were assigned to this instance before this process started.
 func (c *Client) excludeInherited(v *View) {
@@ -419,6 +424,9 @@
 	view, now := c.view.Load(), c.options.Clock()
 	c.versionGauge.Update(float64(view.Version))
 	c.freshGauge.Update(max(0, view.FreshUntil.Sub(now).Seconds()))
+	if !view.ConfirmedAt.IsZero() {
+		c.tableAge.Update(now.Sub(view.ConfirmedAt).Seconds())
+	}
 	feedLost := !view.Fresh(now)
 	if feedLost == c.feedLost {
 		return
@@ -431,3 +439,15 @@
 	}
 	c.notifyChanged()
 }
+
+// neverConfirmed is the age of a view that no control member has confirmed.
+const neverConfirmed = -time.Millisecond
+
+// Age returns the time since a control member last confirmed v, or a negative value if
+// none has.
+func (c *Client) Age(v *View) time.Duration {
+	if v.ConfirmedAt.IsZero() {
+		return neverConfirmed
+	}
+	return c.options.Clock().Sub(v.ConfirmedAt)
+}
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -22,7 +22,7 @@
 
 const (
 	// updateInterval bounds the delay between receiving a routing table from the feed
-	// and using it.
+	// and applying it if no request needs it.
 	updateInterval = 50 * time.Millisecond
 	// defaultHeaderTimeout and defaultIdleTimeout apply to the listener. Its limits
 	// are fixed at start, before any routing table is known, so they are generous.
@@ -47,9 +47,12 @@
 	Codec    Codec
 	// Domain is the failure domain of this entry.
 	Domain string
-	// Routing returns the routing table in force, nil until one is known.
-	Routing   func() *routing.Index
-	Directory interface {
+	// Routing returns the latest routing table.
+	Routing func() Table
+	// CurrentTable returns the routing table by which to handle a request. It may wait for
+	// a confirmation until ctx ends.
+	CurrentTable func(ctx context.Context) Table
+	Directory    interface {
 		Snapshot() *directory.Snapshot
 		Loads() *directory.Loads
 		Changed() <-chan struct{}
@@ -92,7 +95,11 @@
 	endRequests context.CancelCauseFunc
 	crashChecks *crashChecks
 	attempts    *attemptSet
-	lastIndex   *routing.Index // last table applied; used only by runUpdates
+	// applied is the last table that runUpdates has applied. appliedChanged is closed at its
+	// next change, and tableWaiting has a value if a request waits for one.
+	applied        atomic.Pointer[routing.Index]
+	appliedChanged atomic.Pointer[chan struct{}]
+	tableWaiting   chan struct{}
 }
 
 // New returns a server that has not been started.
@@ -107,7 +114,9 @@
 		o.Limits = directory.NewLimits(o.Scope)
 	}
 	s := &Server{options: o, started: time.Now(), crashChecks: newCrashChecks(), attempts: newAttemptSet(), registry: newRegistry(o.Domain, o.Retry), pool: httpconn.NewPool(o.Scope),
-		metrics: newMetrics(o.Scope)}
+		metrics: newMetrics(o.Scope), tableWaiting: make(chan struct{}, 1)}
+	changed := make(chan struct{})
+	s.appliedChanged.Store(&changed)
 	s.stopping, s.endRequests = context.WithCancelCause(context.Background())
 	half := cmp.Or(o.BodyMemory, defaultBodyMemory) / 2
 	s.requestBodies, s.responseBodies = bytebudget.New(half), bytebudget.New(half)
@@ -139,7 +148,7 @@
 // Ready reports whether the entry can serve requests: it has a routing table, has
 // synchronized the endpoints with the directory, and is not draining.
 func (s *Server) Ready() bool {
-	return !s.draining.Load() && s.options.Routing() != nil && s.options.Directory.Synced()
+	return !s.draining.Load() && s.options.Routing().Index != nil && s.options.Directory.Synced()
 }
 
 // Start implements kernel.Service.
@@ -159,10 +168,9 @@
 	tick := time.NewTicker(updateInterval)
 	defer tick.Stop()
 	for {
-		index := s.options.Routing()
-		if index != s.lastIndex {
-			s.lastIndex = index
-			s.update(index)
+		index := s.options.Routing().Index
+		if index != s.applied.Load() {
+			s.applyTable(index)
 		}
 		select {
 		case <-ctx.Done():
@@ -171,6 +179,7 @@
 			s.update(index)
 		case <-s.options.Crashes.Changed():
 			s.attempts.cancelQuarantined(s.options.Crashes)
+		case <-s.tableWaiting:
 		case <-tick.C:
 		}
 	}
