Feed: an entry polls the control members that changed settings name

What callers see: an entry that was cut off or stood still while all members were replaced goes on with its old routing table for good, although its settings name the present members since a SIGHUP. Cause: the settings' addresses reached only the fallback of the directory client, which uses what the feed has learned. The feed kept the addresses from the start of the process and those of members that are gone. Change: new addresses replace the seeds of the feed's selector. Members learned from responses are kept beside them. Measured: TestChangedSeedsAreIgnored has no fresh view 1 s after the change with a selector that keeps its seeds, and passes now.

--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -141,6 +141,10 @@
 	return c
 }
 
+// SetSeeds replaces the addresses of Options.Members. It keeps the members learned from
+// responses.
+func (c *Client) SetSeeds(addresses []string) { c.selector.setSeeds(addresses) }
+
 // View returns the current view, which is never nil but may have expired.
 func (c *Client) View() *View { return c.view.Load() }
 
--- a/internal/control/feed/client_test.go
+++ b/internal/control/feed/client_test.go
@@ -333,3 +333,32 @@
 	defaultClock := NewClient(Options{}).options.Clock
 	qt.Assert(t, reflect.ValueOf(defaultClock).Pointer(), qt.Equals, reflect.ValueOf(clock.Now).Pointer())
 }
+
+// TestChangedSeedsAreIgnored guards against an instance that polls only members which have
+// all been replaced, although its settings name new ones.
+func TestChangedSeedsAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		running := map[string]bool{"m0": true, "m1": true}
+		s := &fakeMembers{feed: func(address string, r *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if !running[address] {
+				return nil, errors.New("connection refused")
+			}
+			return &controlv1.FeedResponse{FreshForMs: uint32(FreshFor.Milliseconds()), Members: []string{"m0", "m1"}}, nil
+		}}
+		c := newTestClient(s, "m0", "m1")
+		defer startClient(c)()
+		time.Sleep(time.Second)
+		qt.Assert(t, c.Fresh(), qt.IsTrue)
+		mu.Lock()
+		running = map[string]bool{"m2": true}
+		mu.Unlock()
+		time.Sleep(2 * FreshFor)
+		qt.Assert(t, c.Fresh(), qt.IsFalse)
+		c.SetSeeds([]string{"m2"})
+		time.Sleep(time.Second)
+		qt.Assert(t, c.Fresh(), qt.IsTrue)
+	})
+}
--- a/internal/control/feed/selector.go
+++ b/internal/control/feed/selector.go
@@ -136,6 +136,13 @@
 	return xxhash.Sum64String(r.key + "\x00" + address)
 }
 
+// setSeeds replaces the seeds.
+func (r *selector) setSeeds(seeds []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seeds = slices.Clone(seeds)
+}
+
 // setMembers replaces the known members, unless the new list is empty.
 func (r *selector) setMembers(members []string) {
 	r.mu.Lock()
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -127,7 +127,12 @@
 }
 
 // SetSeeds replaces the addresses of control members from the settings.
-func (d *RoutedDaemon) SetSeeds(addresses []string) { d.seeds.Store(&addresses) }
+func (d *RoutedDaemon) SetSeeds(addresses []string) {
+	d.seeds.Store(&addresses)
+	if d.feed != nil {
+		d.feed.SetSeeds(addresses)
+	}
+}
 
 // Run runs the instance. When stop is closed, it drains the instance and returns;
 // when kill is closed, it returns immediately.
