--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"auburnstep.example/auburnstep/internal/limit"
-)
+import "time"
 
 // Decision is the result of Admit for a placed request.
 type Decision int
@@ -77,48 +73,3 @@
 	base := max(minRetryAfter, min(latest, lateness))
 	return time.Duration(float64(base) * (1 - retryAfterJitter/2 + retryAfterJitter*random))
 }
-
-// RetryBudget bounds the sends beyond the first of each request to a service, over
-// all entries: a ratio of the requests of a window plus a slack. Each entry applies
-// the ratio to its own requests and uses its part of the slack, so that entries
-// need not coordinate.
-type RetryBudget struct {
-	rules    RetryRules
-	requests *limit.Window
-	retries  *limit.Window
-}
-
-// RetryRules are the limits of a RetryBudget.
-type RetryRules struct {
-	Ratio  float64
-	Window time.Duration
-	Slack  float64
-}
-
-// usableBudgetShare is the part of the budget that is used. The windows of the
-// entries start at different times, and a request may reach its entry in a later
-// window than the one in which its caller sent it.
-const usableBudgetShare = 0.7
-
-// NewRetryBudget returns an unspent budget.
-func NewRetryBudget(r RetryRules) *RetryBudget {
-	return &RetryBudget{rules: r, requests: limit.NewWindow(r.Window), retries: limit.NewWindow(r.Window)}
-}
-
-// CountRequest counts a request of a caller.
-func (b *RetryBudget) CountRequest(now time.Time) { b.requests.Add(now, 1) }
-
-// Left returns the number of retries that may be sent, given the number of entries.
-func (b *RetryBudget) Left(now time.Time, entries int) int {
-	allowed := usableBudgetShare * (b.rules.Ratio*float64(b.requests.Sum(now)) + b.rules.Slack/float64(max(1, entries)))
-	return int(allowed) - b.retries.Sum(now)
-}
-
-// Take spends one retry if the budget has one left.
-func (b *RetryBudget) Take(now time.Time, entries int) bool {
-	if b.Left(now, entries) < 1 {
-		return false
-	}
-	b.retries.Add(now, 1)
-	return true
-}
