dispatch: a retry counts in the window in which it is sent

No run of real processes has shown it; waits of running processes are short (an eighth of the objective, the timeout of a permit).

--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -7,6 +7,10 @@
 	"auburnstep.example/auburnstep/internal/limit"
 )
 
+// maxSendDelay is the time within which a retry usually reaches its endpoint after it was
+// allowed. Retries count for this time beyond the window of a budget.
+const maxSendDelay = 500 * time.Millisecond
+
 // usableBudgetShare is the part of the budget that is used. The windows of the
 // entries start at different times, and a request may reach its entry in a later
 // window than the one in which its caller sent it.
@@ -44,7 +48,7 @@
 
 // NewRetryBudget returns an unspent budget.
 func NewRetryBudget(r RetryRules) *RetryBudget {
-	return &RetryBudget{rules: r, requests: limit.NewWindow(r.Window), retries: limit.NewWindow(r.Window)}
+	return &RetryBudget{rules: r, requests: limit.NewWindow(r.Window), retries: limit.NewWindow(r.Window + maxSendDelay)}
 }
 
 // CountRequest counts a request of a caller.
@@ -80,3 +84,14 @@
 	b.retries.Add(now, 1)
 	return true
 }
+
+// RecordSent counts a retry again if it is sent long after it was taken, since it may
+// reach its endpoint in a window in which the first count has expired.
+func (b *RetryBudget) RecordSent(now, taken time.Time) {
+	if now.Sub(taken) < maxSendDelay {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retries.Add(now, 1)
+}
