--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -39,7 +39,7 @@
 type RetryUsage struct {
 	// Spent is the number of retries that count, and Allowed the number that may count.
 	Spent, Allowed int
-	// Entries is the number of entries that the slack is divided by.
+	// Entries is the number of entries that the slack is divided by, 0 if it is not used.
 	Entries int
 }
 
@@ -59,6 +59,7 @@
 }
 
 // Usage returns the state of the budget if the slack is divided by a number of entries.
+// With 0 entries, none of the slack is used; see SlackShare.
 func (b *RetryBudget) Usage(now time.Time, entries int) RetryUsage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -66,8 +67,10 @@
 }
 
 func (b *RetryBudget) usage(now time.Time, entries int) RetryUsage {
-	entries = max(1, entries)
-	allowed := b.rules.Ratio*float64(b.requests.Sum(now)) + b.rules.Slack/float64(entries)
+	allowed := b.rules.Ratio * float64(b.requests.Sum(now))
+	if entries > 0 {
+		allowed += b.rules.Slack / float64(entries)
+	}
 	return RetryUsage{Spent: b.retries.Sum(now), Allowed: int(usableBudgetShare * allowed), Entries: entries}
 }
 
@@ -86,7 +89,8 @@
 }
 
 // RecordSent counts a retry again if it is sent long after it was taken, since it may
-// reach its endpoint in a window in which the first count has expired.
+// reach its endpoint in a window in which the first count has expired. Only a process that
+// is frozen waits longer than a window; it is out of contact then, and has no slack left.
 func (b *RetryBudget) RecordSent(now, taken time.Time) {
 	if now.Sub(taken) < maxSendDelay {
 		return
