directory: members count every entry that may still send

The number now counts each entry that has polled within senderLease (5 s, the time without contact after which an entry stops using slack), draining or not. The list for callers is as before. A new name of a replaced entry counts beside the old one for 5 s, which makes parts smaller, also those of limits without a coordinator.

TestDrainingEntryIsCounted fails with both former counts.

--- a/internal/directory/merge.go
+++ b/internal/directory/merge.go
@@ -12,7 +12,7 @@
 type Snapshot struct {
 	// Endpoints holds the endpoints that have not left, by id.
 	Endpoints map[string]*directoryv1.Endpoint
-	// Entries is the number of live entries, at least 1.
+	// Entries is the number of entries that may send to endpoints, at least 1.
 	Entries int
 }
 
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -32,6 +32,9 @@
 	// entryLease is how long an entry is listed after its last poll. Entries
 	// poll every PollInterval; four polls in a row may be lost.
 	entryLease = 1500 * time.Millisecond
+	// senderLease is how long an entry counts as one that sends to endpoints after its last
+	// poll. An entry that polls no member uses no slack of retry budgets after this time.
+	senderLease = dispatch.MaxContactAge
 	// maxEndpoints bounds the endpoint records of one member: eight times the 600
 	// endpoints of the two-year target, at about 300 bytes each.
 	maxEndpoints = 4800
@@ -234,7 +237,7 @@
 	if req.GetEpoch() != r.epoch {
 		cursor, loadsCursor = 0, 0
 	}
-	res := &directoryv1.SyncResponse{Epoch: r.epoch, Cursor: r.revision, Entries: r.countListed(now)}
+	res := &directoryv1.SyncResponse{Epoch: r.epoch, Cursor: r.revision, Entries: r.countSenders(now)}
 	if r.revision > cursor {
 		for _, rec := range r.endpoints {
 			if rec.revision > cursor {
@@ -250,10 +253,11 @@
 	return res, nil
 }
 
-// countListed returns the number of live entries that accept new callers.
-func (r *Registry) countListed(now time.Time) (n uint32) {
+// countSenders returns the number of entries that may still send to endpoints, with those
+// that are draining.
+func (r *Registry) countSenders(now time.Time) (n uint32) {
 	for _, e := range r.entries {
-		if e.isListed(now) {
+		if now.Sub(e.lastSeen) <= senderLease {
 			n++
 		}
 	}
