router: retries use the slack by SlackShare, and are reported

Cause: each process began with an unspent part of the slack (H1), divided by the latest number of entries (H2); a service whose kind changed got a new budget (H3).

- The registry observes a contact with each new load report, and budgets divide by what SlackShare says.
Their times are those of package clock, which counts suspensions and does not follow steps of the wall clock.
- A retry is charged again when it is sent late.
- A service that becomes an engine service, or ceases to be one, keeps its budget.
One that left the table kept it before.
- Event 8018 retry-allowed, and new fields of 8009 retry-budget-spent: spent, allowed, entries (0: no slack), contact_ms.
Metrics router_retries and router_retries_denied.

TestServiceChangesKind takes 35 retries instead of 7 with a new budget for each kind. The tests' routers are kept in contact, since an entry that has just started has no slack.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/httpconn"
@@ -60,18 +61,23 @@
 // serve sends a request to endpoints until one has served it, or until it may not
 // be sent again.
 func (q *request) serve(ctx context.Context) {
-	q.withBalancer(func(b *dispatch.Balancer) { q.serviceState.budget.CountRequest(q.arrived) })
+	q.serviceState.budget.CountRequest(clock.Now())
 	var last attemptResult
+	var retryTaken time.Time
 	for {
 		choice, reason := q.awaitPlacement(ctx)
 		if reason != "" {
 			q.giveUp(ctx, last, reason)
 			return
 		}
+		if q.attemptCount > 0 {
+			q.serviceState.budget.RecordSent(clock.Now(), retryTaken)
+		}
 		last = q.attempt(ctx, choice)
 		if last.delivered {
 			return
 		}
+		retryTaken = clock.Now()
 		if !q.takeRetry(ctx, last) {
 			q.giveUp(ctx, last, "")
 			return
@@ -232,11 +238,8 @@
 		bound = max(stallFactor*c.Predicted, streamStallObjectives*q.route.Objective())
 	}
 	return time.AfterFunc(bound, func() {
-		remaining := 0
-		q.withBalancer(func(*dispatch.Balancer) {
-			remaining = q.serviceState.budget.Left(time.Now(), q.server.registry.entryCount())
-		})
-		if remaining > 0 {
+		now := clock.Now()
+		if q.serviceState.budget.Left(now, q.server.registry.slackEntries(now)) > 0 {
 			cancel(errStalled)
 		}
 	})
@@ -342,11 +345,17 @@
 	if q.responseStarted && q.lastEvent < 0 {
 		return false
 	}
-	allowed := false
-	q.withBalancer(func(*dispatch.Balancer) { allowed = q.serviceState.budget.Take(now, q.server.registry.entryCount()) })
-	if !allowed {
-		q.server.options.Events.Emit(eventRetryBudgetSpent, q.eventFields()...)
+	budgetNow := clock.Now()
+	entries := q.server.registry.slackEntries(budgetNow)
+	allowed := q.serviceState.budget.Take(budgetNow, entries)
+	kind, counter := eventRetryBudgetSpent, q.server.metrics.retriesDenied
+	if allowed {
+		kind, counter = eventRetryAllowed, q.server.metrics.retries
 	}
+	counter.Inc(1)
+	usage := q.serviceState.budget.Usage(budgetNow, entries)
+	q.server.options.Events.Emit(kind, q.eventFields(event.F("spent", usage.Spent), event.F("allowed", usage.Allowed), event.F("entries", usage.Entries),
+		event.F("contact_ms", q.server.registry.slackShare.Age(budgetNow).Milliseconds()))...)
 	return allowed
 }
 
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -25,15 +25,16 @@
 	eventLimitNamed       = event.Define(8014, "endpoint-limit-named", event.Info, "an endpoint names the requests per second that it takes from all entries together")
 	eventEndpointLeaving  = event.Define(8016, "endpoint-leaving", event.Info, "an endpoint says in an answer that it is leaving; this entry sends it nothing more")
 	eventEndpointPaused   = event.Define(8017, "endpoint-paused", event.Info, "an endpoint turned a request away and wants no others from this entry for a time")
+	eventRetryAllowed     = event.Define(8018, "retry-allowed", event.Info, "a request is sent again; the retry budget of its service pays for it")
 	eventLimitEnded       = event.Define(8015, "endpoint-limit-ended", event.Info, "an endpoint names no limit any more")
 	eventResetFailed      = event.Define(8011, "reset-failed", event.Warn, "the connection of a caller could not be reset; a broken response may look complete to it")
 )
 
 // metrics counts requests by outcome and measures their latency.
 type metrics struct {
-	requests, answered, refused, denied, failed, disconnected, attempts, attemptsFailed tally.Counter
-	firstEvent, completeResponse                                                        tally.Histogram
-	inFlight                                                                            tally.Gauge
+	requests, answered, refused, denied, failed, disconnected, attempts, attemptsFailed, retries, retriesDenied tally.Counter
+	firstEvent, completeResponse                                                                                tally.Histogram
+	inFlight                                                                                                    tally.Gauge
 }
 
 // latencyBuckets range from below the objective of plain services to the time
@@ -45,6 +46,7 @@
 		requests: s.Counter("router_requests"), answered: s.Counter("router_answered"), refused: s.Counter("router_refused"),
 		denied: s.Counter("router_denied"), failed: s.Counter("router_failed"), disconnected: s.Counter("router_callers_left"),
 		attempts: s.Counter("router_attempts"), attemptsFailed: s.Counter("router_attempts_failed"),
+		retries: s.Counter("router_retries"), retriesDenied: s.Counter("router_retries_denied"),
 		firstEvent: s.Histogram("router_first_byte", latencyBuckets), completeResponse: s.Histogram("router_whole_answer", latencyBuckets),
 		inFlight: s.Gauge("router_in_flight"),
 	}
--- a/internal/router/registry.go
+++ b/internal/router/registry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/directory"
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/routing"
@@ -15,7 +16,7 @@
 // serviceState holds the balancer and the retry budget of a service.
 type serviceState struct {
 	mu       sync.Mutex
-	balancer *dispatch.Balancer
+	balancer *dispatch.Balancer // guarded by mu
 	budget   *dispatch.RetryBudget
 	engine   bool
 }
@@ -29,8 +30,8 @@
 	retryRules    dispatch.RetryRules
 
 	// byName holds the services. The map is not changed once it is stored.
-	byName  atomic.Pointer[map[string]*serviceState]
-	entries atomic.Int64
+	byName     atomic.Pointer[map[string]*serviceState]
+	slackShare *dispatch.SlackShare
 
 	// updating serializes update, which alone uses the following fields.
 	updating sync.Mutex
@@ -42,16 +43,17 @@
 }
 
 func newRegistry(failureDomain string, retryRules dispatch.RetryRules) *registry {
-	r := &registry{failureDomain: failureDomain, retryRules: retryRules}
+	r := &registry{failureDomain: failureDomain, retryRules: retryRules, slackShare: dispatch.NewSlackShare(retryRules.Window)}
 	r.byName.Store(&map[string]*serviceState{})
-	r.entries.Store(1)
 	return r
 }
 
 // serviceState returns the state of a service, or nil if the service is unknown.
 func (r *registry) serviceState(service string) *serviceState { return (*r.byName.Load())[service] }
 
-func (r *registry) entryCount() int { return int(r.entries.Load()) }
+// slackEntries returns the number of entries by which the slack of a retry budget is divided
+// at a time of package clock, or 0 if this entry may not use its part.
+func (r *registry) slackEntries(now time.Time) int { return r.slackShare.Entries(now) }
 
 // update applies the routing table, the endpoints, and the load and the limits reported by
 // other entries. Endpoints of a service that the table does not list are used once it
@@ -59,7 +61,6 @@
 func (r *registry) update(index *routing.Index, s *directory.Snapshot, loads *directory.Loads, limits *directory.Limits) {
 	r.updating.Lock()
 	defer r.updating.Unlock()
-	r.entries.Store(int64(s.Entries))
 	if index != r.index || s != r.snapshot {
 		r.index, r.snapshot = index, s
 		r.setEndpoints()
@@ -71,6 +72,7 @@
 		return
 	}
 	r.loadsAt = loads.At
+	r.slackShare.Observe(clock.Now(), s.Entries)
 	r.eachBalancer(func(b *dispatch.Balancer) { b.SetRemoteLoad(loads.At, loads.Of) })
 }
 
@@ -119,12 +121,16 @@
 	if state := states[s.Name]; state != nil && state.engine == engine {
 		return
 	}
+	budget := dispatch.NewRetryBudget(r.retryRules)
+	if state := states[s.Name]; state != nil {
+		budget = state.budget
+	}
 	var memory *dispatch.Memory
 	if engine {
 		memory = &dispatch.Memory{Tokens: s.Engine.KVTokens, FetchTokensPerMs: s.Engine.FetchTokensPerMs}
 	}
 	states[s.Name] = &serviceState{
-		balancer: dispatch.NewBalancer(r.failureDomain, memory, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), budget: dispatch.NewRetryBudget(r.retryRules), engine: engine,
+		balancer: dispatch.NewBalancer(r.failureDomain, memory, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), budget: budget, engine: engine,
 	}
 }
 
--- a/internal/router/registry_test.go
+++ b/internal/router/registry_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/directory"
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/routing"
@@ -59,7 +62,7 @@
 				waiting.Go(func() { r.update(index, snapshot(3), &directory.Loads{At: time.Now()}, limits) })
 			}
 			time.Sleep(100 * time.Millisecond)
-			requireReturns(t, "a retry that counts the entries", func() { r.entryCount() })
+			requireReturns(t, "a retry that counts the entries", func() { r.slackEntries(clock.Now()) })
 			requireReturns(t, "a request for another service", func() { r.serviceState("other") })
 			s.mu.Unlock()
 			other.mu.Unlock()
@@ -122,3 +125,20 @@
 	close(stop)
 	updates.Wait()
 }
+
+// TestServiceChangesKind guards against a budget that is unspent again because its service
+// has become an engine service, or has left the table and come back.
+func TestServiceChangesKind(t *testing.T) {
+	plain, engine := routing.Service{Name: "s"}, routing.Service{Name: "s", Engine: &routing.Engine{KVTokens: 1000}}
+	r := newRegistry("d", dispatch.RetryRules{Window: 10 * time.Second, Slack: 40})
+	limits, snapshot := directory.NewLimits(nil), &directory.Snapshot{Entries: 4}
+	keepInContact(r.slackShare, snapshot.Entries)
+	taken, now := 0, clock.Now()
+	for _, services := range [][]routing.Service{{plain}, {engine}, {plain}, {}, {engine}, {}, {plain}} {
+		r.update(routing.NewIndex(&routing.Table{Version: 1, Services: services}), snapshot, &directory.Loads{}, limits)
+		for r.serviceState("s").budget.Take(now, r.slackEntries(now)) {
+			taken++
+		}
+	}
+	qt.Assert(t, taken, qt.Equals, 7, qt.Commentf("0.7 of a part of 10"))
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/directory"
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/event"
@@ -131,6 +132,15 @@
 	}
 }
 
+// keepInContact makes an entry use its part of the slack of retry budgets as if it had been
+// in contact with the members for a minute, and until a minute after now.
+func keepInContact(s *dispatch.SlackShare, entries int) {
+	now := clock.Now()
+	for at := now.Add(-time.Minute); at.Before(now.Add(time.Minute)); at = at.Add(dispatch.MaxContactAge) {
+		s.Observe(at, entries)
+	}
+}
+
 // startRouter runs a router with the given endpoints and returns its address.
 func startRouter(t *testing.T, endpoints ...*fakeEndpoint) (*Server, string) {
 	return startRouterWithTable(t, table(), endpoints...)
@@ -151,6 +161,7 @@
 		Directory: &staticDirectory{snapshot, make(chan struct{})}, Retry: dispatch.RetryRules{Ratio: 1, Window: 10 * time.Second, Slack: 100},
 		DrainWait: 100 * time.Millisecond, Grace: time.Second,
 	})
+	keepInContact(s.registry.slackShare, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.update(index)
 	done := make(chan struct{})
