A service's retry budget applies to its customers

Cause: the scheduler bounds retries twice, for the group and for each customer. groupPolicy passed retry.budget to the group only, and limit.RetryBucket reads the zero of a customer as the default of 0.1. Settings above 0.1 had no effect for a customer.

Change: the customers of a group get the retry.budget of its service.

Why it works: a customer earns retries at the rate that the service allows, so neither bound is below the setting. The sum over the customers is bounded by the group as before.

--- a/internal/schedulerhost/group.go
+++ b/internal/schedulerhost/group.go
@@ -112,9 +112,11 @@
 	p.Customer = func(name string) limit.Policy {
 		c, ok := index.CustomerPolicy(name)
 		if !ok {
-			return limit.Policy{}
+			return limit.Policy{RetryBudget: s.RetryBudget}
+		}
+		return limit.Policy{
+			Concurrency: c.Concurrency, TokensPerSecond: float64(c.TokensPerSecond), Weight: float64(c.Weight), RetryBudget: s.RetryBudget,
 		}
-		return limit.Policy{Concurrency: c.Concurrency, TokensPerSecond: float64(c.TokensPerSecond), Weight: float64(c.Weight)}
 	}
 	return p
 }
