Control: a removed member recovers from an interrupted removal of its data

Callers saw nothing at once: one member of the group stayed without its data and reported storage-failed every 0.5 s for good, while its process ran. The next loss then left no majority.

If a removal or the sync of the folder failed, or the process ended, what was left was an identity with a part of its log, or a log without an identity. Open refuses both as corrupt, and Start tries Open again for ever.

Evidence: with the former order, TestInterruptedClear fails for a disk that refuses all changes from the second on: ".wal is corrupt at offset 0: segment is missing".

Change: wal.Clear renames the identity first, durably, and deletes the rest afterwards. Open finishes what it finds begun.

Why it works: the rename decides. Before it the log is whole and Open returns it; after it nothing in the folder counts, and the renamed identity goes last, before a new one is created.

Measured: TestInterruptedClear, a failure or a power loss at each change, passes. TestDiskFullAtAnyChange (disk full from any change on, with three lengths of a half-done write) passes; it found nothing.

--- a/internal/control/storage.go
+++ b/internal/control/storage.go
@@ -1,11 +1,6 @@
 package control
 
 import (
-	"errors"
-	"os"
-	"path/filepath"
-	"slices"
-
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/wal"
 )
@@ -42,16 +37,19 @@
 
 // NewDirStorage returns a Storage for a directory of the file system. keep lists the names of
 // files in it that belong to others.
-func NewDirStorage(dir string, keep ...string) Storage { return dirStorage{dir, keep} }
+func NewDirStorage(dir string, keep ...string) Storage {
+	return dirStorage{dir: dir, keep: keep, fs: wal.OS{}}
+}
 
 type dirStorage struct {
 	dir  string
 	keep []string
+	fs   wal.FS
 }
 
 // Open implements Storage.
 func (d dirStorage) Open(cluster string) (Log, OpenResult, error) {
-	log, r, err := wal.Open(d.dir, wal.Options{Cluster: cluster})
+	log, r, err := wal.Open(d.dir, wal.Options{Cluster: cluster, FS: d.fs})
 	if err != nil {
 		return nil, OpenResult{}, err
 	}
@@ -63,21 +61,4 @@
 }
 
 // Clear implements Storage.
-func (d dirStorage) Clear() error {
-	files, err := os.ReadDir(d.dir)
-	for _, f := range files {
-		if !slices.Contains(d.keep, f.Name()) {
-			err = errors.Join(err, os.RemoveAll(filepath.Join(d.dir, f.Name())))
-		}
-	}
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	// The removal must be durable before a new member ID is generated. Otherwise a
-	// power loss could leave files of two IDs in the directory.
-	dir, err := os.Open(d.dir)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	return Error.Wrap(errors.Join(dir.Sync(), dir.Close()))
-}
+func (d dirStorage) Clear() error { return wal.Clear(d.dir, d.fs, d.keep...) }
--- a/internal/wal/memfs_test.go
+++ b/internal/wal/memfs_test.go
@@ -33,10 +33,22 @@
 	// to shortBytes bytes.
 	writesLeft, syncsLeft, shortBytes int
 	failedSyncs                       int
+	// changesLeft is the number of calls that change the file system, of any kind,
+	// which succeed before all later ones fail; a negative number means no failure.
+	changesLeft int
+}
+
+// change reports the failure of a call that changes the file system.
+func (m *memFS) change() error {
+	if m.changesLeft == 0 {
+		return errNoSpace
+	}
+	m.changesLeft--
+	return nil
 }
 
 func newMemFS() *memFS {
-	return &memFS{names: map[string]*inode{}, durable: map[string]*inode{}, locks: map[string]bool{}, writesLeft: -1, syncsLeft: -1}
+	return &memFS{names: map[string]*inode{}, durable: map[string]*inode{}, locks: map[string]bool{}, writesLeft: -1, syncsLeft: -1, changesLeft: -1}
 }
 
 // crash simulates a power loss, in which any part of the unsynced changes may
@@ -70,7 +82,7 @@
 // stays readable and unsynced. It also ends the injected failures.
 func (m *memFS) restart() {
 	m.locks = map[string]bool{}
-	m.writesLeft, m.syncsLeft = -1, -1
+	m.writesLeft, m.syncsLeft, m.changesLeft = -1, -1, -1
 }
 
 func (m *memFS) MkdirAll(string) error { return nil }
@@ -94,22 +106,34 @@
 }
 
 func (m *memFS) Create(name string) (wal.File, error) {
+	if err := m.change(); err != nil {
+		return nil, err
+	}
 	m.names[name] = &inode{}
 	return &memFile{m, m.names[name]}, nil
 }
 
 func (m *memFS) Rename(from, to string) error {
+	if err := m.change(); err != nil {
+		return err
+	}
 	m.names[to] = m.names[from]
 	delete(m.names, from)
 	return nil
 }
 
 func (m *memFS) Remove(name string) error {
+	if err := m.change(); err != nil {
+		return err
+	}
 	delete(m.names, name)
 	return nil
 }
 
 func (m *memFS) SyncDir(string) error {
+	if err := m.change(); err != nil {
+		return err
+	}
 	m.durable = maps.Clone(m.names)
 	return nil
 }
@@ -138,6 +162,12 @@
 }
 
 func (f *memFile) Write(b []byte) (int, error) {
+	if f.m.changesLeft == 0 {
+		n := min(f.m.shortBytes, len(b))
+		f.f.data = append(f.f.data, b[:n]...)
+		return n, errNoSpace
+	}
+	f.m.changesLeft--
 	if f.m.writesLeft == 0 {
 		n := min(f.m.shortBytes, len(b))
 		f.f.data = append(f.f.data, b[:n]...)
@@ -151,6 +181,9 @@
 // Sync reports an injected failure only once. As on Linux, later calls succeed
 // without making the data durable.
 func (f *memFile) Sync() error {
+	if err := f.m.change(); err != nil {
+		return err
+	}
 	if f.m.syncsLeft == 0 {
 		f.m.failedSyncs++
 		if f.m.failedSyncs == 1 {
--- a/internal/wal/open.go
+++ b/internal/wal/open.go
@@ -12,6 +12,7 @@
 // dirListing lists the files of a data directory by kind.
 type dirListing struct {
 	identity  bool
+	cleared   bool     // Clear has begun and was interrupted
 	segments  []uint64 // sequence numbers
 	snapshots []string
 	temporary []string
@@ -48,6 +49,12 @@
 	if err != nil {
 		return Restored{}, err
 	}
+	if !listing.identity && listing.cleared {
+		if err := l.finishClear(listing); err != nil {
+			return Restored{}, err
+		}
+		listing = dirListing{}
+	}
 	if !listing.identity {
 		if err := l.initialize(o, listing); err != nil {
 			return Restored{}, err
@@ -70,6 +77,8 @@
 		switch {
 		case name == identityName:
 			listing.identity = true
+		case name == clearedName:
+			listing.cleared = true
 		case strings.HasSuffix(name, tempSuffix):
 			listing.temporary = append(listing.temporary, name)
 		case strings.HasSuffix(name, snapshotSuffix):
