Control: a change is not refused because of an earlier one that was replaced in the log

Callers saw "another change is in progress" (RESOURCE_EXHAUSTED) for every settings change at this leader, with no end while nothing else was written to the log.

Cause: one settings change is in flight at a time, and the next waits until its outcome is decided. A leader that lost the lead with several entries that no other member had (for instance while one follower's disk is full and the other has not caught up yet) kept the waiters of those whose index the new log had not reached. Back in the lead, its own no-op decides one index; the change behind it held the slot until other entries reached its index. Groups stayed in revocation in the same way.

Evidence: TestChangeAfterSupersededChange (5 entries and a change on an isolated leader that leads again later) got no result in 20 s of the test's clock, and TestSupersededWaiters failed.

Change: when an entry of a newer term is applied, the waiters of earlier terms end as superseded.

Why it works: an applied entry is in the log of every later leader, and terms never decrease along a log, so that an entry of an earlier term can no longer follow it. Waiters before it have ended already.

Measured: both tests pass.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -36,6 +36,8 @@
 type waiters struct {
 	mu      sync.Mutex
 	byIndex map[uint64]waiter
+	// appliedTerm is the term of the last applied entry.
+	appliedTerm uint64
 }
 
 // add registers the waiter of an entry. An earlier waiter at the same index fails
@@ -63,10 +65,29 @@
 // failUpTo fails the waiters up to and including the given index, whose entries
 // were replaced by a snapshot.
 func (w *waiters) failUpTo(index uint64, err error) {
+	w.failIf(err, func(i uint64, _ waiter) bool { return i <= index })
+}
+
+// failSuperseded fails the waiters of earlier terms than that of an entry that is about to
+// be applied. No log that has this entry can have theirs after it, and every later leader
+// has this entry. Without this, such a waiter would stay until the log reaches its index
+// again, and what waits for its outcome with it.
+func (w *waiters) failSuperseded(term uint64) {
+	w.mu.Lock()
+	known := term <= w.appliedTerm
+	w.appliedTerm = max(w.appliedTerm, term)
+	w.mu.Unlock()
+	if !known {
+		w.failIf(ErrSuperseded, func(_ uint64, pending waiter) bool { return pending.term < term })
+	}
+}
+
+// failIf fails the waiters for which the condition holds.
+func (w *waiters) failIf(err error, condition func(index uint64, pending waiter) bool) {
 	w.mu.Lock()
 	var failed []waiter
 	for i, pending := range w.byIndex {
-		if i <= index {
+		if condition(i, pending) {
 			failed = append(failed, pending)
 			delete(w.byIndex, i)
 		}
@@ -139,6 +160,7 @@
 	result := m.state.Apply(e.Index, cmd)
 	m.mu.Unlock()
 	m.applied.Store(e.Index)
+	m.waiters.failSuperseded(e.Term)
 	if w, ok := m.waiters.remove(e.Index); ok {
 		if w.term == e.Term {
 			w.complete(result, nil)
