Control: a removed member finds its cluster after all initial members were replaced

Callers saw no fault at first. A member whose disk was full for some seconds while there were four voters was removed, cleared its folder and never came back, while its process ran; each such member is one loss that the cluster tolerates less, until changes find no majority.

Cause: a member that joins anew forgot the addresses of the others with its state. It was left with those of its start. An initial member even waited, as for the first formation of the cluster, until one of the initial members responds, and asked nobody else.

Evidence: TestRemovedMemberOfReplacedClusterRejoins (members m0 m1 m2, m1 and m2 replaced, a fourth added, disk of m0 full for 4 s) timed out after 30 s: m0 with its new ID, participating false.

Change: a member keeps the addresses that it knows when it starts again in its process, and one that was removed never forms a cluster.

Why it works: who is removed is told so by a member, so that an address of the present cluster is known; it asks this one for the leader.

Not covered: a process that is started anew with an empty folder and only addresses of members that are gone.

--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -22,11 +22,12 @@
 // A bootstrap member that lost its disk cannot form a second cluster: everything
 // that was accepted in the first cluster is stored by a majority, so at least one
 // other member responds that it is part of a cluster. A cluster of one member has
-// no such protection.
+// no such protection. A member that was removed takes no part in this: its cluster exists,
+// although the initial members may all have been replaced.
 func (m *Member) bootstrap(ctx context.Context, log Log, r consensus.Restored) (consensus.Restored, error) {
 	initial := slices.Sorted(slices.Values(m.options.InitialMembers))
 	empty := r.Snapshot.Index == 0 && len(r.Entries) == 0 && r.HardState == consensus.HardState{}
-	if !empty || !slices.Contains(initial, m.options.Address) {
+	if !empty || m.rejoining || !slices.Contains(initial, m.options.Address) {
 		return r, nil
 	}
 	wait := m.waitForFirstVoters
@@ -197,7 +198,8 @@
 }
 
 // knownAddresses returns the addresses of other members without duplicates: the
-// leader first, then the replicated members, the initial members and the peers.
+// leader first, then the replicated members, those known before the last reset, the initial
+// members and the peers.
 func (m *Member) knownAddresses() []string {
 	var out []string
 	add := func(a string) {
@@ -209,10 +211,7 @@
 	for _, other := range m.replicatedMembers() {
 		add(other.Address)
 	}
-	for _, a := range m.options.InitialMembers {
-		add(a)
-	}
-	for _, a := range m.options.Peers {
+	for _, a := range slices.Concat(m.formerPeers, m.options.InitialMembers, m.options.Peers) {
 		add(a)
 	}
 	return out
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,11 @@
 	// unresponsiveSince maps the ID of each unresponsive voter to the time at which
 	// it was first seen unresponsive. Only the leader loop uses it.
 	unresponsiveSince map[uint64]time.Time
+	// formerPeers lists the members that were known before the last reset, and rejoining
+	// is set once this member was removed. Both change only while no goroutine of the
+	// member runs.
+	formerPeers []string
+	rejoining   bool
 	changing          chan struct{} // holds a token while a settings change is in progress
 
 	// tickZero is the time of tick 0. The end of the lease is relative to it.
@@ -131,7 +137,8 @@
 	err := m.run(ctx)
 	for (errors.Is(err, errStorage) || errors.Is(err, errRemoved)) && ctx.Err() == nil {
 		if errors.Is(err, errRemoved) {
-			m.options.Events.Emit(eventRejoining, event.F("member", m.id()))
+			m.rejoining = true
+			m.options.Events.Emit(eventRejoining, event.F("member", m.id()), event.F("peers", strings.Join(m.knownAddresses(), ",")))
 			if cleared := m.options.Storage.Clear(); cleared != nil {
 				err = m.reportStorageError(cleared)
 			}
@@ -169,8 +176,10 @@
 
 // reset discards all state that a restarted process would not have. Proposals that
 // already reached the log fail with ErrOutcomeUnknown, because they may still take
-// effect.
+// effect. The addresses of the other members remain: those that this process was started
+// with may all have been replaced.
 func (m *Member) reset() {
+	m.formerPeers = m.knownAddresses()
 	m.participating.Store(false)
 	m.leaderLease.validUntil.Store(0)
 	m.status.Store(&consensus.Status{})
