Control: a member that restores its state is not counted as a new one

Not seen by callers. While a member restores its state, at the start of its process and after each full disk, it reported term 0 and itself as the only member, which is how a member looks that has never been part of a cluster. A bootstrap member with a lost disk forms a cluster once all initial members look like this, so that two sets of voters were possible.

Evidence: TestRestoringMemberIsNotNew: the restoring member was counted among the founders.

Change: the status has the term and the commit index of the folder from the moment at which it is open.

Measured: the test passes.

--- a/internal/control/disks_test.go
+++ b/internal/control/disks_test.go
@@ -1,12 +1,16 @@
 package control
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/consensus"
+	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
 var errFull = errors.New("no space left on device")
@@ -43,3 +47,32 @@
 		c.requireNewestTable(3)
 	})
 }
+
+// TestRestoringMemberIsNotNew guards against a member that reports, while it restores its
+// state, that it has never been part of a cluster: an initial member that lost its disk would
+// count it as a founder of a second cluster.
+func TestRestoringMemberIsNotNew(t *testing.T) {
+	for name, restored := range map[string]consensus.Restored{
+		"hard state": {HardState: consensus.HardState{Term: 3, Commit: 2}, Snapshot: consensus.Snapshot{Index: 2, Term: 1}},
+		"snapshot":   {Snapshot: consensus.Snapshot{Index: 2, Term: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			restored.Snapshot.Data = []byte("not a state") // Restoring ends here.
+			m := NewMember(Options{Cluster: "test", Instance: "m0", Address: "m0", Storage: &memDisk{id: 7, restored: restored}})
+			qt.Assert(t, m.run(context.Background()), qt.IsNotNil)
+			other := NewMember(Options{Instance: "m1", Address: "m1", Network: statusOf{member: m}})
+			responded, exists := other.queryInitialMembers(context.Background(), []string{"m0", "m1"})
+			qt.Check(t, exists, qt.IsTrue, qt.Commentf("%v", responded))
+		})
+	}
+}
+
+// statusOf is a network on which one member reports its status.
+type statusOf struct {
+	Network
+	member *Member
+}
+
+func (n statusOf) Status(context.Context, string) (*controlv1.StatusResponse, error) {
+	return n.member.Status(), nil
+}
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -52,7 +52,7 @@
 	// member runs.
 	formerPeers []string
 	rejoining   bool
-	changing          chan struct{} // holds a token while a settings change is in progress
+	changing    chan struct{} // holds a token while a settings change is in progress
 
 	// tickZero is the time of tick 0. The end of the lease is relative to it.
 	tickZero time.Time
@@ -207,7 +207,10 @@
 	if opened.New {
 		m.options.Events.Emit(eventNewIdentity, event.F("member", opened.ID))
 	}
-	m.status.Store(&consensus.Status{ID: opened.ID})
+	// Until the loop runs, others must not take this member for a new one.
+	m.status.Store(&consensus.Status{
+		ID: opened.ID, Term: max(opened.Restored.HardState.Term, opened.Restored.Snapshot.Term), Commit: max(opened.Restored.HardState.Commit, opened.Restored.Snapshot.Index),
+	})
 	restored, err := m.bootstrap(ctx, log, opened.Restored)
 	if err != nil {
 		return err
