Directory: departures that a full disk kept from being stored are stored afterwards

Not seen by callers: a departure is acknowledged once a majority has stored it. A member whose disk was full meanwhile knew it in memory only, and wrote it with the next departure, which may not come. After the members that had stored it lost their disks or were stopped one after the other, an endpoint that had left could be used again.

Cause: the store saved on request only. The other members do not ask again, and what a pull brings is not new to this member.

Evidence: TestDepartureStoredAfterFullDisk, in both variants: "m2 has not stored 1 departures" 3 s after its disk had room.

The links of the test group handed the messages of one member to the next as they are. The same object then counted as newer than itself, so that each pull was stored again and hid the fault; they copy now, as a connection does.

Change: after a failure the store tries again every 0.5 s, and reports when it could write again (7110, departures-saved).

Measured: the test passes.

--- a/internal/directory/departure_store.go
+++ b/internal/directory/departure_store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io/fs"
 	"sync/atomic"
+	"time"
 
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/ring"
@@ -15,10 +16,13 @@
 	departuresFile = "departures"
 	// maxSaveRequests bounds the calls that wait for the departures to be saved.
 	maxSaveRequests = 256
+	// saveRetryInterval is the time after which a failed save is repeated.
+	saveRetryInterval = 500 * time.Millisecond
 )
 
 var (
 	eventDeparturesNotSaved  = event.Define(7108, "departures-not-saved", event.Warn, "departures cannot be written to the data directory; this member confirms none until they can")
+	eventDeparturesSaved     = event.Define(7110, "departures-saved", event.Info, "departures can be written to the data directory again, and were")
 	eventDeparturesNotLoaded = event.Define(7109, "departures-not-loaded", event.Warn, "the stored departures cannot be read; the other members have theirs")
 )
 
@@ -67,20 +71,24 @@
 }
 
 // run saves the departures, once for all calls that wait, until ctx ends. It is the only one
-// that waits for the disk.
+// that waits for the disk. After a failure it tries again by itself: this member knows the
+// departures already, so that nobody sends them again.
 func (s *departureStore) run(ctx context.Context, current func() ([]*directoryv1.Endpoint, uint64)) {
 	failed := false
 	for {
-		first, err := s.requests.Pop(ctx)
+		waiting, err := s.nextRequests(ctx, failed)
 		if err != nil {
 			return
 		}
-		waiting := append(s.requests.Drain(maxSaveRequests), first)
 		endpoints, revision := current()
 		err = saveFile(s.dir, departuresFile, &directoryv1.StoredDepartures{Endpoints: endpoints})
-		if err == nil {
+		switch {
+		case err == nil:
 			s.saved.Store(revision)
-		} else if !failed {
+			if failed {
+				s.events.Emit(eventDeparturesSaved, event.F("departures", len(endpoints)))
+			}
+		case !failed:
 			s.events.Emit(eventDeparturesNotSaved, event.F("error", err))
 		}
 		failed = err != nil
@@ -89,3 +97,22 @@
 		}
 	}
 }
+
+// nextRequests returns the calls that wait for a save. With retry set, it returns none after
+// saveRetryInterval.
+func (s *departureStore) nextRequests(ctx context.Context, retry bool) ([]chan error, error) {
+	wait := ctx
+	if retry {
+		var cancel context.CancelFunc
+		wait, cancel = context.WithTimeout(ctx, saveRetryInterval)
+		defer cancel()
+	}
+	first, err := s.requests.Pop(wait)
+	switch {
+	case err == nil:
+		return append(s.requests.Drain(maxSaveRequests), first), nil
+	case wait.Err() != nil && ctx.Err() == nil:
+		return nil, nil
+	}
+	return nil, err
+}
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -203,7 +203,7 @@
 	res.Msg.Endpoints, res.Msg.CrashReports, res.Msg.Limits = nil, nil, nil
 	known[address] = res.Msg
 	if learned {
-		// A failure is reported by the store, which saves everything with the next departure.
+		// A failure is reported by the store, which tries again.
 		_ = s.storeDepartures(callCtx)
 	}
 }
--- a/internal/directory/spread_test.go
+++ b/internal/directory/spread_test.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
@@ -37,12 +38,17 @@
 
 var errDown = errors.New("the member is down")
 
-// groupLink is a connection to a member, which may be down.
+// groupLink is a connection to a member, which may be down. It copies messages, as a
+// connection does.
 type groupLink struct{ m *groupMember }
 
 func (l groupLink) Sync(ctx context.Context, r *connect.Request[directoryv1.SyncRequest]) (*connect.Response[directoryv1.SyncResponse], error) {
 	if s := l.m.service.Load(); s != nil {
-		return s.Sync(ctx, r)
+		res, err := s.Sync(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		return connect.NewResponse(proto.CloneOf(res.Msg)), nil
 	}
 	return nil, errDown
 }
@@ -56,7 +62,7 @@
 
 func (l groupLink) RecordDepartures(ctx context.Context, r *connect.Request[directoryv1.RecordDeparturesRequest]) (*connect.Response[directoryv1.RecordDeparturesResponse], error) {
 	if s := l.m.service.Load(); s != nil {
-		return s.RecordDepartures(ctx, r)
+		return s.RecordDepartures(ctx, connect.NewRequest(proto.CloneOf(r.Msg)))
 	}
 	return nil, errDown
 }
