Control: a successor votes before the voter that it replaces is removed

Callers saw changes refused for good, while all members but one ran, and also after every disk had room again.

Cause: with a learner at hand, a voter that is silent for 3 s (its disk is full) was removed first and its successor promoted afterwards. Of three voters this leaves two, both of which have to be up. If one of them stopped for good in between (a planned replacement whose successor is that learner, or the leader itself), the other waits for it without end: the removed member no longer counts when its disk has room, and the learner cannot be promoted without a majority.

TestVoterWithFullDiskIsReplacedWhileAnotherStops timed out after 30 s in 4 of its 6 variants: voters m1 and the stopped one, removed m0, learner m3.

Change: the learner is promoted first. The lost voter is removed then if it is still silent and the cluster has a voter to spare.

Why it works: during the promotion the member with the full disk still has its vote. It counts as soon as it is back, so that four voters, one stopped, have a majority of three.

Measured: the 6 variants pass, as do the tests of replacements.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -241,6 +241,7 @@
 	// initial lists the members that form the cluster: at most the first three.
 	initial      []string
 	disks        map[string]*memDisk
+	files        map[string]*diskFS // file systems that take the place of disks
 	startResults map[string]chan error
 	cancels      map[string]context.CancelFunc
 	seed         int64
@@ -278,7 +279,7 @@
 	c.seed++
 	m := NewMember(Options{
 		Cluster: "test", Instance: name, Address: name, InitialMembers: c.initial,
-		Peers: c.names, Storage: c.disks[name], Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name), ReplaceLostVoters: c.replace, Clock: c.clock(name),
+		Peers: c.names, Storage: c.storage(name), Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name), ReplaceLostVoters: c.replace, Clock: c.clock(name),
 	})
 	if err := m.Validate(); err != nil {
 		c.t.Fatal(err)
@@ -292,6 +293,14 @@
 	c.net.mu.Unlock()
 }
 
+// storage returns the data directory of a member.
+func (c *cluster) storage(name string) Storage {
+	if f := c.files[name]; f != nil {
+		return dirStorage{dir: "data", fs: f}
+	}
+	return c.disks[name]
+}
+
 // clock returns the steady clock of a process.
 func (c *cluster) clock(name string) func() time.Time {
 	if p := c.clocks[name]; p != nil {
--- a/internal/control/disks_test.go
+++ b/internal/control/disks_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,8 +13,6 @@
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
-var errFull = errors.New("no space left on device")
-
 // setError makes all writes fail with err, or none with nil.
 func (d *memDisk) setError(err error) {
 	d.mu.Lock()
@@ -76,3 +74,36 @@
 func (n statusOf) Status(context.Context, string) (*controlv1.StatusResponse, error) {
 	return n.member.Status(), nil
 }
+
+// TestVoterWithFullDiskIsReplacedWhileAnotherStops guards against a replacement that removes a
+// voter whose disk is full before its successor votes: if another voter stops for good in
+// between, those that are left have no majority, also after the disk has room.
+func TestVoterWithFullDiskIsReplacedWhileAnotherStops(t *testing.T) {
+	for _, stops := range []string{"leader", "follower"} {
+		for _, delay := range []time.Duration{0, 10 * time.Millisecond, 30 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s,%v", stops, delay), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newReplacingCluster(t, 62)
+					defer c.stop()
+					leader := c.leader()
+					full := other(leader, "m0", "m1")
+					stopped := leader
+					if stops == "follower" {
+						stopped = other(leader, "m2", other(full, "m0", "m1"))
+					}
+					c.disks[full].setError(errFull)
+					c.requireNewestTable(2)
+					c.addInstance("m3")
+					c.waitFor("the replacement to begin", func() bool {
+						s := c.member(leader).status.Load().Members
+						return len(s.Voters) != 3 || s.IsVoter(c.id("m3"))
+					})
+					time.Sleep(delay)
+					c.retire(stopped)
+					c.disks[full].setError(nil)
+					c.requireNewestTable(3)
+				})
+			})
+		}
+	}
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -139,7 +139,9 @@
 }
 
 // promoteLearners promotes learners that have caught up to voters, up to maxVoters.
-// With Options.ReplaceLostVoters, a learner may replace a lost voter.
+// With Options.ReplaceLostVoters, a learner may replace a lost voter. The successor votes
+// before the lost voter is removed: the removal could otherwise leave two voters that both
+// have to be up, although the lost one may return, for instance when its disk has room.
 func (m *Member) promoteLearners(ctx context.Context) {
 	if len(m.status.Load().Members.Voters) >= maxVoters {
 		return
@@ -148,21 +150,36 @@
 		if !p.Learner || !p.Active || p.Match == 0 {
 			continue
 		}
-		id, wait := m.voterToReplace(p)
+		lost, wait := m.voterToReplace(p)
 		if wait {
 			continue
 		}
-		if id != 0 {
-			m.options.Events.Emit(eventVoterReplaced, event.F("lost", id), event.F("successor", p.ID))
-			if _, err := m.removeMember(ctx, id); err != nil {
-				return
-			}
+		if lost != 0 {
+			m.options.Events.Emit(eventVoterReplaced, event.F("lost", lost), event.F("successor", p.ID))
 		}
 		err := m.changeMembership(ctx, consensus.MembershipChange{Kind: consensus.PromoteLearner, ID: p.ID}, func(s consensus.Membership) bool { return s.IsVoter(p.ID) })
-		if err != nil && !errors.Is(err, consensus.ErrNotCaughtUp) {
+		if errors.Is(err, consensus.ErrNotCaughtUp) {
+			continue
+		}
+		if err != nil {
 			return
 		}
+		if lost != 0 {
+			_, err := m.removeMemberIf(ctx, lost, func(s consensus.Status) error { return mayRemoveLost(s, lost) })
+			if err != nil && !errors.Is(err, errVoterNeeded) {
+				return // removeSurplusVoter tries again.
+			}
+		}
+	}
+}
+
+// mayRemoveLost returns errVoterNeeded if a voter that was lost has returned, or if its
+// removal would leave fewer than minVoters.
+func mayRemoveLost(s consensus.Status, id uint64) error {
+	if slices.ContainsFunc(s.Progress, func(p consensus.Progress) bool { return p.ID == id && p.Active }) {
+		return errVoterNeeded
 	}
+	return hasSurplus(s)
 }
 
 // voterToReplace returns the ID of a lost voter that the given learner replaces, or 0
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -62,7 +62,7 @@
 	eventSnapshot         = event.Define(2008, "snapshot-stored", event.Debug, "a snapshot of the state was stored")
 	eventNewIdentity      = event.Define(2009, "identity-drawn", event.Info, "the data directory was empty; a new member ID was generated")
 	eventClusterMismatch  = event.Define(2010, "foreign-message", event.Warn, "a message from another cluster was refused")
-	eventVoterReplaced    = event.Define(2013, "lost-voter-replaced", event.Warn, "a lost voter is removed; the learner that replaces it has caught up")
+	eventVoterReplaced    = event.Define(2013, "lost-voter-replaced", event.Warn, "a learner that has caught up becomes a voter in place of a lost one, which is removed then")
 	eventRejoining        = event.Define(2014, "member-joins-anew", event.Warn, "this member was removed from the cluster; it deletes its data and joins again as a new member")
 	eventSurplusRemoved   = event.Define(2015, "lost-voter-removed", event.Warn, "a lost voter that the cluster can spare is removed, so that the next loss leaves a majority")
 	eventLeft             = event.Define(2016, "member-left", event.Info, "this member stops; the leader has removed it because the cluster can spare a voter")
