Control: a learner that was removed finds out and joins anew

Callers saw nothing at once: a member whose disk was full right after its promotion stayed out of the cluster for good, while its process ran, and the cluster tolerated one loss less.

Cause: a member learns from the answers to its own messages that it was removed. A voter that hears from no leader campaigns and so is told; a learner does not. A learner that was promoted and became silent before the entry reached it counts as a lost voter of four, is removed after 1 s, and is a learner by its own log when it returns: nobody sends to it, and it sends to nobody.

TestMemberRemovedAfterPromotionRejoins timed out in both variants.

Change: a member that has heard nothing from others for 2 s asks the leader to add it, as one outside the membership does. The leader refuses an ID whose removal is committed with NOT_FOUND, before it records an address for it, and the member tells its consensus node.

Measured: the test passes.

--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"slices"
+	"time"
+
+	"connectrpc.com/connect"
 
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/control/state"
@@ -148,7 +151,8 @@
 
 // joinLoop asks the leader to add this member as long as it is not part of the
 // membership, and to update the replicated address when it differs from the
-// member's own.
+// member's own. It also asks when no member has sent anything for unheardTimeout: the
+// member may have been removed, and a learner is not told, because it does not campaign.
 func (m *Member) joinLoop(ctx context.Context) error {
 	announced := false
 	for {
@@ -163,7 +167,8 @@
 			m.mu.RLock()
 			own := m.state.Member(s.ID)
 			m.mu.RUnlock()
-			if own.GetAddress() == m.options.Address && own.GetInstance() == m.options.Instance {
+			recorded := own.GetAddress() == m.options.Address && own.GetInstance() == m.options.Instance
+			if recorded && (s.Role == consensus.Leader || !m.isUnheard()) {
 				continue
 			}
 		} else if !announced {
@@ -174,6 +179,11 @@
 	}
 }
 
+// isUnheard reports whether no member has sent anything for unheardTimeout.
+func (m *Member) isUnheard() bool {
+	return m.now().Sub(m.tickZero)-time.Duration(m.lastMessage.Load()) >= unheardTimeout
+}
+
 // join finds the leader through any known member and sends it the address of this
 // member. If there is no leader, or the cluster is not formed yet, joinLoop tries
 // again later.
@@ -191,12 +201,27 @@
 		call, cancel := context.WithTimeout(ctx, 2*membershipWaitTimeout)
 		_, err = m.options.Network.Member(call, s.GetLeaderAddress(), own)
 		cancel()
+		if connect.CodeOf(err) == connect.CodeNotFound {
+			m.learnRemoval(ctx, s)
+		}
 		if err == nil {
 			return
 		}
 	}
 }
 
+// learnRemoval tells the consensus node what the leader has responded: that this member
+// was removed. An error means that the node has ended; joinLoop asks again.
+func (m *Member) learnRemoval(ctx context.Context, s *controlv1.StatusResponse) {
+	for _, other := range s.GetMembers() {
+		if other.Leader {
+			_ = m.do(ctx, func(n *consensus.Node) error {
+				return n.Step(consensus.Message{Type: consensus.MsgRemoved, From: other.Id, To: m.id()})
+			})
+		}
+	}
+}
+
 // knownAddresses returns the addresses of other members without duplicates: the
 // leader first, then the replicated members, those known before the last reset, the initial
 // members and the peers.
--- a/internal/control/disks_test.go
+++ b/internal/control/disks_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,13 +14,6 @@
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
-// setError makes all writes fail with err, or none with nil.
-func (d *memDisk) setError(err error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.err = err
-}
-
 // TestRemovedMemberOfReplacedClusterRejoins guards against a member that is removed while its
 // disk is full and does not find the cluster afterwards, because all members that it was
 // started with have been replaced since.
@@ -27,6 +21,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newReplacingCluster(t, 61)
 		defer c.stop()
+		c.files = map[string]*diskFS{"m0": newDiskFS(1)}
+		c.restart("m0")
+		c.waitForVoters("m0", "m1", "m2")
 		c.addInstance("m3")
 		c.waitForVoters("m0", "m1", "m2", "m3")
 		c.retire("m1")
@@ -36,10 +33,10 @@
 		c.addInstance("m5")
 		c.waitForVoters("m0", "m3", "m4", "m5")
 		former := c.id("m0")
-		c.disks["m0"].setError(errFull)
+		c.files["m0"].fill(0, false)
 		c.requireNewestTable(2)
 		time.Sleep(4 * time.Second)
-		c.disks["m0"].setError(nil)
+		c.files["m0"].free()
 		c.waitForVoters("m0", "m3", "m4", "m5")
 		qt.Check(t, c.id("m0"), qt.Not(qt.Equals), former)
 		c.requireNewestTable(3)
@@ -85,13 +82,18 @@
 				synctest.Test(t, func(t *testing.T) {
 					c := newReplacingCluster(t, 62)
 					defer c.stop()
+					c.files = map[string]*diskFS{"m0": newDiskFS(1), "m1": newDiskFS(2)}
+					for _, name := range []string{"m0", "m1"} {
+						c.restart(name)
+						c.waitForVoters("m0", "m1", "m2")
+					}
 					leader := c.leader()
 					full := other(leader, "m0", "m1")
 					stopped := leader
 					if stops == "follower" {
 						stopped = other(leader, "m2", other(full, "m0", "m1"))
 					}
-					c.disks[full].setError(errFull)
+					c.files[full].fill(0, false)
 					c.requireNewestTable(2)
 					c.addInstance("m3")
 					c.waitFor("the replacement to begin", func() bool {
@@ -100,10 +102,46 @@
 					})
 					time.Sleep(delay)
 					c.retire(stopped)
-					c.disks[full].setError(nil)
+					c.files[full].free()
 					c.requireNewestTable(3)
 				})
 			})
 		}
 	}
 }
+
+// TestMemberRemovedAfterPromotionRejoins guards against a learner that is promoted and, before
+// it learns of that, is out of reach for so long that it is removed as a lost voter. By its
+// own log it is a learner, which does not campaign and so is never told that it was removed.
+func TestMemberRemovedAfterPromotionRejoins(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restart=%v", restart), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newReplacingCluster(t, 63)
+				defer c.stop()
+				c.addInstance("m3")
+				leader := c.member(c.leader())
+				c.waitFor("the learner", func() bool {
+					return leader.isActive(c.id("m3")) && c.member("m3").status.Load().Members.IsLearner(c.id("m3"))
+				})
+				c.isolate("m3", true)
+				former := c.id("m3")
+				promoted := leader.changeMembership(context.Background(), consensus.MembershipChange{Kind: consensus.PromoteLearner, ID: former},
+					func(s consensus.Membership) bool { return s.IsVoter(former) })
+				qt.Assert(t, promoted, qt.IsNil)
+				c.waitFor("the removal", func() bool {
+					s := c.member(c.leader()).status.Load().Members
+					return slices.Contains(s.Removed, former)
+				})
+				time.Sleep(2 * time.Second) // What the leader had queued for it is gone.
+				qt.Assert(t, c.member("m3").status.Load().Members.IsLearner(former), qt.IsTrue)
+				if restart {
+					c.restart("m3")
+				}
+				c.isolate("m3", false)
+				c.waitForVoters("m0", "m1", "m2", "m3")
+				qt.Check(t, c.id("m3"), qt.Not(qt.Equals), former)
+			})
+		})
+	}
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -92,6 +92,9 @@
 // node.
 func (d *driver) handleInput(inbound []consensus.Message) {
 	m := d.m
+	if len(inbound) > 0 {
+		m.lastMessage.Store(int64(m.now().Sub(m.tickZero)))
+	}
 	for _, msg := range inbound {
 		// A message that the node cannot use is ignored; its sender repeats it if
 		// it still matters.
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -56,7 +56,9 @@
 
 	// tickZero is the time of tick 0. The end of the lease is relative to it.
 	tickZero time.Time
-	status   atomic.Pointer[consensus.Status]
+	// lastMessage is the time of the last message of another member, since tickZero.
+	lastMessage atomic.Int64
+	status      atomic.Pointer[consensus.Status]
 	// participating is set once the member takes part in consensus: either with its
 	// own log, or with an empty one that it expects to receive from a leader.
 	participating   atomic.Bool
@@ -239,6 +241,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m.tickZero = m.now()
+	m.lastMessage.Store(0)
 	m.participating.Store(true)
 	results := make(chan error, 5)
 	var wg sync.WaitGroup
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -22,6 +22,11 @@
 	if r.GetId() == 0 || r.GetAddress() == "" || r.GetInstance() == "" {
 		return "", Error.New("a member needs an ID, an address and an instance name")
 	}
+	if removed, err := m.isRemoved(ctx, r.Id); err != nil {
+		return "", err
+	} else if removed {
+		return "", consensus.ErrRemovedID
+	}
 	const recorded = "the address of the member was recorded"
 	// A recorded address alone does not make a member: an earlier call may have failed
 	// between the two steps.
@@ -57,6 +62,16 @@
 	return "the member was added as a learner and becomes a voter once it has caught up", nil
 }
 
+// isRemoved reports whether the removal of a member is committed.
+func (m *Member) isRemoved(ctx context.Context, id uint64) (removed bool, err error) {
+	err = m.do(ctx, func(n *consensus.Node) error {
+		committed, err := n.MakeSnapshot(n.Status().Applied, nil)
+		removed = committed.Members.IsRemoved(id)
+		return err
+	})
+	return removed, err
+}
+
 // removeMember removes a member permanently. A leader that is to be removed
 // transfers its leadership and returns ErrNotLeader, so that the caller repeats
 // the request at the next leader.
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -128,8 +128,11 @@
 	// all live instances.
 	directoryWarmup = time.Second
 	// maxVoters bounds the number of voters. Further members stay learners.
-	maxVoters             = 7
-	joinInterval          = 500 * time.Millisecond
+	maxVoters    = 7
+	joinInterval = 500 * time.Millisecond
+	// unheardTimeout is the time without a message of another member after which a member
+	// asks the leader whether it still is one. It is longer than an election.
+	unheardTimeout        = 2 * time.Second
 	membershipWaitTimeout = 5 * time.Second
 )
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/rpc/consensusv1"
 	"auburnstep.example/auburnstep/internal/rpc/consensusv1/consensusv1connect"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
@@ -66,6 +67,9 @@
 	case errors.Is(err, ErrNotLeader), errors.Is(err, ErrSuperseded), errors.Is(err, ErrStopped):
 		return connect.NewError(connect.CodeUnavailable, err)
 	}
+	if errors.Is(err, consensus.ErrRemovedID) {
+		return connect.NewError(connect.CodeNotFound, err) // See Member.join.
+	}
 	return connect.NewError(connect.CodeFailedPrecondition, err)
 }
 
