Control: the successor of one of seven voters replaces it

Callers saw nothing at once: with seven voters, a member that was stopped for good kept its vote and its successor waited as a learner, so that the cluster tolerated two more losses and not three.

Cause: learners were not considered at all once there were maxVoters voters, so that none replaced a lost one. Only a second lost voter was removed.

Change: in a full cluster the lost voter is removed first and the learner promoted then. Six voters, all of which are up but for later faults, keep a majority of four in between.

--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -154,13 +154,8 @@
 }
 
 // promoteLearners promotes learners that have caught up to voters, up to maxVoters.
-// With Options.ReplaceLostVoters, a learner may replace a lost voter. The successor votes
-// before the lost voter is removed: the removal could otherwise leave two voters that both
-// have to be up, although the lost one may return, for instance when its disk has room.
+// With Options.ReplaceLostVoters, a learner may replace a lost voter.
 func (m *Member) promoteLearners(ctx context.Context) {
-	if len(m.status.Load().Members.Voters) >= maxVoters {
-		return
-	}
 	for _, p := range m.status.Load().Progress {
 		if !p.Learner || !p.Active || p.Match == 0 {
 			continue
@@ -169,23 +164,43 @@
 		if wait {
 			continue
 		}
-		if lost != 0 {
-			m.options.Events.Emit(eventVoterReplaced, event.F("lost", lost), event.F("successor", p.ID))
-		}
-		err := m.changeMembership(ctx, consensus.MembershipChange{Kind: consensus.PromoteLearner, ID: p.ID}, func(s consensus.Membership) bool { return s.IsVoter(p.ID) })
-		if errors.Is(err, consensus.ErrNotCaughtUp) {
-			continue
-		}
-		if err != nil {
+		if err := m.promote(ctx, p.ID, lost); err != nil && !errors.Is(err, consensus.ErrNotCaughtUp) {
 			return
 		}
-		if lost != 0 {
-			_, err := m.removeMemberIf(ctx, lost, func(s consensus.Status) error { return mayRemoveLost(s, lost) })
-			if err != nil && !errors.Is(err, errVoterNeeded) {
-				return // removeSurplusVoter tries again.
-			}
+	}
+}
+
+// promote makes a learner a voter, in place of a lost voter unless lost is 0. The successor
+// votes before the lost voter is removed: the removal could otherwise leave two voters that
+// both have to be up, although the lost one may return, for instance when its disk has room.
+// Only a cluster of maxVoters removes the lost one first.
+func (m *Member) promote(ctx context.Context, id, lost uint64) error {
+	isFull := len(m.status.Load().Members.Voters) >= maxVoters
+	if isFull && lost == 0 {
+		return nil
+	}
+	if lost != 0 {
+		m.options.Events.Emit(eventVoterReplaced, event.F("lost", lost), event.F("successor", id))
+	}
+	if isFull {
+		if err := m.removeLost(ctx, lost); err != nil {
+			return err
 		}
 	}
+	err := m.changeMembership(ctx, consensus.MembershipChange{Kind: consensus.PromoteLearner, ID: id}, func(s consensus.Membership) bool { return s.IsVoter(id) })
+	if err != nil || lost == 0 || isFull {
+		return err
+	}
+	if err := m.removeLost(ctx, lost); !errors.Is(err, errVoterNeeded) {
+		return err // removeSurplusVoter tries again.
+	}
+	return nil
+}
+
+// removeLost removes a lost voter unless mayRemoveLost forbids it.
+func (m *Member) removeLost(ctx context.Context, id uint64) error {
+	_, err := m.removeMemberIf(ctx, id, func(s consensus.Status) error { return mayRemoveLost(s, id) })
+	return err
 }
 
 // mayRemoveLost returns errVoterNeeded if a voter that was lost has returned, or if its
--- a/internal/control/replace_test.go
+++ b/internal/control/replace_test.go
@@ -117,3 +117,27 @@
 		c.waitFor("the member to become a voter", c.allVote)
 	})
 }
+
+// TestSuccessorReplacesOneOfSevenVoters guards against a lost voter that keeps its vote
+// because the cluster has as many voters as it may have, while its successor waits as a
+// learner.
+func TestSuccessorReplacesOneOfSevenVoters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newReplacingCluster(t, 34)
+		defer c.stop()
+		for _, name := range []string{"m3", "m4", "m5", "m6"} {
+			c.addInstance(name)
+		}
+		c.waitForVoters("m0", "m1", "m2", "m3", "m4", "m5", "m6")
+		c.addInstance("m7")
+		time.Sleep(5 * time.Second)
+		qt.Check(t, c.member(c.leader()).status.Load().Members.Voters, qt.HasLen, maxVoters)
+		c.kill("m1")
+		c.waitForVoters("m0", "m2", "m3", "m4", "m5", "m6", "m7")
+		c.start("m1")
+		time.Sleep(5 * time.Second)
+		s := c.member(c.leader()).status.Load().Members
+		qt.Check(t, s.Voters, qt.HasLen, maxVoters)
+		qt.Check(t, s.IsLearner(c.id("m1")), qt.IsTrue)
+	})
+}
