Control: the test of a removed learner waits until it has caught up

TestMemberRemovedAfterPromotionRejoins/restart=true failed once under the race detector ("member has not caught up"): it promoted the learner before the leader had its acknowledgement.

--- a/internal/control/disks_test.go
+++ b/internal/control/disks_test.go
@@ -122,7 +122,9 @@
 				c.addInstance("m3")
 				leader := c.member(c.leader())
 				c.waitFor("the learner", func() bool {
-					return leader.isActive(c.id("m3")) && c.member("m3").status.Load().Members.IsLearner(c.id("m3"))
+					s := leader.status.Load()
+					caughtUp := slices.ContainsFunc(s.Progress, func(p consensus.Progress) bool { return p.ID == c.id("m3") && p.Match == s.Last })
+					return caughtUp && c.member("m3").status.Load().Members.IsLearner(c.id("m3"))
 				})
 				c.isolate("m3", true)
 				former := c.id("m3")
