--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -154,7 +154,7 @@
 // member's own. It also asks when no member has sent anything for unheardTimeout: the
 // member may have been removed, and a learner is not told, because it does not campaign.
 func (m *Member) joinLoop(ctx context.Context) error {
-	announced := false
+	announced, reported := false, ""
 	for {
 		if err := kernel.Sleep(ctx, joinInterval); err != nil {
 			return nil
@@ -175,7 +175,11 @@
 			announced = true
 			m.options.Events.Emit(eventJoining, event.F("member", s.ID))
 		}
-		m.join(ctx)
+		err := m.join(ctx)
+		if err != nil && ctx.Err() == nil && err.Error() != reported {
+			reported = err.Error()
+			m.options.Events.Emit(eventJoinFailed, event.F("member", s.ID), event.F("error", err))
+		}
 	}
 }
 
@@ -185,14 +189,15 @@
 }
 
 // join finds the leader through any known member and sends it the address of this
-// member. If there is no leader, or the cluster is not formed yet, joinLoop tries
-// again later.
-func (m *Member) join(ctx context.Context) {
+// member. It returns the last error. If there is no leader, or the cluster is not formed
+// yet, joinLoop tries again later.
+func (m *Member) join(ctx context.Context) error {
 	own := &controlv1.MemberRequest{Id: m.id(), Address: m.options.Address, Instance: m.options.Instance}
 	if _, ok := m.lease(); ok {
-		_, _ = m.addMember(ctx, own)
-		return
+		_, err := m.addMember(ctx, own)
+		return err
 	}
+	failed := errNoLeader()
 	for _, address := range m.knownAddresses() {
 		s, err := m.requestStatus(ctx, address)
 		if err != nil || s.GetLeaderAddress() == "" {
@@ -201,13 +206,15 @@
 		call, cancel := context.WithTimeout(ctx, 2*membershipWaitTimeout)
 		_, err = m.options.Network.Member(call, s.GetLeaderAddress(), own)
 		cancel()
+		if err == nil {
+			return nil
+		}
+		failed = err
 		if connect.CodeOf(err) == connect.CodeNotFound {
 			m.learnRemoval(ctx, s)
 		}
-		if err == nil {
-			return
-		}
 	}
+	return failed
 }
 
 // learnRemoval tells the consensus node what the leader has responded: that this member
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -67,6 +67,7 @@
 	eventSurplusRemoved   = event.Define(2015, "lost-voter-removed", event.Warn, "a lost voter that the cluster can spare is removed, so that the next loss leaves a majority")
 	eventLeft             = event.Define(2016, "member-left", event.Info, "this member stops; the leader has removed it because the cluster can spare a voter")
 	eventLeaveFailed      = event.Define(2017, "member-leave-failed", event.Warn, "this member stops, but did not learn that the leader has removed it; the leader removes it once it counts as lost")
+	eventJoinFailed       = event.Define(2018, "member-join-failed", event.Warn, "this member found no leader, or the leader did not add it; it asks again")
 	eventRestored         = event.Define(2011, "state-restored", event.Info, "the state was restored from the data directory")
 	eventCorruptEntry     = event.Define(2012, "corrupt-entry", event.Failure, "a committed entry or a snapshot cannot be decoded; the control member stops")
 )
