--- a/internal/directory/full_disk_test.go
+++ b/internal/directory/full_disk_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -9,36 +10,45 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"auburnstep.example/auburnstep/internal/quarantine"
 )
 
-// fill makes a member unable to store departures: a directory has the name of the file, or
-// that of the file that is written first.
-func (g *memberGroup) fill(name string, rename bool) {
-	blocked := departuresFile + newSuffix
-	if rename {
-		blocked = departuresFile
+// blockFile makes a file unwritable: a directory has its name, or that of the file that is
+// written first.
+func blockFile(t *testing.T, dir, name string, rename bool) {
+	if !rename {
+		name += newSuffix
 	}
-	path := filepath.Join(g.members[name].dir, blocked)
+	path := filepath.Join(dir, name)
 	if err := os.Rename(path, path+".moved"); err != nil && !os.IsNotExist(err) {
-		g.t.Fatal(err)
+		t.Fatal(err)
 	}
-	qt.Assert(g.t, os.MkdirAll(filepath.Join(path, "x"), 0o700), qt.IsNil)
+	qt.Assert(t, os.MkdirAll(filepath.Join(path, "x"), 0o700), qt.IsNil)
 }
 
-// free undoes fill.
-func (g *memberGroup) free(name string) {
-	for _, blocked := range []string{departuresFile, departuresFile + newSuffix} {
-		path := filepath.Join(g.members[name].dir, blocked)
+// unblockFile undoes blockFile.
+func unblockFile(t *testing.T, dir, name string) {
+	for _, blocked := range []string{name, name + newSuffix} {
+		path := filepath.Join(dir, blocked)
 		if info, err := os.Stat(path); err != nil || !info.IsDir() {
 			continue
 		}
-		qt.Assert(g.t, os.RemoveAll(path), qt.IsNil)
+		qt.Assert(t, os.RemoveAll(path), qt.IsNil)
 		if err := os.Rename(path+".moved", path); err != nil && !os.IsNotExist(err) {
-			g.t.Fatal(err)
+			t.Fatal(err)
 		}
 	}
 }
 
+// fill makes a member unable to store departures.
+func (g *memberGroup) fill(name string, rename bool) {
+	blockFile(g.t, g.members[name].dir, departuresFile, rename)
+}
+
+// free undoes fill.
+func (g *memberGroup) free(name string) { unblockFile(g.t, g.members[name].dir, departuresFile) }
+
 // awaitStored waits until a member has stored a number of departures.
 func (g *memberGroup) awaitStored(name string, departures int) {
 	g.t.Helper()
@@ -113,3 +123,46 @@
 		})
 	}
 }
+
+// TestCrashReportsStoredAfterFullDisk guards against crash reports that are not stored, or a
+// stored file that is damaged, after the disk was full.
+func TestCrashReportsStoredAfterFullDisk(t *testing.T) {
+	for _, rename := range []bool{false, true} {
+		t.Run(fmt.Sprintf("rename=%v", rename), func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			crashes := NewCrashes(nil, nil)
+			store := &reportStore{dir: dir, crashes: crashes}
+			ctx, cancel := context.WithCancel(context.Background())
+			stopped := make(chan struct{})
+			go func() { defer close(stopped); store.run(ctx) }()
+			defer func() { cancel(); <-stopped }()
+			stored := func() int {
+				loaded := NewCrashes(nil, nil)
+				(&reportStore{dir: dir, crashes: loaded}).load(time.Now())
+				reports, _ := loaded.Since(0)
+				return len(reports)
+			}
+			add := func(request string) {
+				now := time.Now()
+				crashes.Add(now, quarantine.Report{Endpoint: "a", Incarnation: 1, Request: request, Parts: []string{"p"}, Soundness: make([]quarantine.Soundness, 1), SentAt: now.Add(-time.Second), LostAt: now})
+			}
+			await := func(n int) {
+				for range 300 {
+					if stored() == n {
+						return
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Fatalf("%d reports are stored, not %d", stored(), n)
+			}
+			add("r0")
+			await(1)
+			blockFile(t, dir, reportsFile, rename)
+			add("r1")
+			time.Sleep(3 * saveInterval)
+			unblockFile(t, dir, reportsFile)
+			await(2)
+		})
+	}
+}
