--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"slices"
+	"time"
+
+	"connectrpc.com/connect"
 
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/control/state"
@@ -22,11 +25,12 @@
 // A bootstrap member that lost its disk cannot form a second cluster: everything
 // that was accepted in the first cluster is stored by a majority, so at least one
 // other member responds that it is part of a cluster. A cluster of one member has
-// no such protection.
+// no such protection. A member that was removed takes no part in this: its cluster exists,
+// although the initial members may all have been replaced.
 func (m *Member) bootstrap(ctx context.Context, log Log, r consensus.Restored) (consensus.Restored, error) {
 	initial := slices.Sorted(slices.Values(m.options.InitialMembers))
 	empty := r.Snapshot.Index == 0 && len(r.Entries) == 0 && r.HardState == consensus.HardState{}
-	if !empty || !slices.Contains(initial, m.options.Address) {
+	if !empty || m.rejoining || !slices.Contains(initial, m.options.Address) {
 		return r, nil
 	}
 	wait := m.waitForFirstVoters
@@ -147,9 +151,10 @@
 
 // joinLoop asks the leader to add this member as long as it is not part of the
 // membership, and to update the replicated address when it differs from the
-// member's own.
+// member's own. It also asks when no member has sent anything for unheardTimeout: the
+// member may have been removed, and a learner is not told, because it does not campaign.
 func (m *Member) joinLoop(ctx context.Context) error {
-	announced := false
+	announced, reported := false, ""
 	for {
 		if err := kernel.Sleep(ctx, joinInterval); err != nil {
 			return nil
@@ -162,26 +167,37 @@
 			m.mu.RLock()
 			own := m.state.Member(s.ID)
 			m.mu.RUnlock()
-			if own.GetAddress() == m.options.Address && own.GetInstance() == m.options.Instance {
+			recorded := own.GetAddress() == m.options.Address && own.GetInstance() == m.options.Instance
+			if recorded && (s.Role == consensus.Leader || !m.isUnheard()) {
 				continue
 			}
 		} else if !announced {
 			announced = true
 			m.options.Events.Emit(eventJoining, event.F("member", s.ID))
 		}
-		m.join(ctx)
+		err := m.join(ctx)
+		if err != nil && ctx.Err() == nil && err.Error() != reported {
+			reported = err.Error()
+			m.options.Events.Emit(eventJoinFailed, event.F("member", s.ID), event.F("error", err))
+		}
 	}
 }
 
+// isUnheard reports whether no member has sent anything for unheardTimeout.
+func (m *Member) isUnheard() bool {
+	return m.now().Sub(m.tickZero)-time.Duration(m.lastMessage.Load()) >= unheardTimeout
+}
+
 // join finds the leader through any known member and sends it the address of this
-// member. If there is no leader, or the cluster is not formed yet, joinLoop tries
-// again later.
-func (m *Member) join(ctx context.Context) {
+// member. It returns the last error. If there is no leader, or the cluster is not formed
+// yet, joinLoop tries again later.
+func (m *Member) join(ctx context.Context) error {
 	own := &controlv1.MemberRequest{Id: m.id(), Address: m.options.Address, Instance: m.options.Instance}
 	if _, ok := m.lease(); ok {
-		_, _ = m.addMember(ctx, own)
-		return
+		_, err := m.addMember(ctx, own)
+		return err
 	}
+	failed := errNoLeader()
 	for _, address := range m.knownAddresses() {
 		s, err := m.requestStatus(ctx, address)
 		if err != nil || s.GetLeaderAddress() == "" {
@@ -191,13 +207,31 @@
 		_, err = m.options.Network.Member(call, s.GetLeaderAddress(), own)
 		cancel()
 		if err == nil {
-			return
+			return nil
+		}
+		failed = err
+		if connect.CodeOf(err) == connect.CodeNotFound {
+			m.learnRemoval(ctx, s)
+		}
+	}
+	return failed
+}
+
+// learnRemoval tells the consensus node what the leader has responded: that this member
+// was removed. An error means that the node has ended; joinLoop asks again.
+func (m *Member) learnRemoval(ctx context.Context, s *controlv1.StatusResponse) {
+	for _, other := range s.GetMembers() {
+		if other.Leader {
+			_ = m.do(ctx, func(n *consensus.Node) error {
+				return n.Step(consensus.Message{Type: consensus.MsgRemoved, From: other.Id, To: m.id()})
+			})
 		}
 	}
 }
 
 // knownAddresses returns the addresses of other members without duplicates: the
-// leader first, then the replicated members, the initial members and the peers.
+// leader first, then the replicated members, those known before the last reset, the initial
+// members and the peers.
 func (m *Member) knownAddresses() []string {
 	var out []string
 	add := func(a string) {
@@ -209,10 +243,7 @@
 	for _, other := range m.replicatedMembers() {
 		add(other.Address)
 	}
-	for _, a := range m.options.InitialMembers {
-		add(a)
-	}
-	for _, a := range m.options.Peers {
+	for _, a := range slices.Concat(m.formerPeers, m.options.InitialMembers, m.options.Peers) {
 		add(a)
 	}
 	return out
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,11 +47,18 @@
 	// unresponsiveSince maps the ID of each unresponsive voter to the time at which
 	// it was first seen unresponsive. Only the leader loop uses it.
 	unresponsiveSince map[uint64]time.Time
-	changing          chan struct{} // holds a token while a settings change is in progress
+	// formerPeers lists the members that were known before the last reset, and rejoining
+	// is set once this member was removed. Both change only while no goroutine of the
+	// member runs.
+	formerPeers []string
+	rejoining   bool
+	changing    chan struct{} // holds a token while a settings change is in progress
 
 	// tickZero is the time of tick 0. The end of the lease is relative to it.
 	tickZero time.Time
-	status   atomic.Pointer[consensus.Status]
+	// lastMessage is the time of the last message of another member, since tickZero.
+	lastMessage atomic.Int64
+	status      atomic.Pointer[consensus.Status]
 	// participating is set once the member takes part in consensus: either with its
 	// own log, or with an empty one that it expects to receive from a leader.
 	participating   atomic.Bool
@@ -131,7 +139,8 @@
 	err := m.run(ctx)
 	for (errors.Is(err, errStorage) || errors.Is(err, errRemoved)) && ctx.Err() == nil {
 		if errors.Is(err, errRemoved) {
-			m.options.Events.Emit(eventRejoining, event.F("member", m.id()))
+			m.rejoining = true
+			m.options.Events.Emit(eventRejoining, event.F("member", m.id()), event.F("peers", strings.Join(m.knownAddresses(), ",")))
 			if cleared := m.options.Storage.Clear(); cleared != nil {
 				err = m.reportStorageError(cleared)
 			}
@@ -169,8 +178,10 @@
 
 // reset discards all state that a restarted process would not have. Proposals that
 // already reached the log fail with ErrOutcomeUnknown, because they may still take
-// effect.
+// effect. The addresses of the other members remain: those that this process was started
+// with may all have been replaced.
 func (m *Member) reset() {
+	m.formerPeers = m.knownAddresses()
 	m.participating.Store(false)
 	m.leaderLease.validUntil.Store(0)
 	m.status.Store(&consensus.Status{})
@@ -198,7 +209,10 @@
 	if opened.New {
 		m.options.Events.Emit(eventNewIdentity, event.F("member", opened.ID))
 	}
-	m.status.Store(&consensus.Status{ID: opened.ID})
+	// Until the loop runs, others must not take this member for a new one.
+	m.status.Store(&consensus.Status{
+		ID: opened.ID, Term: max(opened.Restored.HardState.Term, opened.Restored.Snapshot.Term), Commit: max(opened.Restored.HardState.Commit, opened.Restored.Snapshot.Index),
+	})
 	restored, err := m.bootstrap(ctx, log, opened.Restored)
 	if err != nil {
 		return err
@@ -227,6 +241,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m.tickZero = m.now()
+	m.lastMessage.Store(0)
 	m.participating.Store(true)
 	results := make(chan error, 5)
 	var wg sync.WaitGroup
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -22,6 +22,11 @@
 	if r.GetId() == 0 || r.GetAddress() == "" || r.GetInstance() == "" {
 		return "", Error.New("a member needs an ID, an address and an instance name")
 	}
+	if removed, err := m.isRemoved(ctx, r.Id); err != nil {
+		return "", err
+	} else if removed {
+		return "", consensus.ErrRemovedID
+	}
 	const recorded = "the address of the member was recorded"
 	// A recorded address alone does not make a member: an earlier call may have failed
 	// between the two steps.
@@ -57,6 +62,16 @@
 	return "the member was added as a learner and becomes a voter once it has caught up", nil
 }
 
+// isRemoved reports whether the removal of a member is committed.
+func (m *Member) isRemoved(ctx context.Context, id uint64) (removed bool, err error) {
+	err = m.do(ctx, func(n *consensus.Node) error {
+		committed, err := n.MakeSnapshot(n.Status().Applied, nil)
+		removed = committed.Members.IsRemoved(id)
+		return err
+	})
+	return removed, err
+}
+
 // removeMember removes a member permanently. A leader that is to be removed
 // transfers its leadership and returns ErrNotLeader, so that the caller repeats
 // the request at the next leader.
@@ -141,30 +156,62 @@
 // promoteLearners promotes learners that have caught up to voters, up to maxVoters.
 // With Options.ReplaceLostVoters, a learner may replace a lost voter.
 func (m *Member) promoteLearners(ctx context.Context) {
-	if len(m.status.Load().Members.Voters) >= maxVoters {
-		return
-	}
 	for _, p := range m.status.Load().Progress {
 		if !p.Learner || !p.Active || p.Match == 0 {
 			continue
 		}
-		id, wait := m.voterToReplace(p)
+		lost, wait := m.voterToReplace(p)
 		if wait {
 			continue
 		}
-		if id != 0 {
-			m.options.Events.Emit(eventVoterReplaced, event.F("lost", id), event.F("successor", p.ID))
-			if _, err := m.removeMember(ctx, id); err != nil {
-				return
-			}
-		}
-		err := m.changeMembership(ctx, consensus.MembershipChange{Kind: consensus.PromoteLearner, ID: p.ID}, func(s consensus.Membership) bool { return s.IsVoter(p.ID) })
-		if err != nil && !errors.Is(err, consensus.ErrNotCaughtUp) {
+		if err := m.promote(ctx, p.ID, lost); err != nil && !errors.Is(err, consensus.ErrNotCaughtUp) {
 			return
 		}
 	}
 }
 
+// promote makes a learner a voter, in place of a lost voter unless lost is 0. The successor
+// votes before the lost voter is removed: the removal could otherwise leave two voters that
+// both have to be up, although the lost one may return, for instance when its disk has room.
+// Only a cluster of maxVoters removes the lost one first.
+func (m *Member) promote(ctx context.Context, id, lost uint64) error {
+	isFull := len(m.status.Load().Members.Voters) >= maxVoters
+	if isFull && lost == 0 {
+		return nil
+	}
+	if lost != 0 {
+		m.options.Events.Emit(eventVoterReplaced, event.F("lost", lost), event.F("successor", id))
+	}
+	if isFull {
+		if err := m.removeLost(ctx, lost); err != nil {
+			return err
+		}
+	}
+	err := m.changeMembership(ctx, consensus.MembershipChange{Kind: consensus.PromoteLearner, ID: id}, func(s consensus.Membership) bool { return s.IsVoter(id) })
+	if err != nil || lost == 0 || isFull {
+		return err
+	}
+	if err := m.removeLost(ctx, lost); !errors.Is(err, errVoterNeeded) {
+		return err // removeSurplusVoter tries again.
+	}
+	return nil
+}
+
+// removeLost removes a lost voter unless mayRemoveLost forbids it.
+func (m *Member) removeLost(ctx context.Context, id uint64) error {
+	_, err := m.removeMemberIf(ctx, id, func(s consensus.Status) error { return mayRemoveLost(s, id) })
+	return err
+}
+
+// mayRemoveLost returns errVoterNeeded if a voter that was lost has returned, or if its
+// removal would leave fewer than minVoters.
+func mayRemoveLost(s consensus.Status, id uint64) error {
+	if slices.ContainsFunc(s.Progress, func(p consensus.Progress) bool { return p.ID == id && p.Active }) {
+		return errVoterNeeded
+	}
+	return hasSurplus(s)
+}
+
 // voterToReplace returns the ID of a lost voter that the given learner replaces, or 0
 // if the learner can be promoted without a replacement. It reports wait as long
 // as an unresponsive voter may only be restarting, and until the learner has
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -62,11 +62,12 @@
 	eventSnapshot         = event.Define(2008, "snapshot-stored", event.Debug, "a snapshot of the state was stored")
 	eventNewIdentity      = event.Define(2009, "identity-drawn", event.Info, "the data directory was empty; a new member ID was generated")
 	eventClusterMismatch  = event.Define(2010, "foreign-message", event.Warn, "a message from another cluster was refused")
-	eventVoterReplaced    = event.Define(2013, "lost-voter-replaced", event.Warn, "a lost voter is removed; the learner that replaces it has caught up")
+	eventVoterReplaced    = event.Define(2013, "lost-voter-replaced", event.Warn, "a learner that has caught up becomes a voter in place of a lost one, which is removed then")
 	eventRejoining        = event.Define(2014, "member-joins-anew", event.Warn, "this member was removed from the cluster; it deletes its data and joins again as a new member")
 	eventSurplusRemoved   = event.Define(2015, "lost-voter-removed", event.Warn, "a lost voter that the cluster can spare is removed, so that the next loss leaves a majority")
 	eventLeft             = event.Define(2016, "member-left", event.Info, "this member stops; the leader has removed it because the cluster can spare a voter")
 	eventLeaveFailed      = event.Define(2017, "member-leave-failed", event.Warn, "this member stops, but did not learn that the leader has removed it; the leader removes it once it counts as lost")
+	eventJoinFailed       = event.Define(2018, "member-join-failed", event.Warn, "this member found no leader, or the leader did not add it; it asks again")
 	eventRestored         = event.Define(2011, "state-restored", event.Info, "the state was restored from the data directory")
 	eventCorruptEntry     = event.Define(2012, "corrupt-entry", event.Failure, "a committed entry or a snapshot cannot be decoded; the control member stops")
 )
@@ -128,8 +129,11 @@
 	// all live instances.
 	directoryWarmup = time.Second
 	// maxVoters bounds the number of voters. Further members stay learners.
-	maxVoters             = 7
-	joinInterval          = 500 * time.Millisecond
+	maxVoters    = 7
+	joinInterval = 500 * time.Millisecond
+	// unheardTimeout is the time without a message of another member after which a member
+	// asks the leader whether it still is one. It is longer than an election.
+	unheardTimeout        = 2 * time.Second
 	membershipWaitTimeout = 5 * time.Second
 )
 
