Scheduler: a takeover of a group does not restore the reserve of retries

What endpoints would see: each takeover of a group (a holder that restarts, is stopped, or hands over) allows three more retries while all attempts fail. Cause: a new core began with the reserve of its group. What the former holder spent is not known. Change: the successor of another holder begins without the reserve of the group and earns retries by successful requests. The buckets of customers keep theirs, since the group's bound applies to all of them. Measured: TestSuccessorRestoresRetryReserve allowed a retry of a successor without a success before. Tests of scheduler, limit, schedulerhost and entry pass.

--- a/internal/limit/retry.go
+++ b/internal/limit/retry.go
@@ -22,6 +22,11 @@
 	netSpent float64
 }
 
+// SpentRetryBucket returns a bucket without its reserve. The successor of a holder whose
+// bucket is not known begins with it: with the reserve, each takeover would allow as many
+// retries again.
+func SpentRetryBucket() RetryBucket { return RetryBucket{netSpent: retryReserve} }
+
 // Success earns fraction of a retry; zero means DefaultRetryFraction.
 func (r *RetryBucket) Success(fraction float64) {
 	if fraction <= 0 {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -98,6 +98,7 @@
 	}
 	c.grantExpiry = heap[*grant]{less: grantByExpiry, setIndex: func(g *grant, i int) { g.expiry = i }}
 	if config.Successor {
+		c.retry = limit.SpentRetryBucket()
 		for _, e := range config.Entries {
 			c.awaitedEntries[e] = struct{}{}
 		}
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -179,6 +179,24 @@
 	})
 }
 
+// TestSuccessorRestoresRetryReserve guards against retries that each takeover of a group
+// allows again while all attempts fail.
+func TestSuccessorRestoresRetryReserve(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(Config{Epoch: 2, Successor: true, Entries: []string{"e1"}}, Policy{}, engine("a", 8), engine("b", 8))
+	b.Adopt(b.now, "e1", nil)
+	b.runFor(time.Second)
+	retry := request("r0", 0)
+	retry.Avoid = []string{"a"}
+	c.Assert(refusalsOf(b.enqueueNow(retry)), qt.DeepEquals, []string{"r0 retry_budget_exhausted"})
+	for i := range 10 {
+		g := onlyGrant(c, b.enqueueNow(request(fmt.Sprint("served", i), 0)))
+		b.Release(b.now, g.GrantID, Outcome{Tokens: 1})
+	}
+	retry.ID = "r1"
+	c.Assert(refusalsOf(b.enqueueNow(retry)), qt.HasLen, 0)
+}
+
 // TestRetryBeforeRelease guards against a second attempt that is sent to the
 // endpoint where the first attempt failed, in the case that the second attempt
 // arrives before the release of the first.
