Feed: requests of an entry that is cut off wait once, not each

What callers would see: while all members are silent, each request waits 1 s before it is handled by the last table, if a response of a member had stalled before, or if the entry had started without a leader. Cause: that the members were asked is recorded at the end of a round, with the time at which it began, and counts for 4 s. A round that allows for a transfer of the whole settings lasts over 5 s, so that its record had expired when it was made. Change: it is recorded in the round, once each member was asked and those that have not answered had the time of a poll for it. It starts over if the process stood still, and never moves back.

--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -79,10 +79,10 @@
 	pollNow chan chan struct{} // requests a poll at once; the sent channel is closed after it
 	// roundWanted requests that the next round of polls begin at once.
 	roundWanted chan struct{}
-	// asked is when the last round began that was not ended early, nil before it has ended.
-	// roundEnded is closed at the end of the current or next round.
-	asked      atomic.Pointer[time.Time]
-	roundEnded atomic.Pointer[chan struct{}]
+	// asked is a time since which all members have been asked, nil before that.
+	// roundProgress is closed when asked changes, and at the end of the current or next round.
+	asked         atomic.Pointer[time.Time]
+	roundProgress atomic.Pointer[chan struct{}]
 
 	// The fields from here to feedLost are used only by the polling goroutine.
 	directoryVersion uint64
@@ -137,7 +137,7 @@
 	ch := make(chan struct{})
 	c.changed.Store(&ch)
 	ended := make(chan struct{})
-	c.roundEnded.Store(&ended)
+	c.roundProgress.Store(&ended)
 	return c
 }
 
--- a/internal/control/feed/confirm.go
+++ b/internal/control/feed/confirm.go
@@ -23,8 +23,8 @@
 // does not act on what it knew before, and one that is cut off does not wait for long.
 func (c *Client) CurrentView(ctx context.Context) (v *View, confirmed bool) {
 	for {
-		// The channel is read first, so that no round ends unnoticed.
-		ended := *c.roundEnded.Load()
+		// The channel is read first, so that no progress goes unnoticed.
+		progress := *c.roundProgress.Load()
 		v, asked := c.View(), c.asked.Load()
 		now := c.options.Clock()
 		if !v.ConfirmedAt.IsZero() && now.Sub(v.ConfirmedAt) <= confirmedFor {
@@ -38,7 +38,7 @@
 		default: // The next round is requested already.
 		}
 		select {
-		case <-ended:
+		case <-progress:
 		case <-c.done:
 			return v, false
 		case <-ctx.Done():
@@ -51,8 +51,22 @@
 // the round was ended early.
 func (c *Client) recordRound(began time.Time, whole bool) {
 	if whole {
-		c.asked.Store(&began)
+		c.recordAsked(began)
+		return
 	}
+	c.wakeWaiting()
+}
+
+// recordAsked records that all members have been asked since the given time.
+func (c *Client) recordAsked(since time.Time) {
+	if last := c.asked.Load(); last == nil || since.After(*last) {
+		c.asked.Store(&since)
+	}
+	c.wakeWaiting()
+}
+
+// wakeWaiting lets the calls of CurrentView look again.
+func (c *Client) wakeWaiting() {
 	next := make(chan struct{})
-	close(*c.roundEnded.Swap(&next))
+	close(*c.roundProgress.Swap(&next))
 }
--- a/internal/control/feed/confirm_test.go
+++ b/internal/control/feed/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http/httptrace"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -156,3 +157,81 @@
 		qt.Check(t, c.Fresh(), qt.IsTrue)
 	})
 }
+
+// stallingCluster is a cluster whose responses can stall after their first byte.
+type stallingCluster struct {
+	*cluster
+	stalled bool
+}
+
+// Feed implements MemberClient.
+func (s *stallingCluster) Feed(ctx context.Context, address string, r *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
+	s.mu.Lock()
+	stalled := s.stalled
+	s.mu.Unlock()
+	if stalled {
+		httptrace.ContextClientTrace(ctx).GotFirstResponseByte()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return s.cluster.Feed(ctx, address, r)
+}
+
+// countWaits calls CurrentView every 50 ms for a time, with the bound of a request, and
+// returns the number of calls that waited.
+func countWaits(c *Client, duration time.Duration) (waited int) {
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		began := time.Now()
+		c.CurrentView(ctx)
+		cancel()
+		if time.Since(began) > 0 {
+			waited++
+		}
+	}
+	return waited
+}
+
+// TestStalledTransferDelaysRequests guards against requests that each wait while an instance
+// is cut off, because it allows a long time for the transfer of the whole settings.
+func TestStalledTransferDelaysRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newCluster(3)
+		s := &stallingCluster{cluster: m}
+		c := newClusterClient(m)
+		c.options.MemberClient = s
+		defer startClient(c)()
+		time.Sleep(2 * time.Second)
+		m.set(func() {
+			s.stalled = true
+			for _, name := range m.names {
+				m.silent[name] = true
+			}
+		})
+		time.Sleep(confirmedFor)
+		m.set(func() { s.stalled = false })
+		countWaits(c, 3*time.Second)
+		qt.Assert(t, countWaits(c, time.Minute), qt.Equals, 0)
+	})
+}
+
+// TestStartWithoutLeaderDelaysRequests guards against requests that each wait at an instance
+// that has got a table but no confirmation since its start.
+func TestStartWithoutLeaderDelaysRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newCluster(3)
+		m.silent["m0"] = true
+		m.respond = func(_ string, r *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
+			if r.RoutingVersion < 1 {
+				return &controlv1.FeedResponse{Routing: &controlv1.RoutingTable{Version: 1, Document: tableDocument(1)}}, nil
+			}
+			return nil, errors.New("no leader")
+		}
+		c := newClusterClient(m)
+		defer startClient(c)()
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, c.View().RoutingVersion(), qt.Equals, uint64(1))
+		countWaits(c, 3*time.Second)
+		qt.Assert(t, countWaits(c, time.Minute), qt.Equals, 0)
+	})
+}
--- a/internal/control/feed/poll.go
+++ b/internal/control/feed/poll.go
@@ -51,6 +51,9 @@
 	// ends with the last of them.
 	firstPolls int
 	polls      int
+	// lookedAt is when the round last checked its polls, and resumedAt when it last found that
+	// this process had stood still.
+	lookedAt, resumedAt time.Time
 	// hedgeAt is when the next member is polled beside the pending polls.
 	hedgeAt time.Time
 }
@@ -80,7 +83,7 @@
 	defer cancel()
 	r := &round{
 		client: c, ctx: ctx, began: c.options.Clock(), results: make(chan *pollResult), begun: make(chan *poll, begunBuffer),
-		pending: make(map[string]*poll), asked: make(map[string]time.Time),
+		pending: make(map[string]*poll), asked: make(map[string]time.Time), lookedAt: c.options.Clock(),
 	}
 	whole, answered := r.run()
 	c.recordRound(r.began, whole)
@@ -108,7 +111,8 @@
 		if ended {
 			return r.ctx.Err() == nil, false
 		}
-		timer.Reset(wait)
+		r.recordAsked()
+		timer.Reset(min(wait, pollTimeout))
 		select {
 		case <-r.ctx.Done():
 			return false, false
@@ -155,6 +159,30 @@
 	return wait, false
 }
 
+// recordAsked records that the members were asked, if none of them is left and those that
+// have not answered had pollTimeout for it. The round itself may last longer, for a transfer
+// of the whole settings.
+func (r *round) recordAsked() {
+	now := r.client.options.Clock()
+	if now.Sub(r.lookedAt) >= pollTimeout+maxRoundDelay {
+		r.resumedAt = now // This process stood still; the members had no time to answer.
+	}
+	r.lookedAt = now
+	for _, p := range r.pending {
+		if p.first && (now.Sub(p.sentAt) < pollTimeout || now.Sub(r.resumedAt) < pollTimeout+PollInterval) {
+			return
+		}
+	}
+	if r.client.selector.hasUnasked(r.wasAsked) {
+		return
+	}
+	asked := r.began
+	if recent := now.Add(-pollTimeout - PollInterval); recent.After(asked) {
+		asked = recent
+	}
+	r.client.recordAsked(asked)
+}
+
 func (r *round) wasAsked(address string) bool {
 	_, asked := r.asked[address]
 	return asked
--- a/internal/control/feed/selector.go
+++ b/internal/control/feed/selector.go
@@ -106,6 +106,13 @@
 	return ""
 }
 
+// hasUnasked reports whether asked does not report one of the addresses.
+func (r *selector) hasUnasked(asked func(address string) bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.candidates(), func(a string) bool { return !asked(a) })
+}
+
 // candidates returns the members and seeds in the order in which pick tries them. The
 // caller holds mu.
 func (r *selector) candidates() []string {
