Feed: the test of silent members bounds what each of them may cost

Found by the review: with a hedge delay of 5 s TestSilentMembersDelayTable still passed, since a silent minority of 7 that is polled one after the other costs less than the 2 s of the check. It now allows the pause between rounds, 150 ms for each silent member (design, 6.10) and the time of an answer.

--- a/internal/control/feed/silent_test.go
+++ b/internal/control/feed/silent_test.go
@@ -20,6 +20,11 @@
 	tableApplyTime = 2 * time.Second
 	// responseTime is how long a member takes to answer.
 	responseTime = 30 * time.Millisecond
+	// silentMemberCost is the time that a round of polls may lose for each silent member; see
+	// docs/design.md, section 6.10.
+	silentMemberCost = 150 * time.Millisecond
+	// longestPause is the longest time between two rounds.
+	longestPause = PollInterval * 6 / 5
 )
 
 // cluster is a MemberClient of members that share one routing table.
@@ -129,8 +134,10 @@
 			}
 			members.version++
 		})
-		time.Sleep(tableApplyTime)
+		time.Sleep(longestPause + time.Duration((n-1)/2)*silentMemberCost + responseTime)
+		synctest.Wait()
 		qt.Check(t, c.View().RoutingVersion(), qt.Equals, members.version, qt.Commentf("phase %d", phase))
+		time.Sleep(tableApplyTime)
 		members.set(func() { clear(members.silent) })
 		// Not a multiple of the poll interval, so that the members fall silent in all
 		// phases of a poll.
