Feed: the transport does not repeat the poll of a slow member

What members would see: members that take 200 to 400 ms to answer got each poll twice, the second time over a new connection, beside the polls that overlap; a follower of a frozen leader takes that long. Cause: a call that is marked as idempotent gets half of its time on a connection that has worked before, now 200 ms, and is repeated over a new one. Change: polls of the feed are not marked any more. Polls of other members and the next round replace the repeat, and a poll that times out retires its connection as before.

--- a/internal/control/feed/selector.go
+++ b/internal/control/feed/selector.go
@@ -25,10 +25,10 @@
 
 type rpcClient struct{ pool *transport.Pool }
 
-// Feed implements MemberClient. The call is idempotent: the freshness of a response counts
-// from the time at which the first attempt was sent.
+// Feed implements MemberClient. The transport does not repeat the call, although it could:
+// polls of other members and the next round do.
 func (c rpcClient) Feed(ctx context.Context, address string, r *controlv1.FeedRequest) (*controlv1.FeedResponse, error) {
-	resp, err := controlv1connect.NewControlClient(c.pool.Peer(address).Client()).Feed(transport.MarkIdempotent(ctx), connect.NewRequest(r))
+	resp, err := controlv1connect.NewControlClient(c.pool.Peer(address).Client()).Feed(ctx, connect.NewRequest(r))
 	if err != nil {
 		return nil, err
 	}
