Router: a contact with members counts from the sending of the poll

What back ends would see: repeats paid from slack for up to some seconds after members stopped counting the entry. Cause: the contact was recorded when the answer was applied. An entry that stood still in between counted a contact that was as old as its stop, while members count it from the poll. Change: the load report has the time at which its poll was sent, by package clock. TestContactCountsFromApplication fails with the time of the update. Tests of the registry, slack and budgets pass.

--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/uber-go/tally/v4"
 
+	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/kernel"
@@ -237,7 +238,7 @@
 	c.polls.Inc(1)
 	wantLoads := c.loadSource() == p
 	req := &directoryv1.SyncRequest{Self: c.options.Self(), Epoch: p.view.epoch, Cursor: p.view.cursor, WantLoads: wantLoads, CrashCursor: p.crashCursor, LimitsCursor: p.limitsCursor}
-	sentAt := time.Now()
+	sentAt, polledAt := time.Now(), clock.Now()
 	reports := c.options.Crashes.Missing(sentAt, func(k quarantine.Key) []quarantine.Soundness { return p.knownReports[k] }, forwardDelay)
 	req.CrashReports = packCrashReports(sentAt, reports)
 	limits := c.options.Limits.unreported(sentAt, p.reportedLimits)
@@ -274,7 +275,7 @@
 			c.failures.Inc(1)
 			c.options.Events.Emit(eventBadLoads, event.F("member", p.address), event.F("error", err))
 		} else {
-			c.loads.Store(&Loads{At: now, byKey: otherLoads})
+			c.loads.Store(&Loads{At: now, PolledAt: polledAt, byKey: otherLoads})
 		}
 	}
 	if p.view.epoch != res.Msg.Epoch {
--- a/internal/directory/loads.go
+++ b/internal/directory/loads.go
@@ -13,8 +13,10 @@
 
 // Loads is the load of the other entries, as one member reported it at time At.
 type Loads struct {
-	At    time.Time
-	byKey map[uint32]dispatch.Load
+	At time.Time
+	// PolledAt is when the member was polled, as a time of package clock.
+	PolledAt time.Time
+	byKey    map[uint32]dispatch.Load
 }
 
 // Of returns the load of the other entries at an endpoint.
--- a/internal/dispatch/slack.go
+++ b/internal/dispatch/slack.go
@@ -47,19 +47,23 @@
 // NewSlackShare returns a SlackShare for budgets with the given window.
 func NewSlackShare(window time.Duration) *SlackShare { return &SlackShare{window: window} }
 
-// Observe records that a control member was in contact at now, and the number of entries
-// that members count. Successive times must not decrease.
-func (s *SlackShare) Observe(now time.Time, entries int) {
+// Observe records that a control member has answered a poll that was sent at a time, and the
+// number of entries that members count. A poll that was sent before the last one counts for
+// the number only.
+func (s *SlackShare) Observe(polledAt time.Time, entries int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.since.IsZero() || now.Sub(s.contact) > MaxContactAge {
-		s.since = now
+	s.largest = max(s.largest, entries)
+	if polledAt.Before(s.contact) {
+		return
 	}
-	s.contact = now
-	if now.Sub(s.periodStart) >= entryCountWindows*s.window {
-		s.formerLargest, s.largest, s.periodStart = s.largest, 0, now
+	if s.since.IsZero() || polledAt.Sub(s.contact) > MaxContactAge {
+		s.since = polledAt
+	}
+	s.contact = polledAt
+	if polledAt.Sub(s.periodStart) >= entryCountWindows*s.window {
+		s.formerLargest, s.largest, s.periodStart = s.largest, entries, polledAt
 	}
-	s.largest = max(s.largest, entries)
 }
 
 // Entries returns the number of entries by which the slack is divided, or 0 if this entry
--- a/internal/router/registry.go
+++ b/internal/router/registry.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"auburnstep.example/auburnstep/internal/clock"
 	"auburnstep.example/auburnstep/internal/directory"
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/routing"
@@ -72,7 +71,7 @@
 		return
 	}
 	r.loadsAt = loads.At
-	r.slackShare.Observe(clock.Now(), s.Entries)
+	r.slackShare.Observe(loads.PolledAt, s.Entries)
 	r.eachBalancer(func(b *dispatch.Balancer) { b.SetRemoteLoad(loads.At, loads.Of) })
 }
 
--- a/internal/router/registry_test.go
+++ b/internal/router/registry_test.go
@@ -142,3 +142,17 @@
 	}
 	qt.Assert(t, taken, qt.Equals, 7, qt.Commentf("0.7 of a part of 10"))
 }
+
+// TestContactCountsFromApplication guards against an entry that uses slack although no member
+// counts it any more, because it applied the answer to a poll long after it had sent that.
+func TestContactCountsFromApplication(t *testing.T) {
+	r := newRegistry("d", dispatch.RetryRules{Window: 10 * time.Second, Slack: 40})
+	limits, snapshot := directory.NewLimits(nil), &directory.Snapshot{Entries: 4}
+	now := clock.Now()
+	const lastPoll = 4500 * time.Millisecond
+	for age := time.Minute; age >= lastPoll; age -= 500 * time.Millisecond {
+		r.update(nil, snapshot, &directory.Loads{At: now.Add(-age), PolledAt: now.Add(-age)}, limits)
+	}
+	qt.Assert(t, r.slackEntries(now), qt.Equals, 4)
+	qt.Assert(t, r.slackEntries(now.Add(dispatch.MaxContactAge-lastPoll+time.Millisecond)), qt.Equals, 0)
+}
