--- a/internal/control/feed/client.go
+++ b/internal/control/feed/client.go
@@ -79,8 +79,8 @@
 	pollNow chan chan struct{} // requests a poll at once; the sent channel is closed after it
 	// roundWanted requests that the next round of polls begin at once.
 	roundWanted chan struct{}
-	// asked is a time since which all members have been asked, nil before that.
-	// roundProgress is closed when asked changes, and at the end of the current or next round.
+	// asked is a time since which all members have been polled and had time to answer, nil
+	// before that. roundProgress is closed when asked changes, and at the end of each round.
 	asked         atomic.Pointer[time.Time]
 	roundProgress atomic.Pointer[chan struct{}]
 
--- a/internal/control/feed/poll.go
+++ b/internal/control/feed/poll.go
@@ -44,9 +44,9 @@
 	begun   chan *poll
 	// pending holds the polls that have not ended, by address.
 	pending map[string]*poll
-	// asked holds the members that were polled in this round, with the time from which they
+	// nextPoll holds the members that were polled in this round, with the time from which they
 	// may be polled again.
-	asked map[string]time.Time
+	nextPoll map[string]time.Time
 	// firstPolls counts the pending polls that were the first of their member. The round
 	// ends with the last of them.
 	firstPolls int
@@ -83,7 +83,7 @@
 	defer cancel()
 	r := &round{
 		client: c, ctx: ctx, began: c.options.Clock(), results: make(chan *pollResult), begun: make(chan *poll, begunBuffer),
-		pending: make(map[string]*poll), asked: make(map[string]time.Time), lookedAt: c.options.Clock(),
+		pending: make(map[string]*poll), nextPoll: make(map[string]time.Time), lookedAt: c.options.Clock(),
 	}
 	whole, answered := r.run()
 	c.recordRound(r.began, whole)
@@ -111,7 +111,7 @@
 		if ended {
 			return r.ctx.Err() == nil, false
 		}
-		r.recordAsked()
+		r.checkAsked()
 		timer.Reset(min(wait, pollTimeout))
 		select {
 		case <-r.ctx.Done():
@@ -140,14 +140,14 @@
 	if now.Before(r.hedgeAt) && len(r.pending) > 0 {
 		return r.hedgeAt.Sub(now), false
 	}
-	if address := r.client.selector.pickUnless(r.wasAsked); address != "" && r.ctx.Err() == nil {
+	if address := r.client.selector.pickUnless(r.wasPolled); address != "" && r.ctx.Err() == nil {
 		return r.send(address, true), false
 	}
 	if r.firstPolls == 0 {
 		return 0, true
 	}
 	wait = snapshotPollTimeout
-	for address, at := range r.asked {
+	for address, at := range r.nextPoll {
 		switch until := at.Sub(now); {
 		case r.pending[address] != nil:
 		case until > 0:
@@ -159,10 +159,10 @@
 	return wait, false
 }
 
-// recordAsked records that the members were asked, if none of them is left and those that
+// checkAsked records that the members were asked, if none of them is left and those that
 // have not answered had pollTimeout for it. The round itself may last longer, for a transfer
 // of the whole settings.
-func (r *round) recordAsked() {
+func (r *round) checkAsked() {
 	now := r.client.options.Clock()
 	if now.Sub(r.lookedAt) >= pollTimeout+maxRoundDelay {
 		r.resumedAt = now // This process stood still; the members had no time to answer.
@@ -173,19 +173,19 @@
 			return
 		}
 	}
-	if r.client.selector.hasUnasked(r.wasAsked) {
+	if r.client.selector.hasUnpolled(r.wasPolled) {
 		return
 	}
-	asked := r.began
-	if recent := now.Add(-pollTimeout - PollInterval); recent.After(asked) {
-		asked = recent
+	since := r.began
+	if recent := now.Add(-pollTimeout - PollInterval); recent.After(since) {
+		since = recent
 	}
-	r.client.recordAsked(asked)
+	r.client.recordAsked(since)
 }
 
-func (r *round) wasAsked(address string) bool {
-	_, asked := r.asked[address]
-	return asked
+func (r *round) wasPolled(address string) bool {
+	_, polled := r.nextPoll[address]
+	return polled
 }
 
 // send polls a member and returns for how long to wait for its answer alone.
@@ -201,7 +201,7 @@
 	if first {
 		r.firstPolls++
 	}
-	r.pending[address], r.asked[address] = p, time.Time{}
+	r.pending[address], r.nextPoll[address] = p, time.Time{}
 	r.hedgeAt = time.Now().Add(delay)
 	c.polls.Inc(1)
 	c.inFlight.Go(func() {
@@ -242,7 +242,7 @@
 	if p.first {
 		r.firstPolls--
 	}
-	r.asked[p.address], r.hedgeAt = time.Now().Add(PollInterval), time.Time{}
+	r.nextPoll[p.address], r.hedgeAt = time.Now().Add(PollInterval), time.Time{}
 	elapsed := c.options.Clock().Sub(p.sentAt)
 	c.pollDuration.RecordDuration(elapsed)
 	if elapsed >= slowPoll {
--- a/internal/control/feed/selector.go
+++ b/internal/control/feed/selector.go
@@ -106,11 +106,11 @@
 	return ""
 }
 
-// hasUnasked reports whether asked does not report one of the addresses.
-func (r *selector) hasUnasked(asked func(address string) bool) bool {
+// hasUnpolled reports whether there is an address that polled does not report.
+func (r *selector) hasUnpolled(polled func(address string) bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.candidates(), func(a string) bool { return !asked(a) })
+	return slices.ContainsFunc(r.candidates(), func(a string) bool { return !polled(a) })
 }
 
 // candidates returns the members and seeds in the order in which pick tries them. The
