--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Builds the stand-ins of the second review. The build of the deploy file comes first.
+cd "$(dirname "$0")/.." && mkdir -p target/review-2 && exec go build -o target/review-2/stand ./review/stand2
--- /dev/null
+++ b/review/stand2/caller.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// answer is what a caller got.
+type answer struct {
+	status int // 0 if there was no complete answer
+	body   string
+	stamp  string
+}
+
+// send sends a request to an entry on a new connection.
+func (s *stand) send(entry, path, id string, wait time.Duration) answer {
+	client := &http.Client{Timeout: wait + time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry+path, strings.NewReader("request "+id))
+	if err != nil {
+		return answer{}
+	}
+	req.Host = "ficu95.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Api-Key", "xd9dnn2ctnfzs989anu6")
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	resp, err := client.Do(req)
+	if err != nil {
+		s.note("request %s to %s: %v", id, entry, err)
+		return answer{}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, body: string(b), stamp: resp.Header.Get("Server-Stamp")}
+	if err != nil {
+		a.status = 0
+	}
+	s.note("request %s to %s: status %d, %q", id, entry, a.status, strings.TrimSpace(a.body))
+	return a
+}
+
+// awaitServed sends requests to an entry until one is served.
+func (s *stand) awaitServed(entry, path string, limit time.Duration) error {
+	for n, end := 0, time.Now().Add(limit); time.Now().Before(end); n++ {
+		if s.send(entry, path, fmt.Sprintf("probe-%s-%d", entry, n), time.Second).status == http.StatusOK {
+			return nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return fmt.Errorf("%s serves no request", entry)
+}
