Review: a line break in the id of a replica cuts requests

Cause: the id of a status report is not checked, and the client of endpoints writes header values as they are, so that a line break in an id ends the head of the request before its Content-Length.

--- a/review/stand2/caller.go
+++ b/review/stand2/caller.go
@@ -18,8 +18,13 @@
 
 // send sends a request to an entry on a new connection.
 func (s *stand) send(entry, path, id string, wait time.Duration) answer {
+	return s.sendBody(entry, path, id, "request "+id, wait)
+}
+
+// sendBody sends a request with a body to an entry on a new connection.
+func (s *stand) sendBody(entry, path, id, body string, wait time.Duration) answer {
 	client := &http.Client{Timeout: wait + time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	req, err := http.NewRequest(http.MethodPost, "http://"+entry+path, strings.NewReader("request "+id))
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry+path, strings.NewReader(body))
 	if err != nil {
 		return answer{}
 	}
--- a/review/stand2/replica.go
+++ b/review/stand2/replica.go
@@ -15,11 +15,10 @@
 // heartbeat is heartbeatMs of the settings.
 const heartbeat = 1200 * time.Millisecond
 
-// arrival is a request that reached a replica.
+// arrival is a request that a replica ran.
 type arrival struct {
-	id  string
-	at  time.Time
-	ran bool
+	id, path, body string
+	at             time.Time
 }
 
 // replica serves requests and reports its state as PROTOCOL.md says.
@@ -140,7 +139,10 @@
 // ServeHTTP implements http.Handler.
 func (r *replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	at, h, id := time.Now(), w.Header(), req.Header.Get("Request-Id")
-	_, _ = io.Copy(io.Discard, req.Body)
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
 	r.mu.Lock()
 	leaving := r.leaving
 	r.mu.Unlock()
@@ -162,10 +164,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if id == "" {
+		h.Set("Not-Run", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	r.mu.Lock()
-	r.arrivals = append(r.arrivals, arrival{id: id, at: at, ran: true})
+	r.arrivals = append(r.arrivals, arrival{id: id, path: req.URL.Path, body: string(body), at: at})
 	r.mu.Unlock()
-	r.s.note("%s runs request %s", r.id, id)
+	r.s.note("%s runs request %s, path %s, %d bytes", r.id, id, req.URL.Path, len(body))
 	time.Sleep(r.work)
 	h.Set("Server-Stamp", "stamp."+id)
 	_, _ = io.WriteString(w, "answer of "+r.id+" to "+id)
