--- a/review/stand2/caller.go
+++ b/review/stand2/caller.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -57,3 +58,20 @@
 	}
 	return fmt.Errorf("%s serves no request", entry)
 }
+
+// sendAll sends n requests to an entry at the same time. The function that it returns waits for the
+// answers and returns their number by status.
+func (s *stand) sendAll(entry, path string, n int) func() map[int]int {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	counts := make(map[int]int)
+	for i := range n {
+		wg.Go(func() {
+			a := s.send(entry, path, fmt.Sprintf("ordinary-%d", i), 2500*time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			counts[a.status]++
+		})
+	}
+	return func() map[int]int { wg.Wait(); return counts }
+}
