--- a/review/stand2/growth.go
+++ b/review/stand2/growth.go
@@ -13,7 +13,7 @@
 	const (
 		usualRoutes, moreRoutes = 44, 3 * 1580 // big_config, three times
 		changes                 = 300
-		gap                     = 200 * time.Millisecond
+		gap                     = 100 * time.Millisecond
 		memoryMB, diskMB        = 280, 128
 		recover                 = 12 * time.Second
 	)
