Control: the log and what members keep are bounded in bytes

Cause: the log was compacted by the number of its entries only (4,096, with 1,024 kept in memory), while operators choose the size of an entry. Related places had the same cause: uncommitted entries, queues of proposals and messages, the history of changes, settings, bookings.

Change: control.LimitsFor derives limits in bytes from the memory and the disk of the machine.

--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -51,6 +51,11 @@
 		})
 		return nil
 	}
+	if len(m.Entries) > 0 && n.log.committedBytes() >= n.cfg.MaxLogBytes {
+		// The leader repeats the message once it finds that the entries are missing.
+		n.commitTo(min(m.Commit, m.Index))
+		return ErrBusy
+	}
 	if err := n.appendMissing(m.Entries); err != nil {
 		return err
 	}
@@ -119,8 +124,7 @@
 
 // commitTo advances the commit index. The commit index never decreases.
 func (n *Node) commitTo(index uint64) {
-	if index > n.log.commit {
-		n.log.commit = index
+	if n.log.commitTo(index) {
 		n.detectRemoval()
 	}
 }
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -15,6 +15,8 @@
 	entries            []Entry
 	snapshot           Snapshot
 	commit, applied    uint64
+	// bytes is the size of the data of entries, and uncommittedBytes that of those after commit.
+	bytes, uncommittedBytes int
 	// firstUnstable is the first index that is not known to be durable.
 	firstUnstable uint64
 	// snapshotPending is set until the driver has installed a received
@@ -82,13 +84,43 @@
 }
 
 // append adds entries that directly follow the end of the log.
-func (l *raftLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+func (l *raftLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+	added := DataBytes(entries)
+	l.bytes += added
+	l.uncommittedBytes += added
+}
+
+// commitTo advances the commit index, which never decreases, and reports whether it did.
+func (l *raftLog) commitTo(index uint64) bool {
+	if index <= l.commit {
+		return false
+	}
+	l.uncommittedBytes -= DataBytes(l.entriesBetween(l.commit+1, index))
+	l.commit = index
+	return true
+}
+
+// committedBytes returns the size of the data of the entries that a snapshot can replace.
+func (l *raftLog) committedBytes() int { return l.bytes - l.uncommittedBytes }
+
+// DataBytes returns the size of the data of entries.
+func DataBytes(entries []Entry) int {
+	n := 0
+	for i := range entries {
+		n += len(entries[i].Data)
+	}
+	return n
+}
 
 // truncate removes the entries from index on. It also reduces the capacity of
 // the slice, so that the next append reallocates and slices returned earlier
 // keep their contents.
 func (l *raftLog) truncate(index uint64) {
 	remaining := index - l.offset - 1
+	removed := DataBytes(l.entries[remaining:])
+	l.bytes -= removed
+	l.uncommittedBytes -= removed
 	l.entries = l.entries[:remaining:remaining]
 	l.firstUnstable = min(l.firstUnstable, index)
 }
@@ -119,7 +151,7 @@
 // restore replaces the log with a received snapshot.
 func (l *raftLog) restore(s Snapshot) {
 	l.offset, l.offsetTerm = s.Index, s.Term
-	l.entries = nil
+	l.entries, l.bytes, l.uncommittedBytes = nil, 0, 0
 	l.snapshot = s
 	l.commit = s.Index
 	l.firstUnstable = s.Index + 1
@@ -127,14 +159,29 @@
 }
 
 // compact replaces the snapshot and drops the entries that it covers, except
-// for the last retained ones.
-func (l *raftLog) compact(s Snapshot, retained int) {
+// for the last ones: at most maxEntries with at most maxBytes of data.
+func (l *raftLog) compact(s Snapshot, maxEntries, maxBytes int) {
 	l.snapshot = s
-	if s.Index <= l.offset+uint64(retained) {
+	base := l.retainedFrom(s.Index, maxEntries, maxBytes)
+	if base == l.offset {
 		return
 	}
-	base := s.Index - uint64(retained)
 	t, _ := l.term(base)
+	l.bytes -= DataBytes(l.entries[:base-l.offset])
 	l.entries = slices.Clone(l.entries[base-l.offset:])
 	l.offset, l.offsetTerm = base, t
 }
+
+// retainedFrom returns the index after which entries are retained when the log is compacted
+// up to index.
+func (l *raftLog) retainedFrom(index uint64, maxEntries, maxBytes int) uint64 {
+	base, size := index, 0
+	for base > l.offset && index-base < uint64(maxEntries) {
+		size += len(l.entries[base-l.offset-1].Data)
+		if size > maxBytes {
+			break
+		}
+		base--
+	}
+	return base
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -78,7 +78,10 @@
 		{&c.MaxBytesPerMessage, DefaultMaxBytesPerMessage},
 		{&c.MaxInflight, DefaultMaxInflight},
 		{&c.MaxUncommitted, DefaultMaxUncommitted},
+		{&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes},
+		{&c.MaxLogBytes, DefaultMaxLogBytes},
 		{&c.RetainedEntries, DefaultRetainedEntries},
+		{&c.RetainedBytes, DefaultRetainedBytes},
 		{&c.MaxPromoteLag, DefaultMaxPromoteLag},
 	} {
 		if *f.field == 0 {
@@ -91,7 +94,7 @@
 	if c.LeaseMarginTicks == 0 {
 		c.LeaseMarginTicks = 1 + (c.ElectionTicks+4)/5
 	}
-	if c.ID == 0 || c.HeartbeatTicks >= c.ElectionTicks || c.LeaseMarginTicks < 1 {
+	if c.ID == 0 || c.HeartbeatTicks >= c.ElectionTicks || c.LeaseMarginTicks < 1 || c.RetainedBytes >= c.MaxLogBytes {
 		return c, ErrInvalidConfig
 	}
 	return c, nil
@@ -108,10 +111,11 @@
 		n.log.append(e)
 	}
 	n.log.firstUnstable = n.log.last() + 1
-	n.log.commit = max(r.HardState.Commit, s.Index)
-	if n.log.commit > n.log.last() {
+	n.log.commit = s.Index
+	if r.HardState.Commit > n.log.last() {
 		return ErrInvalidConfig
 	}
+	n.log.commitTo(r.HardState.Commit)
 	members, err := membershipHistory{{s.Index, s.Members}}.extend(r.Entries)
 	if err != nil {
 		return err
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -293,3 +293,68 @@
 	}
 	tn.Assert(errors.Is(err, consensus.ErrBusy), qt.IsTrue)
 }
+
+// TestLeaderBoundsItsLog guards against a leader whose log grows without bound while nothing is
+// committed, or while no snapshot replaces what is.
+func TestLeaderBoundsItsLog(t *testing.T) {
+	tn := newLimitedNode(t)
+	tn.campaignWithVotes(2)
+	tn.ackAll(2)
+	propose := func(size int) error {
+		_, err := tn.n.Propose(make([]byte, size))
+		tn.processReady()
+		return err
+	}
+	tn.Assert(propose(1), qt.IsNil)
+	tn.Assert(propose(200), qt.IsNil) // Larger than both limits.
+	tn.Assert(propose(1), qt.ErrorIs, consensus.ErrBusy)
+	tn.ackAll(2)
+	tn.Assert(propose(1), qt.ErrorIs, consensus.ErrBusy)
+	tn.compact()
+	tn.Assert(propose(20), qt.IsNil)
+	tn.Assert(propose(20), qt.IsNil)
+	tn.Assert(propose(1), qt.ErrorIs, consensus.ErrBusy)
+	tn.Assert(tn.n.Status().LogBytes, qt.Equals, 40)
+}
+
+// TestFollowerBoundsItsLog guards against a follower whose log grows without bound while its
+// snapshots take longer than new entries, and against one that never accepts entries again.
+func TestFollowerBoundsItsLog(t *testing.T) {
+	tn := newLimitedNode(t)
+	index := uint64(1)
+	appendEntry := func(size int) error {
+		err := tn.n.Step(consensus.Message{
+			Type: consensus.MsgAppend, From: 2, To: 1, Term: 1, Index: index, LogTerm: 1, Commit: index,
+			Entries: []consensus.Entry{{Index: index + 1, Term: 1, Data: make([]byte, size)}},
+		})
+		tn.processReady()
+		if err == nil {
+			index++
+		}
+		return err
+	}
+	for range 5 { // The last entry is not committed yet.
+		tn.Assert(appendEntry(30), qt.IsNil)
+	}
+	tn.Assert(appendEntry(30), qt.ErrorIs, consensus.ErrBusy)
+	tn.Assert(tn.n.Status().Commit, qt.Equals, index)
+	tn.compact()
+	tn.Assert(appendEntry(30), qt.IsNil)
+}
+
+// newLimitedNode returns a node that keeps 40 uncommitted bytes, 100 committed ones, and none
+// that a snapshot covers.
+func newLimitedNode(t *testing.T) *testNode {
+	tn := newTestNode(t, threeVoters())
+	n, err := consensus.New(consensus.Config{ID: 1, ElectionTicks: electionTicks, MaxUncommittedBytes: 40, MaxLogBytes: 100, RetainedBytes: 10, RetainedEntries: 1}, tn.disk)
+	tn.Assert(err, qt.IsNil)
+	tn.n = n
+	return tn
+}
+
+// compact replaces all applied entries by a snapshot.
+func (tn *testNode) compact() {
+	s, err := tn.n.MakeSnapshot(tn.n.Status().Applied, nil)
+	tn.Assert(err, qt.IsNil)
+	tn.n.Compact(s)
+}
--- a/internal/consensus/propose.go
+++ b/internal/consensus/propose.go
@@ -26,7 +26,7 @@
 	if n.leaderState.transferTarget != 0 || n.leaderState.leaseRevoked {
 		return 0, ErrTransferring
 	}
-	if n.log.last()-n.log.commit >= uint64(n.cfg.MaxUncommitted) {
+	if n.log.last()-n.log.commit >= uint64(n.cfg.MaxUncommitted) || kind == EntryNormal && !n.hasRoom() {
 		return 0, ErrBusy
 	}
 	index := n.log.last() + 1
@@ -35,6 +35,12 @@
 	return index, nil
 }
 
+// hasRoom reports whether the log has room for another entry. Its size does not matter: a large
+// entry would otherwise never be accepted among many small ones.
+func (n *Node) hasRoom() bool {
+	return n.log.uncommittedBytes < n.cfg.MaxUncommittedBytes && n.log.committedBytes() < n.cfg.MaxLogBytes
+}
+
 // ProposeMembership appends a change of one member to the log of the leader.
 // The new membership is in force as soon as the entry is appended. A change is
 // accepted only if all earlier changes are committed and the leader has
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -87,13 +87,13 @@
 
 // Compact replaces the snapshot that is sent to members that are too far
 // behind, and drops the entries that it covers, except for the last
-// Config.RetainedEntries. It ignores a snapshot that is not newer than the
-// current one or that covers unapplied entries.
+// Config.RetainedEntries and Config.RetainedBytes. It ignores a snapshot that is
+// not newer than the current one or that covers unapplied entries.
 func (n *Node) Compact(s Snapshot) {
 	if s.Index <= n.log.snapshot.Index || s.Index > n.log.applied {
 		return
 	}
-	n.log.compact(s, n.cfg.RetainedEntries)
+	n.log.compact(s, n.cfg.RetainedEntries, n.cfg.RetainedBytes)
 	n.members = n.members.compact(s.Index)
 }
 
@@ -103,7 +103,7 @@
 		ID: n.cfg.ID, Term: n.term, Leader: n.leaderID, Role: n.role,
 		Commit: n.log.commit, Applied: n.log.applied, Last: n.log.last(),
 		SnapshotIndex: n.log.snapshot.Index, Members: n.members.latest(),
-		Removed: n.removed, TransferTarget: n.leaderState.transferTarget,
+		LogBytes: n.log.bytes, Removed: n.removed, TransferTarget: n.leaderState.transferTarget,
 	}
 	if n.role != Leader {
 		return s
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -35,9 +35,9 @@
 	ErrNotLeader = Error.New("not the leader")
 	// ErrLeaderUnknown means that this member currently knows no leader.
 	ErrLeaderUnknown = Error.New("leader unknown")
-	// ErrBusy means that the leader has Config.MaxUncommitted uncommitted
-	// entries; retry later.
-	ErrBusy = Error.New("too many uncommitted entries")
+	// ErrBusy means that the log has no room: for uncommitted entries, or for any entries
+	// before the next snapshot; retry later.
+	ErrBusy = Error.New("the log has no room for further entries")
 	// ErrTransferring means that a leadership transfer is in progress.
 	ErrTransferring = Error.New("leadership transfer in progress")
 	// ErrChangePending means that an earlier membership change is not committed
@@ -74,7 +74,10 @@
 	DefaultMaxBytesPerMessage   = 1 << 20
 	DefaultMaxInflight          = 32
 	DefaultMaxUncommitted       = 8192
+	DefaultMaxUncommittedBytes  = 32 << 20
+	DefaultMaxLogBytes          = 64 << 20
 	DefaultRetainedEntries      = 1024
+	DefaultRetainedBytes        = 16 << 20
 	DefaultMaxPromoteLag        = 256
 )
 
@@ -103,6 +106,12 @@
 	// MaxUncommitted limits the number of uncommitted entries of a leader.
 	// Proposals beyond it fail with ErrBusy.
 	MaxUncommitted int
+	// MaxUncommittedBytes is the size of the data of the uncommitted entries of a leader from
+	// which on proposals fail with ErrBusy.
+	MaxUncommittedBytes int
+	// MaxLogBytes limits the data of the committed entries in memory. From that size on, a
+	// leader accepts no proposals and a follower no entries until Compact is called.
+	MaxLogBytes int
 	// LeaseMarginTicks is the margin by which the leader lease is shorter than
 	// ElectionTicks. One tick of it covers the granularity of ticks. The lease
 	// is safe while the tick intervals of any two members differ by a factor of
@@ -113,6 +122,9 @@
 	// retained in memory, so that a follower which is slightly behind needs no
 	// snapshot.
 	RetainedEntries int
+	// RetainedBytes is the maximum size of the data of the retained entries. It must be smaller
+	// than MaxLogBytes.
+	RetainedBytes int
 	// MaxPromoteLag is the maximum number of entries by which the log of a
 	// member may be behind the leader's when the member is promoted to voter or
 	// becomes the target of a leadership transfer.
@@ -315,7 +327,9 @@
 	Role                  Role
 	Commit, Applied, Last uint64
 	SnapshotIndex         uint64
-	Members               Membership
+	// LogBytes is the size of the data of the entries in memory.
+	LogBytes int
+	Members  Membership
 	// Removed is set once this member has learned of its own removal.
 	Removed bool
 	// TransferTarget is the target of the leadership transfer in progress, or
--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -12,11 +12,12 @@
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
-// applyItem is work for the apply loop: either a snapshot from the leader or
-// committed entries.
+// applyItem is work for the apply loop: a snapshot from the leader, committed entries, or
+// the request to copy the state for a snapshot.
 type applyItem struct {
 	snapshot *consensus.Snapshot
 	entries  []consensus.Entry
+	freeze   bool
 }
 
 // stateSnapshot is the encoded state after the entry with the given index.
@@ -101,9 +102,8 @@
 // failAll fails all waiters. No log reaches the index 1<<63.
 func (w *waiters) failAll(err error) { w.failUpTo(1<<63, err) }
 
-// applyLoop applies committed entries in order. Every Options.SnapshotEvery entries
-// it copies the state for a snapshot.
-func (m *Member) applyLoop(ctx context.Context, snapshotIndex uint64) error {
+// applyLoop applies committed entries in order, and copies the state for snapshots.
+func (m *Member) applyLoop(ctx context.Context) error {
 	for {
 		item, err := m.applies.Pop(ctx)
 		if err != nil {
@@ -113,15 +113,13 @@
 			if err := m.restore(item.snapshot); err != nil {
 				return err
 			}
-			snapshotIndex = item.snapshot.Index
 		}
 		for _, e := range item.entries {
 			if err := m.applyEntry(e); err != nil {
 				return err
 			}
 		}
-		if m.applied.Load() >= snapshotIndex+uint64(m.options.SnapshotEvery) {
-			snapshotIndex = m.applied.Load()
+		if item.freeze {
 			m.freeze(ctx)
 		}
 	}
@@ -173,8 +171,7 @@
 
 // freeze passes a copy of the state to snapshotLoop. It does not lock m.mu, so
 // readers are not blocked: it runs in the apply loop, the only goroutine that
-// writes the state. If snapshotLoop has not yet taken the previous copy, the new
-// one replaces it.
+// writes the state. The consensus loop requests one copy at a time.
 func (m *Member) freeze(ctx context.Context) {
 	start := time.Now()
 	_ = m.frozen.Push(ctx, m.state.Freeze())
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
@@ -22,6 +23,9 @@
 		a, err := m.redirect()
 		return &controlv1.BookingResponse{LeaderAddress: a}, err
 	}
+	if !m.hasRoomFor(cmd) {
+		return &controlv1.BookingResponse{State: controlv1.BookingResponse_FULL}, nil
+	}
 	ctx, cancel := withDeadline(ctx)
 	defer cancel()
 	result, err := m.propose(ctx, cmd)
@@ -34,6 +38,22 @@
 	return result.Booking, nil
 }
 
+// hasRoomFor reports whether the booking records have room for what a command adds. A key with
+// an attempt in progress or an outcome is always answered from its record. Where there is no room
+// for an outcome, the record stays started and still blocks a second run.
+func (m *Member) hasRoomFor(cmd *controlv1.Command) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	free := m.options.Limits.Bookings - m.state.BookingBytes()
+	switch c := cmd.GetCommand().(type) {
+	case *controlv1.Command_Begin:
+		return free > 0 || m.state.HoldsBooking(c.Begin.GetKey())
+	case *controlv1.Command_Finish:
+		return free >= int64(proto.Size(c.Finish.GetOutcome()))
+	}
+	return true
+}
+
 // bookingCommand validates a request and converts it to a command of the log. A
 // begin gets the current time.
 func bookingCommand(r *controlv1.BookingRequest) (*controlv1.Command, error) {
--- a/internal/control/changes.go
+++ b/internal/control/changes.go
@@ -104,6 +104,10 @@
 	if err != nil {
 		return &controlv1.ChangeResult{ChangeId: c.ChangeId, Outcome: controlv1.ChangeResult_INVALID, Version: version, Message: err.Error()}, nil
 	}
+	if limit := m.options.Limits.Settings; int64(next.Bytes()) > limit && next.Bytes() > tree.Bytes() {
+		message := fmt.Sprintf("the settings would have %d bytes, this member has room for %d", next.Bytes(), limit)
+		return &controlv1.ChangeResult{ChangeId: c.ChangeId, Outcome: controlv1.ChangeResult_INVALID, Version: version, Message: message}, nil
+	}
 	diff := diffLines(tree, next, c.GetOperations())
 	if len(diff) == 0 {
 		c.Operations = nil
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -234,7 +234,8 @@
 
 // cluster is a set of members with disks and a network in memory.
 type cluster struct {
-	replace bool // Options.ReplaceLostVoters of the members that are started next
+	replace bool   // Options.ReplaceLostVoters of the members that are started next
+	limits  Limits // Options.Limits of these members
 	t       testing.TB
 	net     *memNetwork
 	names   []string
@@ -279,7 +280,7 @@
 	c.seed++
 	m := NewMember(Options{
 		Cluster: "test", Instance: name, Address: name, InitialMembers: c.initial,
-		Peers: c.names, Storage: c.storage(name), Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name), ReplaceLostVoters: c.replace, Clock: c.clock(name),
+		Peers: c.names, Storage: c.storage(name), Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name), ReplaceLostVoters: c.replace, Limits: c.limits, Clock: c.clock(name),
 	})
 	if err := m.Validate(); err != nil {
 		c.t.Fatal(err)
--- a/internal/control/diskfs_test.go
+++ b/internal/control/diskfs_test.go
@@ -179,3 +179,13 @@
 }
 
 func (f *diskFile) Close() error { return nil }
+
+// size returns the size of all files.
+func (d *diskFS) size() (total int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, content := range d.names {
+		total += len(content)
+	}
+	return total
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -33,12 +33,13 @@
 	node           *consensus.Node
 	log            Log
 	deliveredTicks int64
+	compaction     compaction
 }
 
 // loop is the consensus loop. It owns the node and the log. It sends messages and
 // passes entries to the apply loop only after the log has been written to disk.
-func (m *Member) loop(ctx context.Context, node *consensus.Node, log Log) error {
-	d := &driver{m: m, node: node, log: log}
+func (m *Member) loop(ctx context.Context, node *consensus.Node, log Log, c compaction) error {
+	d := &driver{m: m, node: node, log: log, compaction: c}
 	ticker := time.NewTicker(m.options.Tick)
 	defer ticker.Stop()
 	for {
@@ -71,6 +72,14 @@
 			}
 			d.node.Advance()
 		}
+		d.requestSnapshot(ctx)
+	}
+}
+
+// requestSnapshot has the apply loop copy the state if a snapshot is due.
+func (d *driver) requestSnapshot(ctx context.Context) {
+	if d.compaction.isDue(d.node.Status().Applied) && d.m.applies.Push(ctx, applyItem{freeze: true}) == nil {
+		d.compaction.request()
 	}
 }
 
@@ -96,12 +105,14 @@
 		m.lastMessage.Store(int64(m.now().Sub(m.tickZero)))
 	}
 	for _, msg := range inbound {
+		m.inboundBytes.Give(messageBytes(msg))
 		// A message that the node cannot use is ignored; its sender repeats it if
 		// it still matters.
 		_ = d.node.Step(msg)
 	}
 	proposals := m.proposals.Drain(maxProposalsPerRound)
 	for _, p := range proposals {
+		m.proposalBytes.Give(int64(len(p.data)))
 		index, err := d.node.Propose(p.data)
 		if err != nil {
 			p.complete(state.Result{}, proposeError(err))
@@ -134,6 +145,7 @@
 		if err := d.log.SaveSnapshot(*r.Snapshot); err != nil {
 			return m.reportStorageError(err)
 		}
+		d.compaction.installed(r.Snapshot.Index, len(r.Snapshot.Data))
 	}
 	if r.HardState != nil || len(r.Entries) > 0 {
 		start := time.Now()
@@ -141,6 +153,7 @@
 			return m.reportStorageError(err)
 		}
 		m.metrics.save.Record(time.Since(start))
+		d.compaction.savedBytes += entryBytes(r.Entries)
 	}
 	for _, msg := range r.Messages {
 		m.send(ctx, msg)
@@ -170,16 +183,27 @@
 func (d *driver) storeSnapshot(s stateSnapshot) error {
 	snapshot, err := d.node.MakeSnapshot(s.index, s.data)
 	if err != nil {
+		d.compaction.finish()
 		return nil // A later snapshot from the leader was installed meanwhile.
 	}
 	if err := d.log.SaveSnapshot(snapshot); err != nil {
 		return d.m.reportStorageError(err)
 	}
 	d.node.Compact(snapshot)
-	d.m.options.Events.Emit(eventSnapshot, event.F("index", s.index), event.F("bytes", len(s.data)))
+	d.compaction.stored(s.index, len(s.data))
+	d.m.options.Events.Emit(eventSnapshot, event.F("index", s.index), event.F("bytes", len(s.data)), event.F("log_bytes", d.compaction.savedBytes))
 	return nil
 }
 
+// entryBytes returns what entries take in memory and on disk.
+func entryBytes(entries []consensus.Entry) int64 {
+	return int64(consensus.DataBytes(entries) + entryOverheadBytes*len(entries))
+}
+
+// messageBytes returns the size of the entries in a message. The data of a snapshot is not
+// counted, because a member receives only one at a time.
+func messageBytes(msg consensus.Message) int64 { return int64(consensus.DataBytes(msg.Entries)) }
+
 // leaderChanged emits an event for a new leader.
 func (m *Member) leaderChanged(s consensus.SoftState) {
 	if s.Role == consensus.Leader {
@@ -238,7 +262,12 @@
 		resolved()
 		done <- outcome{r, err}
 	}}
+	if !m.proposalBytes.TakeAbove(int64(len(data)), 0) {
+		resolved()
+		return state.Result{}, fmt.Errorf("%w: the queue of proposals has no room for %d bytes", ErrBusy, len(data))
+	}
 	if err := m.proposals.Push(ctx, p); err != nil {
+		m.proposalBytes.Give(int64(len(data)))
 		resolved()
 		return state.Result{}, fmt.Errorf("%w: %w", ErrBusy, err)
 	}
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"auburnstep.example/auburnstep/internal/bytebudget"
 	"auburnstep.example/auburnstep/internal/consensus"
 	"auburnstep.example/auburnstep/internal/control/state"
 	"auburnstep.example/auburnstep/internal/event"
@@ -31,6 +32,9 @@
 	frozen    *ring.Ring[*state.Frozen]
 	snapshots *ring.Ring[stateSnapshot]
 	wake      chan struct{}
+	// proposalBytes and inboundBytes bound the data in proposals and inbox, and tableBytes the
+	// routing tables that are being checked and proposed.
+	proposalBytes, inboundBytes, tableBytes *bytebudget.Budget
 
 	mu    sync.RWMutex // guards state
 	state *state.State
@@ -47,6 +51,9 @@
 	// unresponsiveSince maps the ID of each unresponsive voter to the time at which
 	// it was first seen unresponsive. Only the leader loop uses it.
 	unresponsiveSince map[uint64]time.Time
+	// bookingsFull is whether the booking records have reached their limit. Only the leader loop
+	// uses it.
+	bookingsFull bool
 	// formerPeers lists the members that were known before the last reset, and rejoining
 	// is set once this member was removed. Both change only while no goroutine of the
 	// member runs.
@@ -93,6 +100,8 @@
 		stopping:  make(chan struct{}),
 		done:      make(chan struct{}),
 	}
+	m.proposalBytes, m.inboundBytes, m.tableBytes = bytebudget.New(o.Limits.Queue), bytebudget.New(o.Limits.Queue), bytebudget.New(o.Limits.Queue)
+	m.inbox.OnDrop(func(msg consensus.Message) { m.inboundBytes.Give(messageBytes(msg)) })
 	m.peers.senders = make(map[uint64]*sender)
 	m.peers.senderAddresses = make(map[uint64]string)
 	m.peers.transfers = make(map[uint64]*transfer)
@@ -185,7 +194,9 @@
 	m.participating.Store(false)
 	m.leaderLease.validUntil.Store(0)
 	m.status.Store(&consensus.Status{})
-	m.inbox.Drain(inboxCapacity)
+	for _, msg := range m.inbox.Drain(inboxCapacity) {
+		m.inboundBytes.Give(messageBytes(msg))
+	}
 	m.applies.Drain(applyCapacity)
 	m.frozen.Drain(1)
 	m.snapshots.Drain(1)
@@ -227,17 +238,21 @@
 		m.mu.Unlock()
 	}
 	m.applied.Store(restored.Snapshot.Index)
-	node, err := consensus.New(consensus.Config{ID: opened.ID, ElectionTicks: m.options.ElectionTicks, HeartbeatTicks: 2, Seed: m.options.Seed}, restored)
+	logLimit := int(m.options.Limits.Log)
+	node, err := consensus.New(consensus.Config{
+		ID: opened.ID, ElectionTicks: m.options.ElectionTicks, HeartbeatTicks: 2, Seed: m.options.Seed,
+		MaxLogBytes: logLimit, MaxUncommittedBytes: logLimit / snapshotLogParts, RetainedBytes: logLimit / retainedLogParts,
+	}, restored)
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	m.options.Events.Emit(eventRestored, event.F("snapshot", restored.Snapshot.Index), event.F("entries", len(restored.Entries)), event.F("torn_bytes", opened.TornBytes))
-	return m.runGoroutines(ctx, node, log, restored.Snapshot.Index)
+	return m.runGoroutines(ctx, node, log, newCompaction(&m.options, &restored))
 }
 
 // runGoroutines runs the goroutines of the member. When one of them ends, it stops
 // the others and returns the result of the first.
-func (m *Member) runGoroutines(ctx context.Context, node *consensus.Node, log Log, snapshotIndex uint64) error {
+func (m *Member) runGoroutines(ctx context.Context, node *consensus.Node, log Log, c compaction) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m.tickZero = m.now()
@@ -246,8 +261,8 @@
 	results := make(chan error, 5)
 	var wg sync.WaitGroup
 	for _, task := range []func() error{
-		func() error { return m.loop(ctx, node, log) },
-		func() error { return m.applyLoop(ctx, snapshotIndex) },
+		func() error { return m.loop(ctx, node, log, c) },
+		func() error { return m.applyLoop(ctx) },
 		func() error { return m.snapshotLoop(ctx) },
 		func() error { return m.joinLoop(ctx) },
 		func() error { return m.leaderLoop(ctx) },
@@ -280,6 +295,7 @@
 // not taken from their queues yet.
 func (m *Member) failQueued(err error) {
 	for _, p := range m.proposals.Drain(proposalCapacity) {
+		m.proposalBytes.Give(int64(len(p.data)))
 		p.complete(state.Result{}, err)
 	}
 	for _, c := range m.nodeCalls.Drain(64) {
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/uber-go/tally/v4"
 
+	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/ring"
 )
 
@@ -21,6 +22,8 @@
 	settingsVersion tally.Gauge
 	applied         tally.Gauge
 	instances       tally.Gauge
+	logBytes        tally.Gauge
+	bookingBytes    tally.Gauge
 	scope           tally.Scope
 }
 
@@ -40,6 +43,8 @@
 		settingsVersion: s.Gauge("settings_version"),
 		applied:         s.Gauge("applied_index"),
 		instances:       s.Gauge("instances"),
+		logBytes:        s.Gauge("log_bytes"),
+		bookingBytes:    s.Gauge("booking_bytes"),
 		scope:           s,
 	}
 }
@@ -51,7 +56,14 @@
 	m.metrics.applied.Update(float64(m.applied.Load()))
 	m.mu.RLock()
 	m.metrics.settingsVersion.Update(float64(m.state.Version()))
+	bookingBytes := m.state.BookingBytes()
 	m.mu.RUnlock()
+	m.metrics.bookingBytes.Update(float64(bookingBytes))
+	m.metrics.logBytes.Update(float64(m.status.Load().LogBytes))
+	if full := bookingBytes >= m.options.Limits.Bookings; full != m.bookingsFull {
+		m.bookingsFull = full
+		m.options.Events.Emit(eventBookingsFull, event.F("full", full), event.F("bytes", bookingBytes), event.F("limit", m.options.Limits.Bookings))
+	}
 	m.live.mu.Lock()
 	m.metrics.instances.Update(float64(len(m.live.instances)))
 	m.live.mu.Unlock()
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -78,6 +78,7 @@
 	eventChangeFailed    = event.Define(3001, "settings-refused", event.Info, "a settings change was not accepted")
 	eventAssigned        = event.Define(3002, "group-assigned", event.Info, "a scheduler group was assigned")
 	eventBookingsExpired = event.Define(3003, "bookings-expired", event.Debug, "booking records past their retention were removed")
+	eventBookingsFull    = event.Define(3008, "bookings-full", event.Warn, "the booking records have reached their memory limit, or are below it again; above it, new keys are refused and outcomes are not kept")
 	eventHandOver        = event.Define(3004, "group-hand-over", event.Info, "the holder of a scheduler group is asked to hand it over to an instance with fewer groups")
 )
 
@@ -90,11 +91,12 @@
 	stepTimeout          = 500 * time.Millisecond
 	maxProposalsPerRound = 256
 	maxInboundPerRound   = 512
-	inboxCapacity        = 4096
-	proposalCapacity     = 4096
-	applyCapacity        = 64
-	peerQueueCapacity    = 512
-	maxMessagesPerStep   = 64
+	// inboxCapacity and the other capacities are in elements; Limits.Queue bounds their bytes.
+	inboxCapacity      = 4096
+	proposalCapacity   = 4096
+	applyCapacity      = 64
+	peerQueueCapacity  = 512
+	maxMessagesPerStep = 64
 	// maxCatchUpTicks bounds the ticks that are delivered after a pause; see
 	// driver.tick.
 	maxCatchUpTicks = 64
@@ -159,8 +161,11 @@
 	// ElectionTicks.
 	Tick          time.Duration
 	ElectionTicks int
-	// SnapshotEvery is the number of entries between snapshots.
+	// SnapshotEvery is the maximum number of entries between snapshots. There are fewer between
+	// them if they are large; see Limits.
 	SnapshotEvery int
+	// Limits bounds what the member keeps; see LimitsFor.
+	Limits Limits
 	// Clock is the steady clock of leases and timeouts. The default is clock.Now.
 	Clock func() time.Time
 	// ReplaceLostVoters makes the leader remove lost voters once a successor has
@@ -184,6 +189,7 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = defaultSnapshotEvery
 	}
+	o.Limits = o.Limits.withDefaults()
 	if o.Clock == nil {
 		o.Clock = clock.Now
 	}
--- a/internal/control/routing.go
+++ b/internal/control/routing.go
@@ -24,6 +24,14 @@
 // table is validated here as well, so that an invalid one never reaches the log.
 func (m *Member) PutRouting(ctx context.Context, r *controlv1.PutRoutingRequest) (*controlv1.PutRoutingResponse, error) {
 	t := r.GetTable()
+	size := int64(proto.Size(t))
+	if size > maxCommandBytes {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("a routing table has at most %d bytes", maxCommandBytes))
+	}
+	if !m.tableBytes.TakeAbove(size, 0) {
+		return nil, connectError(fmt.Errorf("%w: other routing tables are being handled", ErrBusy))
+	}
+	defer m.tableBytes.Give(size)
 	table, err := routing.Decode(t.GetDocument())
 	if err == nil && table.Version != t.GetVersion() {
 		err = fmt.Errorf("the table has version %d, the request %d", table.Version, t.GetVersion())
@@ -31,9 +39,6 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	if proto.Size(t) > maxCommandBytes {
-		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("a routing table has at most %d bytes", maxCommandBytes))
-	}
 	term, ok := m.lease()
 	if !ok {
 		a, err := m.redirect()
--- a/internal/control/sender.go
+++ b/internal/control/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -168,14 +169,29 @@
 		if err != nil {
 			return err
 		}
-		if err := m.inbox.Push(ctx, msg); err != nil {
-			return Error.Wrap(err)
+		if err := m.enqueue(ctx, msg); err != nil {
+			return err
 		}
 	}
 	m.signal()
 	return nil
 }
 
+// enqueue passes a message to the consensus loop. It fails with ErrBusy if too many bytes wait
+// there already; consensus repeats the message if it still matters.
+func (m *Member) enqueue(ctx context.Context, msg consensus.Message) error {
+	size := messageBytes(msg)
+	if !m.inboundBytes.TakeAbove(size, 0) {
+		m.signal()
+		return fmt.Errorf("%w: %d bytes of entries wait to be handled", ErrBusy, m.inboundBytes.Used())
+	}
+	if err := m.inbox.Push(ctx, msg); err != nil {
+		m.inboundBytes.Give(size)
+		return Error.Wrap(err)
+	}
+	return nil
+}
+
 // admit refuses calls of other clusters, and all calls before this member takes
 // part in consensus.
 func (m *Member) admit(from, cluster string) error {
--- a/internal/control/state/bookings.go
+++ b/internal/control/state/bookings.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
 )
 
@@ -72,6 +74,36 @@
 	// queue is ordered by time although the clocks of successive leaders differ.
 	nowMs       int64
 	recordLimit int
+	// bytes is about what the records and tombstones take in memory.
+	bytes int64
+}
+
+// recordBytes and tombstoneBytes are what a record and a tombstone take beside the contents of
+// the record.
+const (
+	recordBytes    = 256
+	tombstoneBytes = 64
+)
+
+// size returns about what the record takes in memory.
+func (r *record) size() int64 {
+	n := recordBytes + len(r.customer) + len(r.key) + len(r.bodyHash) + len(r.holder) + proto.Size(r.outcome)
+	for _, c := range r.closed {
+		n += len(c.id)
+	}
+	return int64(n)
+}
+
+// counted executes a command on the record of one key and updates bytes.
+func (b *bookings) counted(k *controlv1.BookingKey, command func() *controlv1.BookingResponse) *controlv1.BookingResponse {
+	if _, r := b.find(k); r != nil {
+		b.bytes -= r.size()
+	}
+	response := command()
+	if _, r := b.find(k); r != nil {
+		b.bytes += r.size()
+	}
+	return response
 }
 
 func newBookings() bookings {
@@ -302,8 +334,10 @@
 		}
 		c := b.customers[r.customer]
 		delete(c.records, r.key)
+		b.bytes -= r.size()
 		if r.phase != released {
 			c.tombstones[tombstoneOf(r.key)] = struct{}{}
+			b.bytes += tombstoneBytes
 		}
 		if len(c.records) == 0 && len(c.tombstones) == 0 {
 			delete(b.customers, r.customer)
@@ -324,6 +358,15 @@
 	return 0, false
 }
 
+// BookingBytes returns about what the booking records and tombstones take in memory.
+func (s *State) BookingBytes() int64 { return s.bookings.bytes }
+
+// HoldsBooking reports whether a key has an attempt that started or an outcome.
+func (s *State) HoldsBooking(k *controlv1.BookingKey) bool {
+	c, r := s.bookings.find(k)
+	return r != nil && r.phase != released || c.expired(k.GetKey())
+}
+
 // Records returns the number of booking records and the number of tombstones.
 func (s *State) Records() (records, tombstones int) {
 	for _, c := range s.bookings.customers {
--- a/internal/control/state/changes.go
+++ b/internal/control/state/changes.go
@@ -76,12 +76,22 @@
 func (s *State) acceptChange(c *controlv1.Change) {
 	s.tree = s.tree.Replay(c.GetOperations())
 	s.version++
-	if len(s.history) == MaxHistory {
+	s.addToHistory(acceptedChange{version: s.version, changeID: c.GetChangeId(), actor: c.GetActor(), operations: c.GetOperations()})
+}
+
+// addToHistory appends a change and drops the oldest ones beyond the bounds. The latest change
+// always stays: instances that have the version before it need no more.
+func (s *State) addToHistory(a acceptedChange) {
+	for _, op := range a.operations {
+		a.bytes += proto.Size(op)
+	}
+	for len(s.history) > 0 && (len(s.history) >= MaxHistory || s.historyBytes+a.bytes > MaxHistoryBytes) {
+		s.historyBytes -= s.history[0].bytes
+		s.history[0] = acceptedChange{}
 		s.history = s.history[1:]
 	}
-	s.history = append(s.history, acceptedChange{
-		version: s.version, changeID: c.GetChangeId(), actor: c.GetActor(), operations: c.GetOperations(),
-	})
+	s.history = append(s.history, a)
+	s.historyBytes += a.bytes
 }
 
 // StoredResult returns the stored result of a change that was applied before, or nil.
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -231,7 +231,7 @@
 			d.message(op)
 			a.operations = append(a.operations, op)
 		}
-		s.history = append(s.history, a)
+		s.addToHistory(a)
 	}
 	n = d.count()
 	if n > MaxResults {
@@ -268,6 +268,7 @@
 				return
 			}
 			c.tombstones[tombstone(d.buf)] = struct{}{}
+			b.bytes += tombstoneBytes
 			d.buf = d.buf[len(tombstone{}):]
 		}
 	}
@@ -281,6 +282,7 @@
 		}
 		last = r.seq
 		c.records[r.key] = r
+		b.bytes += r.size()
 		b.queue = append(b.queue, r)
 	}
 }
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -30,6 +30,8 @@
 	// MaxHistory is the number of accepted changes kept to send deltas and to
 	// list the conflicts of a change with outcome CONFLICT.
 	MaxHistory = 1_000
+	// MaxHistoryBytes bounds the operations of these changes, without the latest one.
+	MaxHistoryBytes = 4 << 20
 	// MaxRecords bounds the booking records of one customer, not counting
 	// tombstones, so that one customer cannot exhaust the members' memory.
 	MaxRecords = 100_000
@@ -61,6 +63,7 @@
 	changeID   string
 	actor      string
 	operations []*controlv1.Operation
+	bytes      int // size of the operations
 }
 
 // State is the replicated state. It is not safe for concurrent use.
@@ -68,9 +71,11 @@
 	index   uint64
 	version uint64
 	tree    *settings.Tree
-	// history holds the latest accepted changes, oldest first and without gaps.
-	history []acceptedChange
-	results results
+	// history holds the latest accepted changes, oldest first and without gaps, and
+	// historyBytes is the size of their operations.
+	history      []acceptedChange
+	historyBytes int
+	results      results
 
 	bookings bookings
 	groups   map[string]*controlv1.Assignment
@@ -105,11 +110,11 @@
 	case *controlv1.Command_Change:
 		return Result{Change: s.applyChange(c.Change)}
 	case *controlv1.Command_Begin:
-		return Result{Booking: s.bookings.begin(c.Begin)}
+		return Result{Booking: s.bookings.counted(c.Begin.GetKey(), func() *controlv1.BookingResponse { return s.bookings.begin(c.Begin) })}
 	case *controlv1.Command_Finish:
-		return Result{Booking: s.bookings.finish(c.Finish)}
+		return Result{Booking: s.bookings.counted(c.Finish.GetKey(), func() *controlv1.BookingResponse { return s.bookings.finish(c.Finish) })}
 	case *controlv1.Command_Release:
-		return Result{Booking: s.bookings.release(c.Release)}
+		return Result{Booking: s.bookings.counted(c.Release.GetKey(), func() *controlv1.BookingResponse { return s.bookings.release(c.Release) })}
 	case *controlv1.Command_Expire:
 		return Result{Expired: s.bookings.expire(c.Expire.GetBeforeMs(), int(c.Expire.GetLimit()))}
 	case *controlv1.Command_Assign:
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -101,6 +102,49 @@
 	qt.Assert(t, s.Apply(6, begin("c", "h", "4", 1)).Booking.State, qt.Equals, controlv1.BookingResponse_BEGUN)
 }
 
+// TestBookingBytes guards against booking records whose size is miscounted: the limit of the
+// leader would refuse keys for good, or none at all.
+func TestBookingBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		for i := range rapid.IntRange(1, 40).Draw(t, "commands") {
+			k, attempt := rapid.SampledFrom([]string{"k", "l", "m"}).Draw(t, "key"), rapid.SampledFrom([]string{"a", "bb", "ccc"}).Draw(t, "attempt")
+			at := int64(i)
+			s.Apply(uint64(i+1), rapid.SampledFrom([]*controlv1.Command{
+				begin(k, "h", attempt, at), finish(k, attempt, "outcome"), release(k, attempt), expire(at - 3),
+			}).Draw(t, "command"))
+		}
+		want := int64(0)
+		for _, c := range s.bookings.customers {
+			want += int64(len(c.tombstones)) * tombstoneBytes
+			for _, r := range c.records {
+				want += r.size()
+			}
+		}
+		restored, err := Restore(s.Snapshot())
+		if err != nil || s.BookingBytes() != want || restored.BookingBytes() != want {
+			t.Fatalf("%d bytes are counted, %d after a restore, %d are held: %v", s.BookingBytes(), restored.BookingBytes(), want, err)
+		}
+	})
+}
+
+// TestHistoryBytes guards against a history of large changes that exhausts the members' memory.
+func TestHistoryBytes(t *testing.T) {
+	s := New()
+	for i := range uint64(20) {
+		s.Apply(i+1, change(fmt.Sprint("c", i), i, put("/a"), set("/a", "unknown", strings.Repeat("x", MaxHistoryBytes/4))))
+	}
+	qt.Check(t, s.historyBytes <= MaxHistoryBytes, qt.IsTrue)
+	_, known := s.ChangesSince(19)
+	qt.Check(t, known, qt.IsTrue)
+	_, known = s.ChangesSince(10)
+	qt.Check(t, known, qt.IsFalse)
+	s.Apply(21, change("large", 20, set("/a", "unknown", strings.Repeat("x", 2*MaxHistoryBytes))))
+	changes, known := s.ChangesSince(20)
+	qt.Check(t, known, qt.IsTrue)
+	qt.Check(t, changes, qt.HasLen, 1)
+}
+
 // TestChangeResults guards against changes that overwrite a newer version, are
 // applied twice or return a different result when they are resent.
 func TestChangeResults(t *testing.T) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -182,7 +182,12 @@
 	if d.config.Data == "" {
 		return nil
 	}
+	memory, err := d.config.memoryLimitBytes()
+	if err != nil {
+		return err
+	}
 	m := control.NewMember(control.Options{
+		Limits:  control.LimitsFor(memory, diskBytes(d.config.Data)),
 		Cluster: d.config.Cluster, Instance: d.config.Instance, Address: d.config.PeerAdvertise,
 		InitialMembers: d.config.InitialMembers, Peers: d.config.Peers, Storage: control.NewDirStorage(d.config.Data),
 		Network: control.NewNetwork(d.pool), Events: d.events, Scope: d.metrics.Scope, Seed: instanceSeed(d.config.Instance),
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"path/filepath"
 	"runtime/debug"
 	"syscall"
 )
@@ -26,6 +27,23 @@
 	return int64(min(maxDefaultMemory, uint64(info.Totalram)*uint64(info.Unit)))
 }
 
+// diskBytes returns the size of the file system of a directory, 0 if it is not known. The
+// directory may not exist yet.
+func diskBytes(dir string) int64 {
+	for {
+		var info syscall.Statfs_t
+		err := syscall.Statfs(dir, &info)
+		if err == nil {
+			return int64(info.Blocks) * int64(info.Bsize)
+		}
+		parent := filepath.Dir(dir)
+		if parent == dir {
+			return 0
+		}
+		dir = parent
+	}
+}
+
 // memoryPlan divides the memory limit of a process, in bytes.
 type memoryPlan struct {
 	// clients is for requests of clients, connections for the buffers of connections, and heap
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -47,6 +47,7 @@
 	closed      bool
 	dropped     uint64
 	rejected    uint64
+	onDrop      func(T)
 	// readable and writable are channels of capacity 1. A value in readable wakes a
 	// waiting Pop, one in writable wakes a waiting Push.
 	readable chan struct{}
@@ -65,6 +66,10 @@
 	}
 }
 
+// OnDrop sets a function that Push calls with each element that it replaces. It must be called
+// before the ring is in use.
+func (r *Ring[T]) OnDrop(f func(T)) { r.onDrop = f }
+
 // Push appends v. If the ring is full, the ring's policy determines the result.
 func (r *Ring[T]) Push(ctx context.Context, v T) error {
 	for {
@@ -84,10 +89,13 @@
 			r.mu.Unlock()
 			return ErrFull
 		case DropOldest:
-			r.popFront()
+			oldest := r.popFront()
 			r.dropped++
 			r.append(v)
 			r.mu.Unlock()
+			if r.onDrop != nil {
+				r.onDrop(oldest)
+			}
 			return nil
 		}
 		r.mu.Unlock()
--- a/internal/settings/apply.go
+++ b/internal/settings/apply.go
@@ -156,7 +156,7 @@
 // commit returns the new tree and the changed nodes, sorted by path.
 func (e *edit) commit() (*Tree, []change) {
 	old := e.tree
-	next := &Tree{nodes: old.nodes, nameIndex: old.nameIndex}
+	next := &Tree{nodes: old.nodes, bytes: old.bytes, nameIndex: old.nameIndex}
 	changes := make([]change, 0, len(e.staged))
 	for path, n := range e.staged {
 		before, _ := old.nodes.get(path)
@@ -167,6 +167,7 @@
 	}
 	slices.SortFunc(changes, func(a, b change) int { return compare(a.path, b.path) })
 	for _, c := range changes {
+		next.bytes += c.after.size() - c.before.size()
 		if c.after == nil {
 			next.nodes = next.nodes.remove(c.path)
 		} else {
--- a/internal/settings/proto.go
+++ b/internal/settings/proto.go
@@ -80,10 +80,12 @@
 // buildTree returns the tree of the nodes, which must be sorted by path.
 func buildTree(nodes []*Node) *Tree {
 	byPath := make([]keyedNode, 0, len(nodes))
+	bytes := 0
 	for _, n := range nodes {
 		byPath = append(byPath, keyedNode{n.path, n})
+		bytes += n.size()
 	}
-	t := &Tree{nodes: mapFromSorted(byPath)}
+	t := &Tree{nodes: mapFromSorted(byPath), bytes: bytes}
 	nameIndex := make([]keyedNode, 0, len(nodes)*2)
 	for _, n := range nodes {
 		for _, indexKey := range t.indexKeys(n, t.nodes) {
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -73,6 +73,8 @@
 // Tree is an immutable tree of settings.
 type Tree struct {
 	nodes persistentMap[*Node]
+	// bytes is the size of all nodes; see Node.size.
+	bytes int
 	// nameIndex maps index keys to nodes, see indexPrefix.
 	nameIndex persistentMap[*Node]
 }
@@ -95,7 +97,22 @@
 
 // New returns a tree that contains only the root.
 func New() *Tree {
-	return &Tree{nodes: persistentMap[*Node]{}.put(Root, rootNode)}
+	return &Tree{nodes: persistentMap[*Node]{}.put(Root, rootNode), bytes: rootNode.size()}
+}
+
+// Bytes returns the size of all paths, keys and values.
+func (t *Tree) Bytes() int { return t.bytes }
+
+// size returns the size of the path, the keys and the values of n, 0 if n is nil.
+func (n *Node) size() int {
+	if n == nil {
+		return 0
+	}
+	total := len(n.path) + len(n.kind)
+	for _, s := range n.settings {
+		total += len(s.Key) + len(s.Value.text)
+	}
+	return total
 }
 
 // Len returns the number of nodes, including the root.
