Control: a lost voter is replaced within the catch-up time

Cause: a silent voter was replaced 3 s after its silence was noticed, which comes after an election and 0.5 s, while the users' bound is 4 s from the successor's start (catchupS, which was not read). Drawn losses showed more on the same path: a joining member waited up to 1 s for each member that does not respond and up to 10 s for a leader that had just died; the silence of the former leader was counted anew after the election; two candidates waited for another timeout; and an initial member with a lost disk waited for initial members that had been replaced.

Change: a voter counts as lost after a quarter of the catch-up time, the former leader from its last message; a joining member asks all known ones at the same time, for a bounded time; the candidate with the higher ID retries a split vote at once; peers are asked whether a cluster exists.

TestSplitVoteIsRetried covers the rule.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,5 +1,8 @@
 package consensus
 
+// splitVoteTicks is the number of ticks after which one of two competing candidates tries again.
+const splitVoteTicks = 2
+
 // canVote reports whether this member may grant votes. If the membership in its
 // log does not contain its ID, the log is empty or belongs to another member.
 // The member must not vote then, because it cannot know which votes and leases
@@ -85,6 +88,11 @@
 		n.vote = m.From
 		n.resetTimeout()
 	}
+	if n.role == Candidate && m.From < n.cfg.ID {
+		// Both members have voted for themselves, so that neither may win. The one with the
+		// higher ID tries again at once, unless it hears from a leader before.
+		n.elapsedTicks = max(n.elapsedTicks, n.electionTimeout-splitVoteTicks)
+	}
 	n.send(Message{Type: MsgVoteResponse, To: m.From, Reject: !granted})
 }
 
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -91,6 +91,37 @@
 
 func (tn *testNode) role() consensus.Role { return tn.n.Status().Role }
 
+// TestSplitVoteIsRetried guards against an election that takes several timeouts because the
+// candidates vote for themselves: of two, only the one with the higher ID tries again at once.
+func TestSplitVoteIsRetried(t *testing.T) {
+	for _, test := range []struct {
+		own, other uint64
+		ticks      int
+	}{{1, 2, electionTicks - 1}, {3, 2, 2}} {
+		tn := newTestNode(t, threeVoters())
+		n, err := consensus.New(consensus.Config{ID: test.own, ElectionTicks: electionTicks}, tn.disk)
+		tn.Assert(err, qt.IsNil)
+		tn.n = n
+		for tn.role() == consensus.Follower {
+			tn.tick(1)
+		}
+		step := func(m consensus.Message) {
+			m.From, m.To = test.other, test.own
+			tn.Assert(tn.n.Step(m), qt.IsNil)
+			tn.processReady()
+		}
+		step(consensus.Message{Type: consensus.MsgPreVoteResponse, Term: 2})
+		tn.Assert(tn.role(), qt.Equals, consensus.Candidate)
+		step(consensus.Message{Type: consensus.MsgVote, Term: 2, LogTerm: 1, Index: 1})
+		step(consensus.Message{Type: consensus.MsgVoteResponse, Term: 2, Reject: true})
+		ticks := 0
+		for ; tn.role() == consensus.Candidate; ticks++ {
+			tn.tick(1)
+		}
+		tn.Check(ticks >= test.ticks && (test.own < test.other || ticks == test.ticks), qt.IsTrue, qt.Commentf("member %d tries again after %d ticks", test.own, ticks))
+	}
+}
+
 // TestVote guards against votes that could elect two leaders, lose committed
 // entries or violate a lease.
 func TestVote(t *testing.T) {
--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -64,10 +64,7 @@
 // the bootstrap entry; this member then joins through the leader.
 func (m *Member) waitForFirstVoters(ctx context.Context, initial []string) ([]*controlv1.MemberAddress, error) {
 	for {
-		for _, address := range initial {
-			if address == m.options.Address {
-				continue
-			}
+		for _, address := range m.otherAddresses(initial) {
 			s, err := m.requestStatus(ctx, address)
 			switch {
 			case err != nil || s.GetTerm() == 0:
@@ -83,6 +80,14 @@
 	}
 }
 
+// otherAddresses returns the addresses of the initial members and of the peers, without that of
+// this member.
+func (m *Member) otherAddresses(initial []string) []string {
+	out := slices.Concat(initial, m.options.Peers)
+	slices.Sort(out)
+	return slices.DeleteFunc(slices.Compact(out), func(a string) bool { return a == m.options.Address })
+}
+
 // listsMember reports whether a status response lists the member with the given ID.
 func listsMember(s *controlv1.StatusResponse, id uint64) bool {
 	return slices.ContainsFunc(s.GetMembers(), func(m *controlv1.MemberStatus) bool { return m.Id == id })
@@ -119,14 +124,14 @@
 	}
 }
 
-// queryInitialMembers requests the status of all initial members. It returns those
-// that responded, or exists if one of them has been part of a cluster.
+// queryInitialMembers requests the status of all initial members and of the peers. It returns the
+// initial members that responded, or exists if any of them all has been part of a cluster: the
+// other initial members of an old cluster may have been replaced.
 func (m *Member) queryInitialMembers(ctx context.Context, initial []string) (responded []*controlv1.MemberAddress, exists bool) {
-	for _, address := range initial {
-		if address == m.options.Address {
-			responded = append(responded, &controlv1.MemberAddress{Id: m.id(), Address: address, Instance: m.options.Instance})
-			continue
-		}
+	if slices.Contains(initial, m.options.Address) {
+		responded = append(responded, &controlv1.MemberAddress{Id: m.id(), Address: m.options.Address, Instance: m.options.Instance})
+	}
+	for _, address := range m.otherAddresses(initial) {
 		s, err := m.requestStatus(ctx, address)
 		if err != nil {
 			continue
@@ -134,8 +139,8 @@
 		if s.GetTerm() != 0 || s.GetCommit() != 0 || len(s.GetMembers()) != 1 {
 			return nil, true
 		}
-		if s.Members[0].Id == 0 {
-			continue // The member has not generated its ID yet.
+		if s.Members[0].Id == 0 || !slices.Contains(initial, address) {
+			continue // The member has not generated its ID yet, or does not form the cluster.
 		}
 		responded = append(responded, &controlv1.MemberAddress{Id: s.Members[0].Id, Address: address, Instance: s.Members[0].Instance})
 	}
@@ -188,33 +193,50 @@
 	return m.now().Sub(m.tickZero)-time.Duration(m.lastMessage.Load()) >= unheardTimeout
 }
 
-// join finds the leader through any known member and sends it the address of this
-// member. It returns the last error. If there is no leader, or the cluster is not formed
-// yet, joinLoop tries again later.
+// join finds the leader through the known members and sends it the address of this member.
+// If there is no leader, or the cluster is not formed yet, joinLoop tries again later.
 func (m *Member) join(ctx context.Context) error {
 	own := &controlv1.MemberRequest{Id: m.id(), Address: m.options.Address, Instance: m.options.Instance}
 	if _, ok := m.lease(); ok {
 		_, err := m.addMember(ctx, own)
 		return err
 	}
-	failed := errNoLeader()
-	for _, address := range m.knownAddresses() {
-		s, err := m.requestStatus(ctx, address)
-		if err != nil || s.GetLeaderAddress() == "" {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, 2*membershipWaitTimeout)
-		_, err = m.options.Network.Member(call, s.GetLeaderAddress(), own)
-		cancel()
-		if err == nil {
-			return nil
-		}
-		failed = err
-		if connect.CodeOf(err) == connect.CodeNotFound {
-			m.learnRemoval(ctx, s)
+	leader := m.findLeader(ctx)
+	if leader == nil {
+		return errNoLeader()
+	}
+	call, cancel := context.WithTimeout(ctx, joinCallTimeout)
+	defer cancel()
+	_, err := m.options.Network.Member(call, leader.GetLeaderAddress(), own)
+	if connect.CodeOf(err) == connect.CodeNotFound {
+		m.learnRemoval(ctx, leader)
+	}
+	return err
+}
+
+// findLeader asks all known members at the same time, because one that is down may not respond,
+// and returns the status of one that knows the leader of the latest term; nil if there is none.
+func (m *Member) findLeader(ctx context.Context) *controlv1.StatusResponse {
+	ctx, cancel := context.WithTimeout(ctx, joinStatusTimeout)
+	defer cancel()
+	addresses := m.knownAddresses()
+	statuses := make(chan *controlv1.StatusResponse, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			s, err := m.options.Network.Status(ctx, address)
+			if err != nil || s.GetLeaderAddress() == "" {
+				s = nil
+			}
+			statuses <- s
+		}()
+	}
+	var latest *controlv1.StatusResponse
+	for range addresses {
+		if s := <-statuses; s != nil && (latest == nil || s.GetTerm() > latest.GetTerm()) {
+			latest = s
 		}
 	}
-	return failed
+	return latest
 }
 
 // learnRemoval tells the consensus node what the leader has responded: that this member
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -91,6 +91,7 @@
 	members map[string]*Member
 	cut     map[[2]string]bool // one-way cuts by sender and receiver
 	drop    float64
+	silent  bool // a member that is down does not refuse calls, but leaves them without response
 	delay   time.Duration
 	polls   map[string]int // successful feed polls by member
 	calls   sync.WaitGroup // calls in progress, including those whose caller has given up
@@ -109,6 +110,7 @@
 	lost := n.cut[[2]string{from, to}] || n.rng.Float64() < n.drop
 	delay := time.Duration(n.rng.Int64N(int64(n.delay) + 1))
 	m := n.members[to]
+	lost = lost || m == nil && n.silent
 	n.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -240,7 +242,9 @@
 	net     *memNetwork
 	names   []string
 	// initial lists the members that form the cluster: at most the first three.
-	initial      []string
+	initial []string
+	// peers is Options.Peers of the members that are started next, nil for all names.
+	peers        []string
 	disks        map[string]*memDisk
 	files        map[string]*diskFS // file systems that take the place of disks
 	startResults map[string]chan error
@@ -280,7 +284,7 @@
 	c.seed++
 	m := NewMember(Options{
 		Cluster: "test", Instance: name, Address: name, InitialMembers: c.initial,
-		Peers: c.names, Storage: c.storage(name), Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name), ReplaceLostVoters: c.replace, Limits: c.limits, Clock: c.clock(name),
+		Peers: c.knownPeers(), Storage: c.storage(name), Network: c.link(name), SnapshotEvery: 50, Seed: c.seed, Events: recorder(name), ReplaceLostVoters: c.replace, Limits: c.limits, Clock: c.clock(name),
 	})
 	if err := m.Validate(); err != nil {
 		c.t.Fatal(err)
@@ -294,6 +298,13 @@
 	c.net.mu.Unlock()
 }
 
+func (c *cluster) knownPeers() []string {
+	if c.peers != nil {
+		return c.peers
+	}
+	return c.names
+}
+
 // storage returns the data directory of a member.
 func (c *cluster) storage(name string) Storage {
 	if f := c.files[name]; f != nil {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -104,12 +104,19 @@
 	if len(inbound) > 0 {
 		m.lastMessage.Store(int64(m.now().Sub(m.tickZero)))
 	}
+	leader := uint64(0)
 	for _, msg := range inbound {
+		if msg.Type == consensus.MsgAppend || msg.Type == consensus.MsgHeartbeat || msg.Type == consensus.MsgSnapshot {
+			leader = msg.From
+		}
 		m.inboundBytes.Give(messageBytes(msg))
 		// A message that the node cannot use is ignored; its sender repeats it if
 		// it still matters.
 		_ = d.node.Step(msg)
 	}
+	if leader != 0 && d.node.Status().Leader == leader {
+		m.formerLeader.Store(&formerLeader{id: leader, lastMessage: m.now().Sub(m.tickZero)})
+	}
 	proposals := m.proposals.Drain(maxProposalsPerRound)
 	for _, p := range proposals {
 		m.proposalBytes.Give(int64(len(p.data)))
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -65,7 +65,9 @@
 	tickZero time.Time
 	// lastMessage is the time of the last message of another member, since tickZero.
 	lastMessage atomic.Int64
-	status      atomic.Pointer[consensus.Status]
+	// formerLeader is the latest other member that led this one.
+	formerLeader atomic.Pointer[formerLeader]
+	status       atomic.Pointer[consensus.Status]
 	// participating is set once the member takes part in consensus: either with its
 	// own log, or with an empty one that it expects to receive from a leader.
 	participating   atomic.Bool
@@ -79,6 +81,13 @@
 	done    chan struct{}
 }
 
+// formerLeader is a member that led this one, and the time of its last message as leader, since
+// Member.tickZero.
+type formerLeader struct {
+	id          uint64
+	lastMessage time.Duration
+}
+
 // NewMember returns a member with the given options. Call Start to run it.
 func NewMember(o Options) *Member {
 	o = o.withDefaults()
@@ -257,6 +266,7 @@
 	defer cancel()
 	m.tickZero = m.now()
 	m.lastMessage.Store(0)
+	m.formerLeader.Store(nil)
 	m.participating.Store(true)
 	results := make(chan error, 5)
 	var wg sync.WaitGroup
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -238,15 +238,20 @@
 		return 0, true
 	}
 	for id, since := range m.unresponsiveSince {
-		if m.now().Sub(since) >= lostVoterTimeout {
+		if m.now().Sub(since) >= m.lostVoterTimeout() {
 			return id, false
 		}
 	}
 	return 0, true
 }
 
+// lostVoterTimeout returns how long a voter must have been unresponsive before a successor
+// replaces it. A voter that was only restarted meanwhile joins again as a new member.
+func (m *Member) lostVoterTimeout() time.Duration { return m.options.CatchUp / lostVoterParts }
+
 // trackUnresponsiveVoters updates the set of voters that do not respond to this
-// leader. Voters that were unresponsive before keep their time.
+// leader. Voters that were unresponsive before keep their time. The leader before this one has
+// been unresponsive since its last message: its silence has led to the election.
 func (m *Member) trackUnresponsiveVoters(now time.Time) {
 	unresponsive := make(map[uint64]time.Time)
 	for _, p := range m.status.Load().Progress {
@@ -254,6 +259,9 @@
 			continue
 		}
 		unresponsive[p.ID] = now
+		if former := m.formerLeader.Load(); former != nil && former.id == p.ID {
+			unresponsive[p.ID] = m.tickZero.Add(former.lastMessage)
+		}
 		if since, ok := m.unresponsiveSince[p.ID]; ok {
 			unresponsive[p.ID] = since
 		}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -104,10 +104,11 @@
 	// directory again. A disk that is no longer full is in use again after half of
 	// this time on average.
 	storageRetryInterval = 500 * time.Millisecond
-	// lostVoterTimeout is how long a voter must have been unresponsive before a
-	// successor replaces it. It is longer than any restart, and shorter than the 5 s
-	// after which the cluster must survive the next loss.
-	lostVoterTimeout = 3 * time.Second
+	// defaultCatchUp is the default of Options.CatchUp.
+	defaultCatchUp = 4 * time.Second
+	// lostVoterParts is the part of Options.CatchUp after which an unresponsive voter counts as
+	// lost. An election, the join of the successor and two membership changes take the rest.
+	lostVoterParts = 4
 	// maxLearnerLag is the maximum number of entries that a learner may still miss
 	// when it replaces a voter.
 	maxLearnerLag   = 16
@@ -133,6 +134,10 @@
 	// maxVoters bounds the number of voters. Further members stay learners.
 	maxVoters    = 7
 	joinInterval = 500 * time.Millisecond
+	// joinStatusTimeout and joinCallTimeout bound the calls of a member that joins. A member that
+	// is down may not respond at all, and others may still name it as the leader.
+	joinStatusTimeout = 500 * time.Millisecond
+	joinCallTimeout   = time.Second
 	// unheardTimeout is the time without a message of another member after which a member
 	// asks the leader whether it still is one. It is longer than an election.
 	unheardTimeout        = 2 * time.Second
@@ -172,6 +177,10 @@
 	// caught up, and makes a removed member join again as a new member. Without it,
 	// only operators remove members, and removed members do not join again.
 	ReplaceLostVoters bool
+	// CatchUp is the time after the start of a successor, or the return of a lost member, within
+	// which the cluster must survive the loss of another member. It is used with
+	// ReplaceLostVoters.
+	CatchUp time.Duration
 	// UsageWindow returns the current window of usage. It is nil if usage is not reported.
 	UsageWindow func() int64
 	// Seed is the seed of the random election timeouts. It should differ between the
@@ -189,6 +198,9 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = defaultSnapshotEvery
 	}
+	if o.CatchUp == 0 {
+		o.CatchUp = defaultCatchUp
+	}
 	o.Limits = o.Limits.withDefaults()
 	if o.Clock == nil {
 		o.Clock = clock.Now
--- a/internal/control/replace_test.go
+++ b/internal/control/replace_test.go
@@ -75,7 +75,7 @@
 		c := newReplacingCluster(t, 32)
 		defer c.stop()
 		c.kill("m1")
-		time.Sleep(5 * lostVoterTimeout)
+		time.Sleep(5 * defaultCatchUp)
 		qt.Assert(t, c.member(c.leader()).status.Load().Members.Voters, qt.HasLen, 3)
 		c.start("m1")
 		c.waitForVoters("m0", "m1", "m2")
--- a/internal/control/surplus.go
+++ b/internal/control/surplus.go
@@ -24,9 +24,9 @@
 	// minVoters is the number of voters below which no voter is given up without a
 	// successor: three tolerate the loss of one.
 	minVoters = 3
-	// surplusVoterTimeout is how long a voter of an even number must have been unresponsive
-	// before the leader removes it without a successor.
-	surplusVoterTimeout = time.Second
+	// pairLossFactor makes the removal of one of two lost voters wait longer than two restarts at
+	// the same time take.
+	pairLossFactor = 3
 	// leaveTimeout bounds how long a member that stops asks the leader to be removed.
 	leaveTimeout = 2 * time.Second
 )
@@ -56,12 +56,12 @@
 
 // surplusVoter returns a voter that is lost and whose removal makes the cluster tolerate
 // more further losses: with an even number of voters, or as the first of two that are lost
-// with an odd number; for the latter it waits as long as for the replacement of a voter. It
-// returns 0 if there is none.
-func surplusVoter(s consensus.Status, unresponsiveSince map[uint64]time.Time, now time.Time) uint64 {
-	needed, timeout := 1, surplusVoterTimeout
+// with an odd number. A voter is lost after it has been unresponsive for the given time, one of
+// a pair after pairLossFactor times as long. surplusVoter returns 0 if there is none.
+func surplusVoter(s consensus.Status, unresponsiveSince map[uint64]time.Time, now time.Time, timeout time.Duration) uint64 {
+	needed := 1
 	if len(s.Members.Voters)%2 != 0 {
-		needed, timeout = 2, lostVoterTimeout
+		needed, timeout = 2, pairLossFactor*timeout
 	}
 	lost, longest, count := uint64(0), time.Duration(0), 0
 	for id, since := range unresponsiveSince {
@@ -85,7 +85,7 @@
 		return
 	}
 	s := m.status.Load()
-	id := surplusVoter(*s, m.unresponsiveSince, m.now())
+	id := surplusVoter(*s, m.unresponsiveSince, m.now(), m.lostVoterTimeout())
 	if id == 0 {
 		return
 	}
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -60,6 +60,8 @@
 	// Memory is the memory limit of the process in bytes, 0 for a default. BodyMemory is the part
 	// of it for buffered bodies, 0 for the default.
 	Memory, BodyMemory int64
+	// CatchUp is passed to control.Options, 0 for the default.
+	CatchUp time.Duration
 	// Disk is the size of the disk of the data directory in bytes, 0 if not known.
 	Disk int64
 	// MaxFDs is the limit of descriptors of the process, 0 for that of the system.
@@ -237,7 +239,7 @@
 		Cluster: d.Config.Cluster, Instance: d.Config.Instance, Address: d.Config.PeerListen,
 		InitialMembers: initial, Peers: d.Config.Peers, Storage: control.NewDirStorage(d.Config.DataDirectory, directory.StoredFiles...),
 		Network: control.NewNetwork(d.pool), Events: d.Events, Scope: d.metrics.Scope, Seed: instanceSeed(d.Config.Instance),
-		ReplaceLostVoters: true, UsageWindow: d.usageWindow(), Limits: control.LimitsFor(cmp.Or(d.Config.Memory, defaultMemory()), d.Config.Disk),
+		ReplaceLostVoters: true, CatchUp: d.Config.CatchUp, UsageWindow: d.usageWindow(), Limits: control.LimitsFor(cmp.Or(d.Config.Memory, defaultMemory()), d.Config.Disk),
 	})
 	control.NewService(d.Member).Register(d.peers)
 	d.Directory = directory.NewService(d.Events, d.crashes, d.Config.DataDirectory)
