Text from outside is checked where it enters

Cause: text was taken over unchecked. protobuf refuses a string that is not UTF-8 together with its whole message, and httpconn wrote values of fields as they were.

A request id may be any value of a header and is forwarded as it is; other processes get a printable form. The directory, crash reports and events leave out or replace what cannot be encoded instead of failing with all others, and httpconn sends no head with a control character.

--- a/internal/control/routing.go
+++ b/internal/control/routing.go
@@ -10,6 +10,7 @@
 	"auburnstep.example/auburnstep/internal/event"
 	"auburnstep.example/auburnstep/internal/routing"
 	"auburnstep.example/auburnstep/internal/rpc/controlv1"
+	"auburnstep.example/auburnstep/internal/text"
 )
 
 var (
@@ -36,6 +37,9 @@
 	if err == nil && table.Version != t.GetVersion() {
 		err = fmt.Errorf("the table has version %d, the request %d", table.Version, t.GetVersion())
 	}
+	if err == nil {
+		err = table.CheckNames(text.CheckName)
+	}
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -52,7 +52,7 @@
 var (
 	eventMemberLost    = event.Define(7100, "directory-member-lost", event.Warn, "a control member does not respond to directory polls")
 	eventBadLoads      = event.Define(7102, "directory-loads-malformed", event.Warn, "a control member sent malformed loads; the previous loads stay in use")
-	eventBadReports    = event.Define(7103, "directory-reports-malformed", event.Warn, "an entry or a control member sent malformed crash reports; they are ignored")
+	eventBadReports    = event.Define(7103, "directory-reports-malformed", event.Warn, "an entry or a control member sent malformed crash reports; the others are used")
 	eventMemberAnswers = event.Define(7101, "directory-member-answers", event.Info, "a control member responds to directory polls again")
 )
 
@@ -339,7 +339,6 @@
 	if err != nil {
 		c.failures.Inc(1)
 		c.options.Events.Emit(eventBadReports, event.F("member", p.address), event.F("error", err))
-		return
 	}
 	p.knownReports.add(received)
 	c.options.Crashes.Merge(now, received)
--- a/internal/directory/crash_messages.go
+++ b/internal/directory/crash_messages.go
@@ -1,7 +1,9 @@
 package directory
 
 import (
+	"slices"
 	"time"
+	"unicode/utf8"
 
 	"auburnstep.example/auburnstep/internal/quarantine"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
@@ -21,6 +23,9 @@
 	age := func(at time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds())) }
 	var out []*directoryv1.CrashReport
 	for _, r := range reports {
+		if !isEncodable(r) {
+			continue
+		}
 		m := &directoryv1.CrashReport{
 			Endpoint: r.Endpoint, Incarnation: r.Incarnation, Request: r.Request, Parts: r.Parts,
 			SentAgeMs: age(r.SentAt), LostAgeMs: age(r.LostAt),
@@ -33,13 +38,22 @@
 	return out
 }
 
-// unpackCrashReports decodes messages. It fails if one is malformed.
+// isEncodable reports whether a report can be sent. Requests are checked where they come in, so
+// that this fails for none; one report that cannot be sent would hold back all others.
+func isEncodable(r quarantine.Report) bool {
+	return utf8.ValidString(r.Endpoint) && utf8.ValidString(r.Request) && !slices.ContainsFunc(r.Parts, func(p string) bool { return !utf8.ValidString(p) })
+}
+
+// unpackCrashReports decodes messages. It leaves out those that are malformed and returns an error
+// that describes the last of them.
 func unpackCrashReports(now time.Time, messages []*directoryv1.CrashReport) ([]quarantine.Report, error) {
+	var malformed error
 	at := func(ageMs uint32) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
 	var out []quarantine.Report
 	for _, m := range messages {
 		if len(m.Soundness) != len(m.Parts) || len(m.Parts) == 0 || len(m.Parts) > quarantine.MaxParts {
-			return nil, Error.New("a crash report has %d parts and the soundness of %d", len(m.Parts), len(m.Soundness))
+			malformed = Error.New("a crash report has %d parts and the soundness of %d", len(m.Parts), len(m.Soundness))
+			continue
 		}
 		r := quarantine.Report{
 			Endpoint: m.Endpoint, Incarnation: m.Incarnation, Request: m.Request, Parts: m.Parts,
@@ -50,7 +64,7 @@
 		}
 		out = append(out, r)
 	}
-	return out, nil
+	return out, malformed
 }
 
 // knownReports is what a member is known to have.
--- a/internal/directory/merge.go
+++ b/internal/directory/merge.go
@@ -34,7 +34,9 @@
 	}
 	v.epoch, v.cursor, v.entries = r.Epoch, r.Cursor, r.Entries
 	for _, e := range r.Endpoints {
-		v.endpoints[e.Id] = e
+		if isWellFormed(e) {
+			v.endpoints[e.Id] = e
+		}
 	}
 	return changed
 }
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -16,6 +16,7 @@
 
 	"auburnstep.example/auburnstep/internal/dispatch"
 	"auburnstep.example/auburnstep/internal/rpc/directoryv1"
+	"auburnstep.example/auburnstep/internal/text"
 )
 
 // Error is the class of errors of this package.
@@ -85,12 +86,25 @@
 	Stale
 	// Full means that the registry holds maxEndpoints endpoints.
 	Full
+	// Malformed announcements name something that cannot be sent on; see isWellFormed.
+	Malformed
 )
 
+// isWellFormed reports whether an endpoint can be sent to entries and members, and named in
+// requests. Announcements are checked where they come in; this keeps what an earlier version has
+// accepted, on another member or in the data directory, out of the messages with all others.
+func isWellFormed(e *directoryv1.Endpoint) bool {
+	optional := func(s string) bool { return s == "" || text.IsName(s) }
+	return text.IsName(e.GetId()) && optional(e.GetService()) && optional(e.GetAddress()) && optional(e.GetFailureDomain())
+}
+
 // Announce records an announcement. Announcements may be delayed, so it ignores those of
 // an earlier incarnation and those with a lower sequence number than the recorded one. It
 // also ignores all announcements of an incarnation that has left.
 func (r *Registry) Announce(now time.Time, e *directoryv1.Endpoint) Effect {
+	if !isWellFormed(e) {
+		return Malformed
+	}
 	rec := r.endpoints[e.Id]
 	if rec == nil {
 		if len(r.endpoints) >= maxEndpoints {
@@ -128,6 +142,9 @@
 // current one. An unknown endpoint is recorded as gone too, because it may have
 // announced itself to other members only. Leave reports whether anything changed.
 func (r *Registry) Leave(now time.Time, id string, incarnation int64) bool {
+	if !text.IsName(id) {
+		return false
+	}
 	rec := r.endpoints[id]
 	if rec == nil {
 		if len(r.endpoints) >= maxEndpoints {
@@ -153,6 +170,8 @@
 func (r *Registry) RecordDeparture(now time.Time, e *directoryv1.Endpoint) Effect {
 	rec := r.endpoints[e.Id]
 	switch {
+	case !isWellFormed(e):
+		return Malformed
 	case !e.Gone && !e.Draining:
 		return Stale
 	case rec == nil && len(r.endpoints) >= maxEndpoints:
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -35,6 +35,7 @@
 	eventEndpointLeft      = event.Define(7002, "endpoint-left", event.Info, "an endpoint has left")
 	eventEndpointSilent    = event.Define(7003, "endpoint-silent", event.Warn, "this member received no announcement of an endpoint within its lease; other members may have received one")
 	eventDirectoryFull     = event.Define(7004, "directory-full", event.Warn, "the directory is full; an announcement was refused")
+	eventEndpointMalformed = event.Define(7014, "endpoint-malformed", event.Warn, "an announcement or departure names something that cannot be sent on; it is ignored")
 	eventEntriesChanged    = event.Define(7005, "entries-changed", event.Info, "the list of entries that accept callers has changed")
 )
 
@@ -169,7 +170,8 @@
 	return s.limits.acquire(now, key, l)
 }
 
-// Announce records an announcement. It returns false if the directory is full.
+// Announce records an announcement. It returns false if the directory is full or the
+// announcement is malformed.
 func (s *Service) Announce(e *directoryv1.Endpoint) bool {
 	s.mu.Lock()
 	effect := s.registry.Announce(clock.Now(), e)
@@ -181,8 +183,10 @@
 		s.emit(eventAnnouncementStale, e)
 	case Full:
 		s.emit(eventDirectoryFull, e)
+	case Malformed:
+		s.emit(eventEndpointMalformed, e)
 	}
-	return effect != Full
+	return effect != Full && effect != Malformed
 }
 
 // Leave records that an endpoint has left; see Registry.Leave.
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -159,8 +159,11 @@
 	s.mu.Lock()
 	effect := s.registry.RecordDeparture(clock.Now(), e)
 	s.mu.Unlock()
-	if effect == Changed {
+	switch effect {
+	case Changed:
 		s.emit(eventDepartureLearned, e)
+	case Malformed:
+		s.emit(eventEndpointMalformed, e)
 	}
 	return effect
 }
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -62,11 +62,8 @@
 	// A clock that has been set back must not make the reports younger.
 	savedAt := now.Add(-max(0, now.Sub(time.UnixMilli(stored.SavedAtMs))))
 	reports, err := unpackCrashReports(savedAt, stored.Reports)
-	if err != nil {
-		return err
-	}
 	s.crashes.Merge(now, reports)
-	return nil
+	return err
 }
 
 // run saves the reports after each change until ctx ends. It is the only one that waits
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"math"
 	"net"
 	"net/http"
@@ -18,9 +19,9 @@
 
 	"auburnstep.example/auburnstep/internal/endpointapi"
 	"auburnstep.example/auburnstep/internal/event"
-	"auburnstep.example/auburnstep/internal/openai"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
 	"auburnstep.example/auburnstep/internal/settings"
+	"auburnstep.example/auburnstep/internal/text"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
 
@@ -124,8 +125,8 @@
 	invalid := func(message string) *verdict.Error {
 		return verdict.Refused(http.StatusBadRequest, "invalid_announcement", message)
 	}
-	if !openai.IsValidID(a.ID) {
-		return invalid("\"id\" must be 1 to 128 printable characters without spaces")
+	if err := checkAnnouncedText(a); err != nil {
+		return invalid(err.Error())
 	}
 	if !hasNumericPort(a.Address) {
 		return invalid("\"address\" is " + quote(a.Address) + "; allowed is host:port")
@@ -148,6 +149,23 @@
 	return nil
 }
 
+// checkAnnouncedText checks what an announcement names. The failure domain may be missing.
+func checkAnnouncedText(a *endpointapi.Announcement) error {
+	errs := []error{text.CheckID("the id", a.ID), text.CheckName("the address", a.Address)}
+	if a.FailureDomain != "" {
+		errs = append(errs, text.CheckName("the failure domain", a.FailureDomain))
+	}
+	for _, name := range slices.Concat(a.Models, a.Adapters, a.Loading) {
+		errs = append(errs, text.CheckName("the model or adapter", name))
+	}
+	for _, e := range a.CacheEvents {
+		if e.Prefix != "" {
+			errs = append(errs, text.CheckID("the prefix of a cache event", e.Prefix))
+		}
+	}
+	return errors.Join(errs...)
+}
+
 // hasNumericPort reports whether an address is host:port with a port from 1 to 65535.
 func hasNumericPort(address string) bool {
 	_, port, err := net.SplitHostPort(address)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"auburnstep.example/auburnstep/internal/endpointapi"
@@ -199,7 +200,7 @@
 				"the endpoint failed with status "+http.StatusText(response.Status)+"; the request may have run")}
 		}
 		outcome = &controlv1.BookingOutcome{
-			Status: uint32(response.Status), ContentType: response.Header.Get("Content-Type"), Body: body,
+			Status: uint32(response.Status), ContentType: strings.ToValidUTF8(response.Header.Get("Content-Type"), ""), Body: body,
 		}
 		return attemptResult{timeToFirstToken: timeToFirstByte}
 	})
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -9,9 +9,9 @@
 	"github.com/google/uuid"
 
 	"auburnstep.example/auburnstep/internal/event"
-	"auburnstep.example/auburnstep/internal/openai"
 	schedulerv1 "auburnstep.example/auburnstep/internal/rpc/schedulerv1"
 	"auburnstep.example/auburnstep/internal/settings"
+	"auburnstep.example/auburnstep/internal/text"
 	"auburnstep.example/auburnstep/internal/verdict"
 )
 
@@ -128,7 +128,7 @@
 		return nil
 	}
 	q.idempotencyKey = h.Get(HeaderIdempotencyKey)
-	if !openai.IsValidID(q.idempotencyKey) {
+	if !text.IsID(q.idempotencyKey) {
 		return verdict.Refused(http.StatusBadRequest, "missing_idempotency_key", "requests of class "+q.class.Class+
 			" run at most once and need an "+HeaderIdempotencyKey+" of 1 to 128 printable characters without spaces")
 	}
--- a/internal/event/recorder.go
+++ b/internal/event/recorder.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 
@@ -92,7 +93,7 @@
 	if r == nil {
 		return
 	}
-	fields = boundedFields(fields)
+	fields = presentableFields(fields)
 	rec := Record{At: r.clock.Now(), Instance: r.instance, Event: e, Fields: fields}
 	r.retain(rec)
 	if level := logrusLevel(e.Level); r.log.IsLevelEnabled(level) {
@@ -104,17 +105,21 @@
 	}
 }
 
-// boundedFields returns fields with the values that are too long replaced by their beginning and
-// their length.
-func boundedFields(fields []Field) []Field {
-	isLong := func(f Field) bool { return len(f.Value) > maxValueBytes }
-	if !slices.ContainsFunc(fields, isLong) {
+// presentableFields returns fields with the values that are too long replaced by their beginning
+// and their length, and bytes that are not UTF-8 by U+FFFD: one such value would keep all records
+// of the process from being encoded for the time line.
+func presentableFields(fields []Field) []Field {
+	isPresentable := func(f Field) bool { return len(f.Value) <= maxValueBytes && utf8.ValidString(f.Value) }
+	if !slices.ContainsFunc(fields, func(f Field) bool { return !isPresentable(f) }) {
 		return fields
 	}
 	out := slices.Clone(fields)
 	for i, f := range out {
-		if isLong(f) {
+		switch {
+		case len(f.Value) > maxValueBytes:
 			out[i].Value = fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(f.Value[:maxValueBytes], ""), len(f.Value))
+		default:
+			out[i].Value = strings.ToValidUTF8(f.Value, "\uFFFD")
 		}
 	}
 	return out
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -19,6 +19,8 @@
 
 	"github.com/zeebo/errs"
 	"golang.org/x/sys/unix"
+
+	"auburnstep.example/auburnstep/internal/text"
 )
 
 // Error is the error class of this package.
@@ -31,6 +33,9 @@
 	// ErrHeadTooLarge means that the head of the response, with interim responses before
 	// it, exceeds maxHeadBytes.
 	ErrHeadTooLarge = errors.New("the head of the response is too large")
+	// ErrInvalidRequest means that a request cannot be sent, because its head would contain a
+	// control character.
+	ErrInvalidRequest = errors.New("the head of the request contains a control character")
 	// ErrTrailingData means that bytes followed a complete response.
 	ErrTrailingData = errors.New("unexpected bytes after the response")
 )
@@ -184,13 +189,20 @@
 	MaxIdle time.Duration
 }
 
-// head returns the request line and the headers.
-func (r *Request) head() []byte {
+// head returns the request line and the headers. It fails if one of them contains a line break or
+// another control character, behind which the endpoint would read another field or request.
+func (r *Request) head() ([]byte, error) {
+	if !text.IsFieldValue(r.Method) || !text.IsFieldValue(r.Target) || !text.IsFieldValue(r.Host) {
+		return nil, ErrInvalidRequest
+	}
 	var b strings.Builder
 	b.Grow(512)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		for _, v := range values {
+			if !text.IsFieldValue(name) || !text.IsFieldValue(v) {
+				return nil, ErrInvalidRequest
+			}
 			b.WriteString(name + ": " + v + "\r\n")
 		}
 	}
@@ -198,7 +210,7 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	return []byte(b.String())
+	return []byte(b.String()), nil
 }
 
 // RequestError reports a request that got no response.
@@ -294,8 +306,12 @@
 	if ctx.Err() != nil {
 		return fail(false, false, ctx.Err())
 	}
+	head, err := r.head()
+	if err != nil {
+		return fail(false, false, err)
+	}
 	c.limit.head.Start()
-	buffers := net.Buffers{r.head()}
+	buffers := net.Buffers{head}
 	if len(r.Body) > 0 {
 		buffers = append(buffers, r.Body)
 	}
--- a/internal/openai/openai.go
+++ b/internal/openai/openai.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -204,9 +203,3 @@
 	Created int64  `json:"created"`
 	OwnedBy string `json:"owned_by"`
 }
-
-// IsValidID reports whether a caller's header value can be used as an identifier in
-// logs and headers: not empty, printable ASCII without spaces, at most 128 bytes.
-func IsValidID(s string) bool {
-	return s != "" && len(s) <= 128 && strings.IndexFunc(s, func(r rune) bool { return r <= ' ' || r > '~' }) < 0
-}
--- a/internal/router/codec.go
+++ b/internal/router/codec.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs"
 
 	"auburnstep.example/auburnstep/internal/dispatch"
+	"auburnstep.example/auburnstep/internal/text"
 )
 
 // Error is the error class of this package.
@@ -32,6 +33,20 @@
 	Header http.Header
 }
 
+// CheckText checks the ids of prompt parts, which go into the reports that entries and members
+// share. The id of the request may be any value of a header; see PrintableID.
+func (c *Call) CheckText() error {
+	for _, p := range c.Prompt.Parts {
+		if err := text.CheckName("the id of a prompt part", p.ID); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// PrintableID returns the id of the request in the form in which other processes get to see it.
+func (c *Call) PrintableID() string { return text.Printable(c.ID) }
+
 // Attempt describes one attempt at an endpoint.
 type Attempt struct {
 	// Endpoint is the id of the intended endpoint; a different endpoint at its
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -111,7 +111,7 @@
 		suspects = sharedParts(q.demand.Prompt.Parts)
 	}
 	q.server.checkCrash(c.Endpoint, quarantine.Report{
-		Endpoint: c.Endpoint.ID, Incarnation: c.Endpoint.Incarnation, Request: q.call.ID, Parts: append(suspects, q.fingerprint()), SentAt: sentAt, LostAt: now,
+		Endpoint: c.Endpoint.ID, Incarnation: c.Endpoint.Incarnation, Request: q.call.PrintableID(), Parts: append(suspects, q.fingerprint()), SentAt: sentAt, LostAt: now,
 	})
 }
 
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -135,7 +135,9 @@
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	var err error
-	q.call, err = q.server.options.Codec.DecodeRequest(r)
+	if q.call, err = q.server.options.Codec.DecodeRequest(r); err == nil {
+		err = q.call.CheckText()
+	}
 	q.findTable(r.Context())
 	index := q.table.Index
 	if q.route = index.Match(r.Host, path); q.route == nil {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -181,6 +181,38 @@
 	return t.validateCustomers()
 }
 
+// CheckNames calls check with each name in the table and what it names, and returns the first
+// error. It is apart from Validate, so that a table in force stays valid when the rules for new
+// names change. A route may have no name.
+func (t *Table) CheckNames(check func(what, name string) error) error {
+	for _, s := range t.Services {
+		if err := check("the service", s.Name); err != nil {
+			return Error.Wrap(err)
+		}
+		if s.Scale == nil {
+			continue
+		}
+		for domain := range s.Scale.DomainPrices {
+			if err := check("the failure domain", domain); err != nil {
+				return Error.Wrap(err)
+			}
+		}
+	}
+	for _, c := range t.Customers {
+		if err := check("the customer", c.Name); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	for i := range t.Routes {
+		if name := t.Routes[i].Name; name != "" {
+			if err := check("the route", name); err != nil {
+				return Error.Wrap(err)
+			}
+		}
+	}
+	return nil
+}
+
 func (r *Route) validate(services map[string]bool) error {
 	invalid := func(format string, args ...any) error {
 		return Error.New("route %q: %s", r.Name, fmt.Sprintf(format, args...))
